--- /dev/null
+++ b/src/records/job_record.cc
@@ -0,0 +1,118 @@
+#include "records/job_record.h"
+
+#include <array>
+#include <limits>
+
+namespace rattan::records {
+
+namespace {
+
+    constexpr std::array<std::string_view, 5> kindNames { "submit", "cancel", "starting", "final", "restate" };
+    constexpr std::array<std::string_view, 5> outcomeNames { "done", "failed", "cancelled", "refused", "unknown" };
+    constexpr std::array<std::string_view, 3> adjacencyNames { "worker", "rack", "domain" };
+    constexpr std::size_t longestName = 200;
+    constexpr std::size_t longestText = 1 << 16;
+    constexpr std::int64_t mostCores = 4096;
+    constexpr std::int64_t mostMemoryMb = 1 << 24;
+    constexpr Millis longestRun = Millis { 1000 } * 60 * 60 * 24 * 365;
+
+    template <std::size_t count>
+    std::size_t indexOf(const std::array<std::string_view, count>& names, const std::string& name, JsonReader& reader)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            if (names[i] == name)
+                return i;
+        }
+        reader.fault("'" + name + "' is not a known name");
+        return 0;
+    }
+
+    bool carriesSpec(JobRecordKind kind) { return kind == JobRecordKind::Submit || kind == JobRecordKind::Restate; }
+
+    bool carriesId(JobRecordKind kind) { return kind != JobRecordKind::Submit && kind != JobRecordKind::Cancel; }
+
+    bool carriesKey(JobRecordKind kind) { return kind != JobRecordKind::Starting; }
+
+} // namespace
+
+std::string_view nameOf(JobRecordKind kind) { return kindNames.at(static_cast<std::size_t>(kind)); }
+
+std::string_view nameOf(JobOutcome outcome) { return outcomeNames.at(static_cast<std::size_t>(outcome)); }
+
+std::string jobStream(const std::string& domain) { return "jobs." + domain; }
+
+Json toJson(const JobSpec& spec)
+{
+    return { { "class", spec.jobClass }, { "members", spec.members }, { "accelerators", spec.accelerators },
+        { "cores", spec.cores }, { "memory_mb", spec.memoryMb }, { "adjacent", spec.adjacent },
+        { "run_ms", spec.declaredRun }, { "payload", spec.payload } };
+}
+
+Json toJson(const JobRecord& record)
+{
+    Json json { { "kind", nameOf(record.kind) } };
+    if (carriesId(record.kind))
+        json["id"] = record.id;
+    if (carriesKey(record.kind)) {
+        json["workspace"] = record.workspace;
+        json["key"] = record.key;
+    }
+    if (carriesSpec(record.kind)) {
+        json["at_ms"] = record.atWall;
+        json["spec"] = toJson(record.spec);
+    }
+    if (record.kind == JobRecordKind::Starting || record.kind == JobRecordKind::Restate)
+        json["attempt"] = record.attempt;
+    if (record.kind == JobRecordKind::Starting)
+        json["claimant"] = record.claimant;
+    if (record.kind == JobRecordKind::Final) {
+        json["outcome"] = nameOf(record.outcome);
+        json["reason"] = record.reason;
+        json["result"] = record.result;
+    }
+    return json;
+}
+
+Result<JobSpec> parseJobSpec(const Json& json)
+{
+    JsonReader reader(json, "job.spec");
+    JobSpec spec;
+    spec.jobClass = reader.text("class", 1, longestName);
+    spec.members = reader.numberOr("members", spec.members, 1, mostMembers);
+    spec.accelerators = reader.numberOr("accelerators", spec.accelerators, 0, mostAcceleratorsPerMember);
+    spec.cores = reader.numberOr("cores", spec.cores, 0, mostCores);
+    spec.memoryMb = reader.numberOr("memory_mb", spec.memoryMb, 0, mostMemoryMb);
+    spec.adjacent = reader.textOr("adjacent", spec.adjacent, longestName);
+    indexOf(adjacencyNames, spec.adjacent, reader);
+    spec.declaredRun = reader.numberOr("run_ms", spec.declaredRun, 1, longestRun);
+    spec.payload = reader.anyOr("payload", Json::object());
+    return reader.finish(std::move(spec));
+}
+
+Result<JobRecord> parseJobRecord(const Json& json)
+{
+    JsonReader reader(json, "job.record");
+    JobRecord record;
+    record.kind = static_cast<JobRecordKind>(indexOf(kindNames, reader.text("kind", 1, longestName), reader));
+    constexpr std::int64_t highest = std::numeric_limits<std::int64_t>::max();
+    if (carriesId(record.kind))
+        record.id = static_cast<std::uint64_t>(reader.number("id", 0, highest));
+    if (carriesKey(record.kind)) {
+        record.workspace = reader.text("workspace", 1, longestName);
+        record.key = reader.text("key", 1, longestJobKey);
+    }
+    record.atWall = reader.numberOr("at_ms", 0, 0, highest);
+    record.attempt = reader.numberOr("attempt", 0, 0, highest);
+    record.claimant = reader.textOr("claimant", "", longestName);
+    if (record.kind == JobRecordKind::Final)
+        record.outcome = static_cast<JobOutcome>(indexOf(outcomeNames, reader.text("outcome", 1, longestName), reader));
+    record.reason = reader.textOr("reason", "", longestText);
+    record.result = reader.textOr("result", "", longestText);
+    if (carriesSpec(record.kind)) {
+        BOOST_LEAF_AUTO(spec, parseJobSpec(reader.anyOr("spec", Json())));
+        record.spec = std::move(spec);
+    }
+    return reader.finish(std::move(record));
+}
+
+} // namespace rattan::records
--- a/src/rpc/rattan.capnp
+++ b/src/rpc/rattan.capnp
@@ -95,9 +95,11 @@
   config @0 (after :UInt64) -> (config :ConfigText);
   # The text in force; an empty text when `after` is already the newest.
 
-  job @1 (workspace :Text, key :Text) -> (found :Bool, view :JobView);
-  jobs @2 (workspace :Text, limit :UInt32) -> (views :List(JobView));
-  domain @3 () -> (view :DomainView);
+  job @1 (workspace :Text, key :Text, forwarded :Bool) -> (found :Bool, view :JobView);
+  jobs @2 (workspace :Text, limit :UInt32, forwarded :Bool) -> (views :List(JobView));
+  domain @3 (forwarded :Bool) -> (view :DomainView);
+  # job, jobs and domain are passed on to the active planner of the domain once;
+  # `forwarded` keeps two planners that disagree from passing them to and fro.
 
   greet @4 (from :InstanceState, known :List(InstanceState)) -> (own :InstanceState, known :List(InstanceState));
   # Heartbeat between instances, and how the membership spreads.
--- a/src/rpc/rattan.capnp.h
+++ b/src/rpc/rattan.capnp.h
@@ -261,7 +261,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cbff06a2ea5ba540, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(cbff06a2ea5ba540, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -321,7 +321,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fa4793be6e871639, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(fa4793be6e871639, 1, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1917,6 +1917,8 @@
   inline bool hasKey() const;
   inline  ::capnp::Text::Reader getKey() const;
 
+  inline bool getForwarded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1959,6 +1961,9 @@
   inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownKey();
 
+  inline bool getForwarded();
+  inline void setForwarded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2094,6 +2099,8 @@
 
   inline  ::uint32_t getLimit() const;
 
+  inline bool getForwarded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2132,6 +2139,9 @@
   inline  ::uint32_t getLimit();
   inline void setLimit( ::uint32_t value);
 
+  inline bool getForwarded();
+  inline void setForwarded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2256,6 +2266,8 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool getForwarded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2284,6 +2296,9 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool getForwarded();
+  inline void setForwarded(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6183,6 +6198,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Planner::JobParams::Reader::getForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Planner::JobParams::Builder::getForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Planner::JobParams::Builder::setForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Planner::JobResults::Reader::getFound() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6284,6 +6313,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Planner::JobsParams::Reader::getForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Planner::JobsParams::Builder::getForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Planner::JobsParams::Builder::setForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Planner::JobsResults::Reader::hasViews() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6318,6 +6361,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Planner::DomainParams::Reader::getForwarded() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Planner::DomainParams::Builder::getForwarded() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Planner::DomainParams::Builder::setForwarded(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Planner::DomainResults::Reader::hasView() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
