Add a waiting push to the ring

Change: BoundedRing::push waits for room; the job tail uses it. Conclusion: no loop around a refused push is needed.

--- a/src/base/ring.h
+++ b/src/base/ring.h
@@ -8,9 +8,9 @@
 //     while (auto job = ring.pop())  // empty optional once closed and drained
 //         run(*job);
 //
-// It never grows past its capacity and never blocks the pushing side, so a slow
-// consumer shows up as a refused push and not as memory. Any number of threads
-// may push and pop.
+// It never grows past its capacity, so a slow consumer shows up as a refused
+// tryPush, or as a push that waits, and not as memory. Any number of threads may
+// push and pop.
 
 #include <chrono>
 #include <condition_variable>
@@ -42,6 +42,20 @@
         return true;
     }
 
+    // Waits for room; false once the ring is closed.
+    bool push(T&& value)
+    {
+        {
+            std::unique_lock lock(this->mutex);
+            this->room.wait(lock, [this] { return this->closed || this->values.size() < this->capacity; });
+            if (this->closed)
+                return false;
+            this->values.push_back(std::move(value));
+        }
+        this->ready.notify_one();
+        return true;
+    }
+
     // Waits for a value; empty once the ring is closed and drained.
     std::optional<T> pop()
     {
@@ -66,6 +80,7 @@
             this->closed = true;
         }
         this->ready.notify_all();
+        this->room.notify_all();
     }
 
     bool isClosed() const
@@ -87,12 +102,14 @@
             return std::nullopt;
         std::optional<T> value(std::move(this->values.front()));
         this->values.pop_front();
+        this->room.notify_one();
         return value;
     }
 
     const std::size_t capacity;
     mutable std::mutex mutex;
     std::condition_variable ready;
+    std::condition_variable room;
     std::deque<T> values;
     bool closed { false };
 };
--- a/src/planner/job_tail.cc
+++ b/src/planner/job_tail.cc
@@ -11,7 +11,6 @@
     constexpr std::chrono::milliseconds longPoll { 1000 };
     constexpr std::chrono::milliseconds firstPause { 50 };
     constexpr std::chrono::milliseconds longestPause { 1000 };
-    constexpr std::chrono::milliseconds fullRingPause { 5 };
 
 } // namespace
 
@@ -82,12 +81,8 @@
             logEvent(events::recordPassedOver, { { "stream", this->stream }, { "offset", record.offset }, { "error", parsed.error.message } });
             continue;
         }
-        JobTailItem item { record.offset, record.atWall, std::move(*parsed) };
-        while (!this->ring->tryPush(std::move(item))) {
-            if (this->ring->isClosed())
-                return;
-            this->pause(fullRingPause);
-        }
+        if (!this->ring->push({ record.offset, record.atWall, std::move(*parsed) }))
+            return;
     }
 }
 
