Parse and check the operators' text

Cause: nothing yet turned the operators' YAML into the checked Text, and a text that is wrong has to be refused with every fault at once. A packing that the search cannot decide within its budget is refused and said to be undecided.

--- /dev/null
+++ b/src/config/check_guarantees.cc
@@ -0,0 +1,145 @@
+// The guarantees of a text are counted in each failure domain, so every domain
+// must be able to hold them all at once. When one cannot, the shape that breaks
+// it is found by halving: the shortest run of shapes, in the order of the text,
+// that does not fit ends with the shape to name.
+
+#include "config/checks.h"
+#include "config/packing.h"
+
+#include <fmt/format.h>
+#include <map>
+
+namespace rattan::config {
+
+namespace {
+
+    struct Shape {
+        std::string path;
+        const Workspace* workspace;
+        const GuaranteedShape* shape;
+    };
+
+    struct Domain {
+        std::vector<RackRoom> racks;
+        std::int64_t workers { 0 };
+        std::int64_t accelerators { 0 };
+    };
+
+    void fault(ReadState& state, const std::string& path, std::string message, std::string accepted)
+    {
+        state.faults.push_back({ state.places[path], path, std::move(message), std::move(accepted) });
+    }
+
+    std::vector<Shape> shapesOf(const Text& text)
+    {
+        std::vector<Shape> shapes;
+        for (std::size_t i = 0; i < text.workspaces.size(); ++i) {
+            const Workspace& workspace = text.workspaces[i];
+            for (std::size_t j = 0; j < workspace.guarantees.size(); ++j)
+                shapes.push_back({ fmt::format("workspaces[{}].guarantees[{}]", i, j), &workspace, &workspace.guarantees[j] });
+        }
+        return shapes;
+    }
+
+    std::map<std::string, Domain> domainsOf(const Text& text, ReadState& state)
+    {
+        std::map<std::string, Domain> domains;
+        for (std::size_t i = 0; i < text.workers.size(); ++i) {
+            const WorkerPool& pool = text.workers[i];
+            Domain& domain = domains[pool.domain];
+            domain.workers += pool.racks * pool.workersPerRack;
+            domain.accelerators += pool.racks * pool.workersPerRack * pool.accelerators;
+            if (domain.workers > maximumWorkersPerDomain) {
+                fault(state, fmt::format("workers[{}]", i), fmt::format("failure domain '{}' has {} workers up to here", pool.domain, domain.workers),
+                    fmt::format("at most {} workers in a failure domain", maximumWorkersPerDomain));
+                return {};
+            }
+            for (std::int64_t rack = 0; rack < pool.racks; ++rack)
+                domain.racks.emplace_back(static_cast<std::size_t>(pool.workersPerRack), pool.accelerators);
+        }
+        return domains;
+    }
+
+    Fit fitsUpTo(const Domain& domain, const std::vector<Shape>& shapes, std::size_t count, SearchBudget& budget)
+    {
+        std::vector<Piece> pieces;
+        for (std::size_t i = 0; i < count; ++i) {
+            for (std::int64_t copy = 0; copy < shapes[i].shape->count; ++copy)
+                pieces.push_back({ shapes[i].shape->accelerators, shapes[i].shape->within });
+        }
+        return fits(domain.racks, pieces, budget);
+    }
+
+    std::string describe(const Shape& shape)
+    {
+        return fmt::format("{} x {} accelerators, one {} each, of workspace '{}'", shape.shape->count, shape.shape->accelerators,
+            nameOf(shape.shape->within), shape.workspace->name);
+    }
+
+    void reportShape(const std::string& name, const Domain& domain, const std::vector<Shape>& shapes, ReadState& state, SearchBudget& budget)
+    {
+        std::size_t fitting = 0;
+        std::size_t failing = shapes.size();
+        while (failing - fitting > 1) {
+            const std::size_t middle = fitting + (failing - fitting) / 2;
+            (fitsUpTo(domain, shapes, middle, budget) == Fit::Fits ? fitting : failing) = middle;
+        }
+        const Shape& shape = shapes[failing - 1];
+        const bool proved = fitsUpTo(domain, shapes, failing, budget) == Fit::DoesNotFit;
+        fault(state, shape.path,
+            fmt::format("{} {} failure domain '{}' together with the guarantees before it", describe(shape),
+                proved ? "does not fit into" : "could not be shown to fit into", name),
+            fmt::format("guarantees that fit at once on its {} workers in {} racks with {} accelerators", domain.workers, domain.racks.size(),
+                domain.accelerators));
+    }
+
+    bool pieceCountIsBounded(const std::vector<Shape>& shapes, ReadState& state)
+    {
+        std::int64_t pieces = 0;
+        for (const Shape& shape : shapes) {
+            pieces += shape.shape->count;
+            if (pieces > maximumPieces) {
+                fault(state, shape.path, fmt::format("the guarantees have {} pieces up to here", pieces), fmt::format("at most {} pieces in all", maximumPieces));
+                return false;
+            }
+        }
+        return true;
+    }
+
+    // A workspace that may not run what it is guaranteed would be promised
+    // something that can never be kept.
+    void checkLimits(const Text& text, ReadState& state)
+    {
+        for (std::size_t i = 0; i < text.workspaces.size(); ++i) {
+            const Workspace& workspace = text.workspaces[i];
+            std::int64_t guaranteed = 0;
+            for (const GuaranteedShape& shape : workspace.guarantees)
+                guaranteed += shape.count * shape.accelerators;
+            if (workspace.mostAccelerators > 0 && guaranteed > workspace.mostAccelerators) {
+                fault(state, fmt::format("workspaces[{}].most_accelerators", i), fmt::format("{} is below the {} that are guaranteed", workspace.mostAccelerators, guaranteed),
+                    "0 for no limit, or at least what is guaranteed");
+            }
+        }
+    }
+
+} // namespace
+
+void checkGuarantees(const Text& text, ReadState& state)
+{
+    checkLimits(text, state);
+    const std::map<std::string, Domain> domains = domainsOf(text, state);
+    const std::vector<Shape> shapes = shapesOf(text);
+    if (shapes.empty() || !pieceCountIsBounded(shapes, state))
+        return;
+    SearchBudget budget;
+    std::map<std::vector<RackRoom>, bool> known; // Domains alike are searched once.
+    for (const auto& [name, domain] : domains) {
+        const auto [entry, isNew] = known.try_emplace(domain.racks, false);
+        if (isNew)
+            entry->second = fitsUpTo(domain, shapes, shapes.size(), budget) == Fit::Fits;
+        if (!entry->second)
+            reportShape(name, domain, shapes, state, budget);
+    }
+}
+
+} // namespace rattan::config
--- /dev/null
+++ b/src/config/parse.cc
@@ -0,0 +1,131 @@
+// Three passes: YAML to bounded nodes, nodes to fields with every value checked
+// against the table of keys, then the checks that look at several values. The
+// last pass runs on the fields as far as they could be read, so that one round
+// shows its faults too; only the search for a packing needs sound numbers.
+
+#include "config/parse.h"
+
+#include "config/checks.h"
+#include "config/section_reader.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace rattan::config {
+
+namespace {
+
+    void readOperator(SectionReader& reader, Operator& target)
+    {
+        reader.name("name", target.name);
+        reader.digest("token_sha256", target.tokenSha256);
+    }
+
+    void readPool(SectionReader& reader, WorkerPool& target)
+    {
+        reader.name("domain", target.domain);
+        reader.number("racks", target.racks);
+        reader.number("workers_per_rack", target.workersPerRack);
+        reader.number("accelerators", target.accelerators);
+        reader.number("cores", target.cores);
+        reader.memory("memory", target.memoryMb);
+    }
+
+    void readOperation(SectionReader& reader, Operation& target)
+    {
+        reader.name("name", target.name);
+        reader.urgency("urgency", target.urgency);
+        reader.flag("idempotent", target.idempotent);
+        reader.duration("deadline", target.deadline);
+    }
+
+    void readService(SectionReader& reader, Service& target)
+    {
+        reader.name("name", target.name);
+        reader.names("depends_on", target.dependsOn);
+        reader.items("operations", Section::Operations, target.operations, readOperation);
+    }
+
+    void readJobClass(SectionReader& reader, JobClass& target)
+    {
+        reader.name("name", target.name);
+        reader.urgency("urgency", target.urgency);
+        reader.flag("idempotent", target.idempotent);
+        reader.flag("checkpointable", target.checkpointable);
+        reader.duration("checkpoint_time", target.checkpointTime);
+        reader.flag("stoppable", target.stoppable);
+        reader.number("attempts", target.attempts);
+    }
+
+    void readGuarantee(SectionReader& reader, GuaranteedShape& target)
+    {
+        reader.number("count", target.count);
+        reader.number("accelerators", target.accelerators);
+        reader.adjacency("within", target.within);
+    }
+
+    void readWorkspace(SectionReader& reader, Workspace& target)
+    {
+        reader.name("name", target.name);
+        reader.digest("token_sha256", target.tokenSha256);
+        reader.items("guarantees", Section::Guarantees, target.guarantees, readGuarantee);
+        reader.number("most_accelerators", target.mostAccelerators);
+        reader.number("most_queued_jobs", target.mostQueuedJobs);
+        reader.number("requests_per_second", target.requestsPerSecond);
+    }
+
+    Text readText(ReadState& state)
+    {
+        Text text;
+        SectionReader reader(state, Section::Text, state.tree.root, "");
+        reader.number("format", text.format);
+        reader.name("name", text.name);
+        reader.items("operators", Section::Operators, text.operators, readOperator);
+        reader.items("workers", Section::Workers, text.workers, readPool);
+        reader.items("services", Section::Services, text.services, readService);
+        reader.items("job_classes", Section::JobClasses, text.jobClasses, readJobClass);
+        reader.items("workspaces", Section::Workspaces, text.workspaces, readWorkspace);
+        reader.finish();
+        return text;
+    }
+
+    void order(Faults& faults)
+    {
+        std::stable_sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) {
+            return a.at.line != b.at.line ? a.at.line < b.at.line : a.at.column < b.at.column;
+        });
+        if (faults.size() > maximumFaults) {
+            const std::size_t more = faults.size() - maximumFaults;
+            faults.resize(maximumFaults);
+            faults.push_back({ {}, "", fmt::format("and {} faults more", more), "" });
+        }
+    }
+
+} // namespace
+
+ParseOutcome parse(const std::string& yaml)
+{
+    ParseOutcome outcome;
+    if (yaml.size() > maximumTextBytes) {
+        outcome.faults.push_back({ {}, "", fmt::format("the text has {} bytes", yaml.size()), fmt::format("at most {} bytes", maximumTextBytes) });
+        return outcome;
+    }
+    const auto tree = readYaml(yaml, outcome.faults);
+    if (!tree)
+        return outcome;
+    ReadState state { *tree, {}, {} };
+    Text text = readText(state);
+    const bool soundValues = state.faults.empty();
+    checkNames(text, state);
+    checkDependencies(text, state);
+    checkTokens(text, state);
+    if (soundValues)
+        checkGuarantees(text, state);
+    outcome.faults = std::move(state.faults);
+    order(outcome.faults);
+    if (outcome.faults.empty())
+        outcome.text = std::move(text);
+    return outcome;
+}
+
+} // namespace rattan::config
--- /dev/null
+++ b/src/config/section_reader.h
@@ -0,0 +1,74 @@
+#pragma once
+
+// Reads one map of the operators' text into fields, noting every fault.
+//
+//     SectionReader reader(state, Section::Workspaces, node, "workspaces[0]");
+//     reader.name("name", workspace.name);
+//     reader.number("most_queued_jobs", workspace.mostQueuedJobs);
+//     reader.finish();
+//
+// Ranges and wording come from the table in config/keys.h. A target keeps the
+// value it has when its key is absent or wrong.
+
+#include "config/keys.h"
+#include "config/text.h"
+#include "config/yaml_tree.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rattan::config {
+
+// What one parse gathers.
+struct ReadState {
+    const YamlTree& tree;
+    Faults faults;
+    std::map<std::string, Position> places; // By key path, for faults found later.
+};
+
+class SectionReader {
+public:
+    SectionReader(ReadState&, Section, NodeId, std::string path);
+
+    void name(std::string_view key, std::string& target);
+    void names(std::string_view key, std::vector<std::string>& target);
+    void digest(std::string_view key, std::string& target);
+    void number(std::string_view key, std::int64_t& target);
+    void duration(std::string_view key, Millis& target);
+    void memory(std::string_view key, std::int64_t& target);
+    void flag(std::string_view key, bool& target);
+    void urgency(std::string_view key, Urgency& target);
+    void adjacency(std::string_view key, Adjacency& target);
+
+    // Calls read(reader, item) for each item of a list of maps.
+    template <typename Item, typename Read>
+    void items(std::string_view key, Section section, std::vector<Item>& target, Read read)
+    {
+        const std::vector<NodeId> ids = this->list(key);
+        for (std::size_t i = 0; i < ids.size(); ++i) {
+            SectionReader reader(this->state, section, ids[i], this->pathOf(key) + "[" + std::to_string(i) + "]");
+            read(reader, target.emplace_back());
+            reader.finish();
+        }
+    }
+
+    // Notes keys that are unknown or stand twice.
+    void finish();
+
+private:
+    const YamlNode* find(std::string_view key);
+    const YamlNode* scalar(std::string_view key);
+    std::vector<NodeId> list(std::string_view key);
+    std::string pathOf(std::string_view key) const;
+    void refuse(std::string_view key, Position, const std::string& value);
+    bool takeName(std::string_view key, const YamlNode&, std::string& target);
+    void takeAmount(std::string_view key, const YamlNode&, std::optional<std::int64_t> amount, std::int64_t& target);
+
+    ReadState& state;
+    Section section;
+    const YamlNode& node;
+    std::string path;
+};
+
+} // namespace rattan::config
