--- /dev/null
+++ b/src/config/testing/ledger_test.cc
@@ -0,0 +1,260 @@
+#include "config/ledger.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <random>
+
+namespace rattan::config {
+
+namespace {
+
+    std::string textNamed(const std::string& name)
+    {
+        return fmt::format("format: 1\nname: {}\noperators: [{{name: ops, token_sha256: {}}}]\n"
+                           "workers: [{{domain: north, racks: 1, workers_per_rack: 1, accelerators: 8, cores: 8, memory: 8GiB}}]\n"
+                           "workspaces: [{{name: desk, token_sha256: {}}}]\n",
+            name, std::string(64, 'a'), std::string(64, 'b'));
+    }
+
+    Json publishOf(std::int64_t amends, const std::string& name)
+    {
+        return publishRecord({ amends, textNamed(name), name, name });
+    }
+
+    // The kept part of the stream, as a reader sees it.
+    struct Stream {
+        std::vector<Json> records;
+        std::uint64_t firstKept { 0 };
+
+        void trim(std::uint64_t upto) { this->firstKept = std::max(this->firstKept, upto); }
+    };
+
+    // Reads up to an offset, going back where the ledger asks for it.
+    void readUpTo(Ledger& ledger, const Stream& stream, std::uint64_t end)
+    {
+        ledger.trimmed(stream.firstKept);
+        while (ledger.next() < end)
+            ledger.apply(ledger.next(), stream.records[ledger.next()]);
+    }
+
+    void readAll(Ledger& ledger, const Stream& stream) { readUpTo(ledger, stream, stream.records.size()); }
+
+} // namespace
+
+class LedgerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(LedgerTest);
+    CPPUNIT_TEST(firstOfTwoWins);
+    CPPUNIT_TEST(repeatedAppendCountsOnce);
+    CPPUNIT_TEST(refusedTextChangesNothing);
+    CPPUNIT_TEST(ignoresForeignRecords);
+    CPPUNIT_TEST(restateThatLostARace);
+    CPPUNIT_TEST(readerThatFellBehindKeepsItsText);
+    CPPUNIT_TEST(peerBringsTextAndPlace);
+    CPPUNIT_TEST(verdictsAreBounded);
+    CPPUNIT_TEST(anyReaderFromAnyTrimEndsAlike);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void firstOfTwoWins()
+    {
+        // Two operators publish at the same moment; one of them must learn that
+        // the other's text is in force, or would believe that its own is.
+        Ledger ledger;
+        CPPUNIT_ASSERT(ledger.apply(0, publishOf(0, "anna")).kind == VerdictKind::Accepted);
+        const Verdict lost = ledger.apply(1, publishOf(0, "bert"));
+        CPPUNIT_ASSERT(lost.kind == VerdictKind::Lost);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, lost.version);
+        CPPUNIT_ASSERT_EQUAL(std::string("anna"), lost.author);
+        CPPUNIT_ASSERT_EQUAL(std::string("anna"), ledger.inForce().text->name);
+        CPPUNIT_ASSERT(ledger.verdictOf("bert")->kind == VerdictKind::Lost);
+        CPPUNIT_ASSERT(ledger.apply(2, publishOf(1, "bert")).kind == VerdictKind::Accepted);
+        CPPUNIT_ASSERT(ledger.verdictOf("bert")->kind == VerdictKind::Accepted);
+    }
+
+    void repeatedAppendCountsOnce()
+    {
+        // The log takes an append and its reply is lost, so the publisher
+        // appends again. Counted twice, it would undo what came in between.
+        Ledger ledger;
+        ledger.apply(0, publishOf(0, "anna"));
+        ledger.apply(1, publishOf(1, "bert"));
+        const Verdict again = ledger.apply(2, publishOf(0, "anna"));
+        CPPUNIT_ASSERT(again.kind == VerdictKind::Ignored);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, again.version);
+        CPPUNIT_ASSERT_EQUAL(std::string("bert"), ledger.inForce().author);
+        CPPUNIT_ASSERT(ledger.verdictOf("anna")->kind == VerdictKind::Accepted);
+    }
+
+    void refusedTextChangesNothing()
+    {
+        Ledger ledger;
+        const std::string future = "format: 7" + textNamed("anna").substr(std::string("format: 1").size());
+        const Verdict refused = ledger.apply(0, publishRecord({ 0, future, "anna", "a" }));
+        CPPUNIT_ASSERT(refused.kind == VerdictKind::Ignored);
+        CPPUNIT_ASSERT(refused.reason.find("format") != std::string::npos);
+        CPPUNIT_ASSERT(ledger.apply(1, publishOf(0, "bert")).kind == VerdictKind::Accepted);
+    }
+
+    void ignoresForeignRecords()
+    {
+        Ledger ledger;
+        Json skipping = publishOf(0, "anna");
+        skipping["version"] = 5;
+        const std::vector<Json> records { nullptr, 7, Json::array(), Json::object(), { { "kind", 3 } }, { { "kind", "publish" } },
+            { { "kind", "restate" }, { "version", -1 } }, { { "kind", "vote" } }, skipping };
+        for (const Json& record : records)
+            CPPUNIT_ASSERT_MESSAGE(record.dump(), ledger.apply(ledger.next(), record).kind == VerdictKind::Ignored);
+        CPPUNIT_ASSERT(ledger.apply(ledger.next() + 1, publishOf(0, "anna")).kind == VerdictKind::Ignored);
+        CPPUNIT_ASSERT(ledger.apply(ledger.next(), publishOf(0, "anna")).kind == VerdictKind::Accepted);
+    }
+
+    void restateThatLostARace()
+    {
+        // An instance writes version 1 again while a publish makes version 2. The
+        // publish lands first and is then trimmed. A fresh instance that took the
+        // restate at face value would accept a publish that everybody else refused.
+        Stream stream;
+        stream.records = { publishOf(0, "anna") };
+        Ledger writer;
+        readAll(writer, stream);
+        const Json restate = restateRecord(*writer.checkpoint());
+        stream.records.push_back(publishOf(1, "bert")); // offset 1
+        stream.records.push_back(restate); // offset 2, upto 1
+        stream.records.push_back(publishOf(1, "carla")); // lost against bert
+
+        Ledger inTime;
+        stream.trim(1);
+        readAll(inTime, stream);
+        CPPUNIT_ASSERT(inTime.isCurrent());
+        CPPUNIT_ASSERT_EQUAL(std::string("bert"), inTime.inForce().author);
+
+        Ledger late;
+        stream.trim(2);
+        readAll(late, stream);
+        CPPUNIT_ASSERT(!late.isCurrent());
+        CPPUNIT_ASSERT_EQUAL(std::string("anna"), late.inForce().author);
+        CPPUNIT_ASSERT(!late.checkpoint());
+    }
+
+    void readerThatFellBehindKeepsItsText()
+    {
+        // An instance is cut off until the records after its place are trimmed.
+        // It goes on with the text it has, and must not judge publishes by it.
+        Stream stream;
+        stream.records = { publishOf(0, "anna"), publishOf(1, "bert"), publishOf(2, "carla"), publishOf(1, "dora") };
+        Ledger ledger;
+        readUpTo(ledger, stream, 2);
+        stream.trim(3);
+        readAll(ledger, stream);
+        CPPUNIT_ASSERT(!ledger.isCurrent());
+        CPPUNIT_ASSERT_EQUAL(std::string("bert"), ledger.inForce().author);
+        CPPUNIT_ASSERT(!ledger.verdictOf("dora"));
+        stream.records.push_back(restateRecord({ 3, textNamed("carla"), "carla", 3 }));
+        readAll(ledger, stream);
+        CPPUNIT_ASSERT(ledger.isCurrent());
+        CPPUNIT_ASSERT_EQUAL(std::string("carla"), ledger.inForce().author);
+        CPPUNIT_ASSERT(ledger.verdictOf("dora")->kind == VerdictKind::Lost);
+    }
+
+    void peerBringsTextAndPlace()
+    {
+        Ledger fresh;
+        fresh.trimmed(50);
+        CPPUNIT_ASSERT(fresh.adopt({ 7, textNamed("anna"), "anna", std::nullopt }));
+        CPPUNIT_ASSERT(!fresh.isCurrent());
+        CPPUNIT_ASSERT(!fresh.adopt({ 6, textNamed("old"), "old", 60 })); // A stale peer.
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 7 }, fresh.inForce().number);
+        CPPUNIT_ASSERT(!fresh.adopt({ 9, "broken", "x", 70 }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 60 }, fresh.next());
+        CPPUNIT_ASSERT(fresh.apply(60, publishOf(6, "anna")).kind == VerdictKind::Accepted);
+        CPPUNIT_ASSERT(fresh.checkpoint().has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 61 }, *fresh.checkpoint()->upto);
+    }
+
+    void verdictsAreBounded()
+    {
+        Ledger ledger;
+        for (std::size_t i = 0; i <= Ledger::verdictsKept; ++i)
+            ledger.apply(ledger.next(), publishRecord({ 5, "x", "anna", std::to_string(i) }));
+        CPPUNIT_ASSERT(!ledger.verdictOf("0"));
+        CPPUNIT_ASSERT(ledger.verdictOf("1").has_value());
+    }
+
+    void anyReaderFromAnyTrimEndsAlike()
+    {
+        // Operators race, appends are repeated, restates arrive late, texts are
+        // broken and the log is trimmed, in any order. Whoever reads what is left
+        // either ends at the version that a reader of everything has, or knows
+        // that it is behind and is not ahead of it.
+        constexpr unsigned seed = 7;
+        std::mt19937 random(seed);
+        int current = 0;
+        int behind = 0;
+        constexpr int rounds = 20;
+        for (int round = 0; round < rounds; ++round) {
+            const Stream stream = this->randomStream(random);
+            Ledger whole;
+            readAll(whole, stream);
+            for (std::uint64_t kept = 0; kept <= stream.records.size(); ++kept) {
+                Stream trimmed = stream;
+                trimmed.trim(kept);
+                Ledger late;
+                readUpTo(late, stream, random() % (kept + 1));
+                readAll(late, trimmed);
+                const std::string context = fmt::format("seed {}, round {}, kept from {}", seed, round, kept);
+                CPPUNIT_ASSERT_MESSAGE(context, late.inForce().number <= whole.inForce().number);
+                (late.isCurrent() ? current : behind) += 1;
+                if (!late.isCurrent())
+                    continue;
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, whole.inForce().number, late.inForce().number);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(context, whole.inForce().yaml, late.inForce().yaml);
+            }
+        }
+        CPPUNIT_ASSERT(current > rounds && behind > rounds);
+    }
+
+private:
+    // Instances with ledgers of their own, each as far as it happened to read,
+    // append what they believe right.
+    Stream randomStream(std::mt19937& random)
+    {
+        constexpr std::size_t instances = 4;
+        constexpr std::size_t appends = 40;
+        Stream stream;
+        std::vector<Ledger> ledgers(instances);
+        std::vector<Json> delayed;
+        while (stream.records.size() < appends) {
+            Ledger& ledger = ledgers[random() % instances];
+            const std::uint64_t size = stream.records.size();
+            readUpTo(ledger, stream, ledger.next() + random() % (size - ledger.next() + 1));
+            const std::string name = fmt::format("p{}", size);
+            switch (random() % 8) {
+            case 0:
+                if (const auto checkpoint = ledger.checkpoint())
+                    delayed.push_back(restateRecord(*checkpoint));
+                break;
+            case 1:
+                if (!delayed.empty()) {
+                    stream.records.push_back(delayed.back());
+                    delayed.pop_back();
+                }
+                break;
+            case 2:
+                if (size > 0)
+                    stream.records.push_back(stream.records[random() % size]);
+                break;
+            case 3:
+                stream.records.push_back(publishRecord({ ledger.inForce().number, "broken: [", name, name }));
+                break;
+            default:
+                stream.records.push_back(publishOf(ledger.inForce().number, name));
+            }
+        }
+        return stream;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LedgerTest);
+
+} // namespace rattan::config
