--- a/src/planner/job_tail.h
+++ b/src/planner/job_tail.h
@@ -33,7 +33,7 @@
 
 class JobTail {
 public:
-    JobTail(platform::Log&, std::string domain, BoundedRing<JobTailItem>* ring);
+    JobTail(platform::Log&, const std::string& domain, BoundedRing<JobTailItem>* ring);
     ~JobTail();
 
     void start();
