Tell the planner how a gang failed and what each lease holds

Cause: the decisions need to know whether a reservation was refused, a start failed or a member was lost, and a planner that takes over needs the amounts of each lease; the reason was free text and the survey had accelerators only. Change: failures open with a code; LeaseView carries cores and memory. Conclusion: the planner can map failures without guessing.

--- a/src/driver/gang.cc
+++ b/src/driver/gang.cc
@@ -104,15 +104,15 @@
     switch (this->gangPhase) {
     case GangPhase::Reserving:
         if (now - this->since > this->options.reserveLimit)
-            this->endWith(GangEventKind::Failed, lacking(isReady), "the worker did not reserve in time", now);
+            this->endWith(GangEventKind::Failed, lacking(isReady), "reserve_refused: the worker did not reserve in time", now);
         break;
     case GangPhase::Starting:
         if (now - this->since > this->options.startLimit)
-            this->endWith(GangEventKind::Failed, lacking(hasStarted), "the worker did not start in time", now);
+            this->endWith(GangEventKind::Failed, lacking(hasStarted), "start_failed: the worker did not start in time", now);
         break;
     case GangPhase::Adopting:
         if (now - this->since > this->options.lease)
-            this->endWith(GangEventKind::Failed, lacking(hasStarted), "the worker did not show the lease in time", now);
+            this->endWith(GangEventKind::Failed, lacking(hasStarted), "member_lost: the worker did not show the lease in time", now);
         break;
     case GangPhase::Saving:
         if (now - this->since > this->options.saveLimit)
@@ -125,7 +125,7 @@
         const Millis held = confirmed ? this->roundStart : this->earlierRoundStart;
         const auto renewed = [this](const MemberState& state) { return isDone(state) || state.confirmedRound >= this->round; };
         if (now >= held + this->options.lease)
-            this->endWith(GangEventKind::Failed, lacking(renewed), "the lease was not renewed in time", now);
+            this->endWith(GangEventKind::Failed, lacking(renewed), "lease_lapsed: the lease was not renewed in time", now);
         break;
     }
     case GangPhase::Finished:
--- a/src/driver/gang_ops.cc
+++ b/src/driver/gang_ops.cc
@@ -17,9 +17,9 @@
 
 namespace {
 
-    std::string refusal(std::string_view step, const platform::WorkerOpResult& result)
+    std::string refusal(std::string_view reason, const platform::WorkerOpResult& result)
     {
-        return fmt::format("{} refused: {} {}", step, result.code, result.message);
+        return fmt::format("{}: {} {}", reason, result.code, result.message);
     }
 
     bool extendsLease(WorkerOpKind kind)
@@ -81,13 +81,13 @@
     switch (sent.op.kind) {
     case WorkerOpKind::Reserve:
         if (!result.ok)
-            this->loseMember(member, refusal("reservation", result), now);
+            this->loseMember(member, refusal("reserve_refused", result), now);
         else if (this->gangPhase == GangPhase::Reserving)
             state.phase = MemberPhase::Reserved;
         break;
     case WorkerOpKind::Start:
         if (!result.ok) {
-            this->loseMember(member, refusal("start", result), now);
+            this->loseMember(member, refusal("start_failed", result), now);
         } else if (this->gangPhase == GangPhase::Starting) {
             state.phase = MemberPhase::Running;
             state.confirmedRound = sent.round;
@@ -128,7 +128,7 @@
         if (this->gangPhase == GangPhase::Stopping)
             state.phase = MemberPhase::Gone;
         else if (expected)
-            this->loseMember(member, "the worker does not know the lease", now);
+            this->loseMember(member, "member_lost: the worker does not know the lease", now);
         this->settle(now);
         return;
     }
@@ -140,7 +140,7 @@
     switch (lease->state) {
     case LeaseState::Reserved:
         if (state.phase == MemberPhase::Running || this->gangPhase == GangPhase::Adopting)
-            this->loseMember(member, "the lease was reserved and never started", now);
+            this->loseMember(member, "member_lost: the lease was reserved and never started", now);
         break;
     case LeaseState::Running:
     case LeaseState::Checkpointing:
@@ -156,10 +156,10 @@
         }
         break;
     case LeaseState::Failed:
-        this->loseMember(member, lease->failure.empty() ? "the task failed" : lease->failure, now);
+        this->loseMember(member, "task_failed: " + (lease->failure.empty() ? std::string("the task failed") : lease->failure), now);
         break;
     case LeaseState::Lapsed:
-        this->loseMember(member, "the lease lapsed", now);
+        this->loseMember(member, "lease_lapsed: the lease lapsed", now);
         break;
     }
     this->settle(now);
--- a/src/driver/gang_types.h
+++ b/src/driver/gang_types.h
@@ -76,6 +76,8 @@
     GangEventKind kind { GangEventKind::Progress };
     GangId id;
     std::string worker;
+    // Of a failure: a code (reserve_refused, start_failed, task_failed,
+    // member_lost, lease_lapsed), a colon and a text for people.
     std::string reason;
     std::string result;
     std::uint32_t membersReady { 0 };
--- a/src/driver/service.cc
+++ b/src/driver/service.cc
@@ -81,6 +81,8 @@
         builder.setKey(lease.key);
         builder.setWorkspace(lease.workspace);
         builder.setGangSize(lease.gangSize);
+        builder.setCores(static_cast<std::uint32_t>(lease.cores));
+        builder.setMemoryMb(static_cast<std::uint64_t>(lease.memoryMb));
     }
 
     void fill(rpc::WorkerView::Builder builder, const SurveyWorker& worker)
--- a/src/driver/worker_book.cc
+++ b/src/driver/worker_book.cc
@@ -24,7 +24,7 @@
 
     SurveyLease viewOf(const platform::WorkerLease& lease)
     {
-        return { .lease = lease.lease, .id = parseLeaseName(lease.lease).value_or(GangId {}), .state = lease.state, .accelerators = lease.accelerators, .remaining = lease.remaining, .key = noteText(lease.note, "key"), .workspace = noteText(lease.note, "workspace"), .gangSize = noteSize(lease.note) };
+        return { .lease = lease.lease, .id = parseLeaseName(lease.lease).value_or(GangId {}), .state = lease.state, .accelerators = lease.accelerators, .cores = lease.cores, .memoryMb = lease.memoryMb, .remaining = lease.remaining, .key = noteText(lease.note, "key"), .workspace = noteText(lease.note, "workspace"), .gangSize = noteSize(lease.note) };
     }
 
     SurveyWorker viewOf(const WorkerRecord& record)
--- a/src/driver/worker_book.h
+++ b/src/driver/worker_book.h
@@ -39,6 +39,8 @@
     GangId id;
     platform::LeaseState state { platform::LeaseState::Reserved };
     std::int64_t accelerators { 0 };
+    std::int64_t cores { 0 };
+    std::int64_t memoryMb { 0 };
     Millis remaining { 0 };
     std::string key;
     std::string workspace;
--- a/src/rpc/rattan.capnp
+++ b/src/rpc/rattan.capnp
@@ -162,6 +162,8 @@
   key @6 :Text;
   workspace @7 :Text;
   gangSize @8 :UInt32;
+  cores @9 :UInt32;
+  memoryMb @10 :UInt64;
 }
 
 struct WorkerView {
--- a/src/rpc/rattan.capnp.h
+++ b/src/rpc/rattan.capnp.h
@@ -488,7 +488,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b2b94781faa26fa6, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b2b94781faa26fa6, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3287,6 +3287,10 @@
 
   inline  ::uint32_t getGangSize() const;
 
+  inline  ::uint32_t getCores() const;
+
+  inline  ::uint64_t getMemoryMb() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3358,6 +3362,12 @@
   inline  ::uint32_t getGangSize();
   inline void setGangSize( ::uint32_t value);
 
+  inline  ::uint32_t getCores();
+  inline void setCores( ::uint32_t value);
+
+  inline  ::uint64_t getMemoryMb();
+  inline void setMemoryMb( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7274,6 +7284,34 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LeaseView::Reader::getCores() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LeaseView::Builder::getCores() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void LeaseView::Builder::setCores( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t LeaseView::Reader::getMemoryMb() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LeaseView::Builder::getMemoryMb() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LeaseView::Builder::setMemoryMb( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkerView::Reader::hasWorker() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
