--- /dev/null
+++ b/src/decide/eviction.h
@@ -0,0 +1,20 @@
+#pragma once
+
+// Chooses which gangs must go so that others get the workers they are given.
+
+#include "decide/engine.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace rattan::decide::detail {
+
+using MayEvict = std::function<bool(const JobRecord&)>;
+
+// The cheapest gangs, as far as a greedy choice finds them, whose going leaves
+// room for all placements; empty optional if those that may go do not suffice.
+// Gangs that are on their way out count as gone, room held by claims as taken.
+std::optional<std::vector<JobId>> chooseVictims(const Engine&, const std::vector<Placement>&, const MayEvict&, Millis now);
+
+} // namespace rattan::decide::detail
--- /dev/null
+++ b/src/decide/fragmentation.cc
@@ -0,0 +1,89 @@
+// For a piece of k accelerators that has to lie within one worker or rack, a
+// place with f free ones can use floor(f/k)*k of them, and all F free ones
+// gathered could give floor(F/k)*k. Fragmentation is one minus the ratio of what
+// the places can use to what could be used if gathered; 0 when less than one
+// piece is free in all, for then nothing is scattered that could serve.
+//
+// A gang within the domain needs no gathering across workers, but each of its
+// members does; it counts as pieces of one member within a worker.
+
+#include "decide/fragmentation.h"
+
+#include <algorithm>
+
+namespace rattan::decide::detail {
+
+namespace {
+
+    struct Piece {
+        std::int64_t accelerators { 0 };
+        Adjacency within { Adjacency::Worker };
+    };
+
+    Piece pieceOf(const GangShape& shape)
+    {
+        if (shape.adjacency == Adjacency::Domain)
+            return { shape.perMember.accelerators, Adjacency::Worker };
+        return { shape.accelerators(), shape.adjacency };
+    }
+
+    void keepLarger(Piece& largest, const Piece& piece)
+    {
+        if (piece.accelerators > largest.accelerators)
+            largest = piece;
+    }
+
+    // Looks at the first jobs of each line, which go next.
+    Piece largestWaiting(const Engine& engine)
+    {
+        constexpr int perLine = 16;
+        Piece largest;
+        for (const Urgency rank : { Urgency::Urgent, Urgency::Ordinary, Urgency::Patient }) {
+            for (const auto& [workspace, line] : engine.queue.linesOf(rank)) {
+                auto entry = line.begin();
+                for (int i = 0; i < perLine && entry != line.end(); ++i, ++entry)
+                    keepLarger(largest, pieceOf(engine.find(entry->job)->shape()));
+            }
+        }
+        return largest;
+    }
+
+    Piece largestIdleGuarantee(const Engine& engine)
+    {
+        Piece largest;
+        for (const Slot& slot : engine.book.all()) {
+            if (!slot.retired && slot.taken() == 0 && slot.within != Adjacency::Domain)
+                keepLarger(largest, { slot.units, slot.within });
+        }
+        return largest;
+    }
+
+    std::int64_t usable(const RoomIndex& room, const Piece& piece)
+    {
+        const std::int64_t size = piece.accelerators;
+        std::int64_t sum = 0;
+        if (piece.within == Adjacency::Worker) {
+            for (const auto& [free, workers] : room.workers())
+                sum += free / size * size * static_cast<std::int64_t>(workers.size());
+        } else {
+            for (const auto& [free, rack] : room.racks())
+                sum += free / size * size;
+        }
+        return sum;
+    }
+
+} // namespace
+
+double fragmentationOf(const Engine& engine)
+{
+    Piece piece = largestWaiting(engine);
+    if (piece.accelerators == 0)
+        piece = largestIdleGuarantee(engine);
+    const RoomIndex& room = engine.workers.room();
+    if (piece.accelerators == 0 || room.total() < piece.accelerators)
+        return 0;
+    const std::int64_t gathered = room.total() / piece.accelerators * piece.accelerators;
+    return 1 - static_cast<double>(usable(room, piece)) / static_cast<double>(gathered);
+}
+
+} // namespace rattan::decide::detail
