Prove the epoch before a lease counts as lapsed, and catch up late rounds

Ruled out: shorter leases at the old owner; the workers do refuse its renewals, it was the telling that was false. Change: a late round opens as soon as it is confirmed and silent workers with a gang are asked again after a tenth of a period; a lease counts as lapsed only up to the last exchange that a worker accepted under our epoch, after a suspension only once every worker was asked again; adoption fails if fewer members are found than the note says.

--- a/src/driver/gang.cc
+++ b/src/driver/gang.cc
@@ -88,15 +88,19 @@
     if (this->gangPhase != GangPhase::Running && this->gangPhase != GangPhase::Saving)
         return;
     this->tellUsage(now);
-    if (!this->roundConfirmed())
+    if (!this->roundConfirmed()) {
+        this->late = true;
         return;
+    }
+    this->late = false;
     this->earlierRoundStart = this->roundStart;
     this->roundStart = now;
     ++this->round;
 }
 
-void Gang::checkLimits(Millis now)
+void Gang::checkLimits(Millis now, Millis provenAt)
 {
+    this->provenAt = provenAt;
     const auto lacking = [this](auto&& holds) {
         const auto found = std::find_if_not(this->states.begin(), this->states.end(), holds);
         return found == this->states.end() ? std::string() : found->member.worker;
@@ -142,6 +146,8 @@
 
 void Gang::stop(const std::string& reason, Millis now) { this->endWith(GangEventKind::Stopped, "", reason, now); }
 
+void Gang::fail(const std::string& reason, Millis now) { this->endWith(GangEventKind::Failed, "", reason, now); }
+
 void Gang::save(const std::string& reason, Millis now)
 {
     if (this->gangPhase == GangPhase::Saving)
@@ -220,15 +226,28 @@
         this->endWith(GangEventKind::Stopped, "", this->ending.reason, now);
     else if (this->gangPhase == GangPhase::Stopping)
         this->settleStopping(now);
+    else if (this->late && this->roundConfirmed())
+        this->catchUp(now);
+}
+
+// Lost answers kept the last period from opening a round. Waiting for the next
+// one would leave the gang a single try before its leases end.
+void Gang::catchUp(Millis now)
+{
+    this->openRound(now);
+    this->hurry = true;
 }
 
 // An end is told only once no member can be running: a planner that hears it
 // may start the job again elsewhere, and a member still running would then do
-// the same work beside the new attempt.
+// the same work beside the new attempt. That a lease lapsed is certain only if
+// nobody else renews it: a driver that was suspended, and replaced meanwhile,
+// would else report jobs as failed that its successor keeps running.
 void Gang::settleStopping(Millis now)
 {
-    const auto over = [this, now](const MemberState& state) {
-        return state.phase == MemberPhase::Gone || now >= state.lapsesBy + this->options.clockMargin;
+    const Millis certain = std::min(now, this->provenAt);
+    const auto over = [this, certain](const MemberState& state) {
+        return state.phase == MemberPhase::Gone || certain >= state.lapsesBy + this->options.clockMargin;
     };
     const bool nobodyRuns = std::all_of(this->states.begin(), this->states.end(),
         [&over](const MemberState& state) { return !state.startSent || over(state); });
--- a/src/driver/gang.h
+++ b/src/driver/gang.h
@@ -85,10 +85,13 @@
     // Once a period: a new round of renewals, if all confirmed the last.
     void openRound(Millis now);
 
-    // Ends what has waited too long.
-    void checkLimits(Millis now);
+    // Ends what has waited too long. `provenAt` is when a worker last accepted
+    // the epoch: only until then is it certain that nobody else has taken the
+    // leases over and renews them.
+    void checkLimits(Millis now, Millis provenAt);
 
     void stop(const std::string& reason, Millis now);
+    void fail(const std::string& reason, Millis now);
     void save(const std::string& reason, Millis now);
     void throttle(std::int64_t sharePercent);
 
@@ -111,6 +114,7 @@
     void enter(GangPhase, Millis now);
     void settle(Millis now);
     void settleStopping(Millis now);
+    void catchUp(Millis now);
     void endWith(GangEventKind, const std::string& worker, const std::string& reason, Millis now);
     void loseMember(std::size_t member, const std::string& reason, Millis now);
     void finish(Millis now);
@@ -138,6 +142,8 @@
     GangEvent ending;
     bool endingTold { false };
     bool hurry { true };
+    Millis provenAt { 0 };
+    bool late { false }; // A period went by while the round was unconfirmed.
     Millis lastUsage { 0 };
     Millis lastProgress { 0 };
     std::uint32_t readyTold { 0 };
--- a/src/driver/gang_keeper.cc
+++ b/src/driver/gang_keeper.cc
@@ -64,6 +64,8 @@
         this->nextTick = now + this->options.period;
         ++this->tick;
     }
+    if (suspended)
+        this->doubtEpoch(now);
     std::vector<GangId> ids;
     for (const auto& [id, held] : this->gangs)
         ids.push_back(id);
@@ -71,24 +73,26 @@
         Gang& gang = this->gangs.at(id).gang;
         if (suspended)
             gang.resumed(now);
-        gang.checkLimits(now);
+        gang.checkLimits(now, this->provenAt);
         if (period)
             gang.openRound(now);
         this->pump(id, now);
     }
     if (period && this->isSweeping(now))
         this->book.markPeriodDue(now, this->tick);
+    this->book.markRetries(now);
     return suspended ? gap : 0;
 }
 
 std::optional<WorkerAsk> GangKeeper::nextAsk(Millis now)
 {
-    WorkerRecord* record = this->isSweeping(now) ? this->book.takeDue(now) : nullptr;
+    WorkerRecord* record = this->isSweeping(now) ? this->book.takeDue() : nullptr;
     if (!record)
         return std::nullopt;
     WorkerAsk ask { .worker = record->worker, .address = record->address };
     ask.exchange.holder = this->planner;
     ask.exchange.epoch = this->epoch;
+    ask.builtAt = now;
     ask.validUntil = now + this->options.reply;
     ask.epochMatters = this->epoch > 0;
     if (this->epoch > 0)
@@ -107,6 +111,7 @@
         return;
     record->answered = true;
     record->report = report;
+    this->proveEpoch(ask, now);
     for (std::size_t i = 0; i < ask.sent.size() && i < report.results.size(); ++i) {
         const SentOp& sent = ask.sent[i];
         if (sent.gang.job == 0 && report.results[i].ok)
@@ -170,6 +175,8 @@
     if (epoch == this->epoch)
         return {};
     this->epoch = epoch;
+    this->doubtful = false;
+    this->provenAt = 0;
     this->book.beginSurvey(now);
     return {};
 }
@@ -202,6 +209,24 @@
     this->startReading(now);
 }
 
+// While the driver was suspended, another may have taken the leases over. Until
+// every worker was asked again, no lease counts as lapsed.
+void GangKeeper::doubtEpoch(Millis now)
+{
+    if (this->epoch == 0)
+        return;
+    this->doubtful = true;
+    this->book.beginSurvey(now);
+}
+
+void GangKeeper::proveEpoch(const WorkerAsk& ask, Millis now)
+{
+    if (this->doubtful && !this->book.isComplete(now))
+        return;
+    this->doubtful = false;
+    this->provenAt = std::max(this->provenAt, ask.builtAt);
+}
+
 void GangKeeper::startReading(Millis now)
 {
     this->readingUntil = now + readingTime;
--- a/src/driver/gang_keeper.h
+++ b/src/driver/gang_keeper.h
@@ -33,6 +33,7 @@
     std::string address;
     platform::WorkerExchange exchange;
     std::vector<SentOp> sent; // One for each op of the exchange.
+    Millis builtAt { 0 };
     Millis validUntil { 0 };
     bool epochMatters { false };
 };
@@ -88,6 +89,8 @@
     void sayUnknown(const GangOrder&);
     void refuseEpoch(std::uint64_t, const std::string& worker, Millis now);
     void startReading(Millis now);
+    void doubtEpoch(Millis now);
+    void proveEpoch(const WorkerAsk&, Millis now);
     void addGangOps(WorkerRecord&, WorkerAsk&, Millis now);
     bool isSweeping(Millis now) const { return this->epoch > 0 || now < this->readingUntil; }
     std::optional<std::size_t> memberAt(const Gang&, const std::string& worker) const;
@@ -102,6 +105,8 @@
     std::uint64_t epoch { 0 };
     std::uint64_t refusedEpoch { 0 };
     bool draining { false };
+    Millis provenAt { 0 }; // When a worker last accepted the epoch.
+    bool doubtful { false }; // Suspended since; every worker is asked first.
     Millis readingUntil { 0 };
     Millis lastAdvance { 0 };
     Millis nextTick { 0 };
--- a/src/driver/gang_orders.cc
+++ b/src/driver/gang_orders.cc
@@ -3,6 +3,7 @@
 #include "driver/gang_keeper.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace rattan::driver {
 
@@ -68,7 +69,11 @@
         this->sayUnknown(order);
         return;
     }
-    this->hold(Gang::adopt(whole, this->options, now), now);
+    Gang gang = Gang::adopt(whole, this->options, now);
+    const std::size_t size = this->book.sizeOf(order.id);
+    if (gang.members().size() < size)
+        gang.fail(fmt::format("only {} of {} members were found", gang.members().size(), size), now);
+    this->hold(std::move(gang), now);
 }
 
 // A planner that starts with nothing may stop a gang that it has not adopted.
--- a/src/driver/gang_types.h
+++ b/src/driver/gang_types.h
@@ -89,7 +89,7 @@
 struct KeeperOptions {
     Millis period { 1000 }; // Between two exchanges with a worker.
     Millis lease { 4000 }; // Lifetime of a renewed lease.
-    Millis reply { 800 }; // Longest wait for a worker's answer.
+    Millis reply { 500 }; // Longest wait for a worker's answer.
     Millis reserveLimit { 2000 }; // For all members to reserve.
     Millis startLimit { 2000 }; // For all members to start.
     Millis saveLimit { 600000 }; // For all members to checkpoint.
--- a/src/driver/options.h
+++ b/src/driver/options.h
@@ -12,7 +12,7 @@
     std::string domain;
     std::string rpcListen { "127.0.0.1:7002" };
     std::string instances { "127.0.0.1:9001" };
-    std::int64_t exchangeThreads { 8 };
+    std::int64_t exchangeThreads { 16 };
     std::int64_t listMs { 1000 };
     std::int64_t drainMs { 5000 };
     std::string logLevel { "info" };
--- a/src/driver/worker_book.cc
+++ b/src/driver/worker_book.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // So many exchanges without an answer make a worker one that is probed.
+    constexpr std::uint32_t probedAfter = 2;
+
     // Workers without a gang are read once in this many periods: nothing of
     // theirs has to be renewed.
     constexpr std::uint64_t idlePeriods = 5;
@@ -112,7 +115,16 @@
     }
 }
 
-WorkerRecord* WorkerBook::takeDue(Millis)
+void WorkerBook::markRetries(Millis now)
+{
+    for (const std::string& worker : this->silent) {
+        WorkerRecord* record = this->find(worker);
+        if (record && !record->gangs.empty() && !record->asking)
+            this->markDue(*record, now);
+    }
+}
+
+WorkerRecord* WorkerBook::takeDue()
 {
     for (std::size_t left = this->queue.size(); left > 0; --left) {
         const std::string worker = std::move(this->queue.front());
@@ -120,14 +132,15 @@
         WorkerRecord* record = this->find(worker);
         if (!record || record->asking)
             continue;
-        if (!record->reachable && this->probes >= this->options.probesAtOnce) {
+        const bool probing = record->failures >= probedAfter;
+        if (probing && this->probes >= this->options.probesAtOnce) {
             this->queue.push_back(worker);
             continue;
         }
         record->due = false;
         record->asking = true;
-        if (!record->reachable)
-            ++this->probes;
+        record->probing = probing;
+        this->probes += probing ? 1 : 0;
         return record;
     }
     return nullptr;
@@ -135,10 +148,15 @@
 
 void WorkerBook::release(WorkerRecord& record, bool answered, Millis now)
 {
-    if (!record.reachable && this->probes > 0)
-        --this->probes;
+    this->probes -= record.probing ? 1 : 0;
+    record.probing = false;
     record.asking = false;
     record.reachable = answered;
+    record.failures = answered ? 0 : record.failures + 1;
+    if (answered)
+        this->silent.erase(record.worker);
+    else
+        this->silent.insert(record.worker);
     // Short enough that a timeout late in a period does not cost the next turn.
     record.notBefore = now + this->options.period / 10;
     if (record.due)
@@ -159,31 +177,53 @@
 Survey WorkerBook::survey(Millis now) const
 {
     Survey survey;
-    survey.complete = this->listKnown;
+    survey.complete = this->isComplete(now);
     for (const auto& [worker, record] : this->records) {
-        if (!record.listed && record.gangs.empty())
-            continue;
-        survey.complete = survey.complete && this->isHeard(record, now);
-        survey.workers.push_back(viewOf(record));
+        if (record.listed || !record.gangs.empty())
+            survey.workers.push_back(viewOf(record));
     }
     return survey;
 }
 
-std::vector<GangMember> WorkerBook::membersOf(GangId id) const
+bool WorkerBook::isComplete(Millis now) const
+{
+    return this->listKnown && std::all_of(this->records.begin(), this->records.end(), [this, now](const auto& entry) {
+        const WorkerRecord& record = entry.second;
+        return (!record.listed && record.gangs.empty()) || this->isHeard(record, now);
+    });
+}
+
+std::vector<std::pair<const WorkerRecord*, const platform::WorkerLease*>> WorkerBook::leasesOf(GangId id) const
 {
     const std::string name = leaseName(id);
-    std::vector<GangMember> members;
+    std::vector<std::pair<const WorkerRecord*, const platform::WorkerLease*>> found;
     for (const auto& [worker, record] : this->records) {
         if (!record.report)
             continue;
         for (const platform::WorkerLease& lease : record.report->leases) {
             if (lease.lease == name)
-                members.push_back({ worker, record.address, lease.accelerators, lease.cores, lease.memoryMb });
+                found.emplace_back(&record, &lease);
         }
     }
+    return found;
+}
+
+std::vector<GangMember> WorkerBook::membersOf(GangId id) const
+{
+    std::vector<GangMember> members;
+    for (const auto& [record, lease] : this->leasesOf(id))
+        members.push_back({ record->worker, record->address, lease->accelerators, lease->cores, lease->memoryMb });
     return members;
 }
 
+std::size_t WorkerBook::sizeOf(GangId id) const
+{
+    std::size_t size = 0;
+    for (const auto& [record, lease] : this->leasesOf(id))
+        size = std::max<std::size_t>(size, noteSize(lease->note));
+    return size;
+}
+
 void WorkerBook::dropGangs()
 {
     for (auto& [worker, record] : this->records) {
@@ -201,9 +241,12 @@
 
 void WorkerBook::forgetUnlisted()
 {
-    std::erase_if(this->records, [](const auto& entry) {
+    std::erase_if(this->records, [this](const auto& entry) {
         const WorkerRecord& record = entry.second;
-        return !record.listed && !record.asking && record.gangs.empty() && record.orphans.empty();
+        if (record.listed || record.asking || !record.gangs.empty() || !record.orphans.empty())
+            return false;
+        this->silent.erase(record.worker);
+        return true;
     });
 }
 
--- a/src/driver/worker_book.h
+++ b/src/driver/worker_book.h
@@ -3,10 +3,11 @@
 // The workers of a failure domain as one driver knows them: who is listed, what
 // each last reported, who is to be asked next. Pure; not thread-safe.
 //
-// A worker has at most one exchange in flight, so its answers come in order. A
-// worker that gave no answer is asked again only with the next period, and only
-// a few such at a time, so that a rack that was cut off cannot hold every
-// exchange thread and starve the renewals of the others.
+// A worker has at most one exchange in flight, so its answers come in order. One
+// that gave no answer is asked again soon if it holds a gang, for a lost answer
+// must not cost a lease; but of those that were silent several times only a few
+// are asked at once, so that a rack that was cut off cannot hold every exchange
+// thread and starve the renewals of the others.
 
 #include "driver/gang.h"
 #include "platform/instance_list.h"
@@ -23,7 +24,9 @@
     std::string rack;
     bool listed { false };
     bool leaving { false };
-    bool reachable { true };
+    bool reachable { true }; // Its last exchange was answered.
+    std::uint32_t failures { 0 }; // Exchanges in a row without an answer.
+    bool probing { false }; // The exchange in flight counts as a probe.
     bool answered { false }; // Since the present epoch or reading began.
     Millis wantedSince { 0 };
     bool asking { false }; // An exchange is in flight.
@@ -86,8 +89,11 @@
     // Once a period: busy workers each time, idle ones now and then.
     void markPeriodDue(Millis now, std::uint64_t period);
 
+    // Silent workers that hold a gang and have waited long enough.
+    void markRetries(Millis now);
+
     // The next worker to ask, now in flight; null if none may be asked.
-    WorkerRecord* takeDue(Millis now);
+    WorkerRecord* takeDue();
 
     // The exchange of takeDue() is over.
     void release(WorkerRecord&, bool answered, Millis now);
@@ -99,15 +105,23 @@
     // The members that report a lease of this gang.
     std::vector<GangMember> membersOf(GangId) const;
 
+    // How many members the gang has, by the notes of its leases; 0 if unknown.
+    std::size_t sizeOf(GangId) const;
+
+    // Every listed worker has answered, or was silent for a lease time.
+    bool isComplete(Millis now) const;
+
     void dropGangs();
 
 private:
     bool isHeard(const WorkerRecord&, Millis now) const;
+    std::vector<std::pair<const WorkerRecord*, const platform::WorkerLease*>> leasesOf(GangId) const;
     void forgetUnlisted();
 
     KeeperOptions options;
     std::map<std::string, WorkerRecord> records;
     std::deque<std::string> queue;
+    std::set<std::string> silent;
     std::size_t probes { 0 };
     bool listKnown { false };
     Millis surveySince { 0 };
