Wait two leases before a silent worker counts as empty after a takeover

Cause: a worker that has not accepted the new epoch may take a renewal which the old owner sent just before it was refused elsewhere; its lease then ends up to two lease times after the takeover. Ruled out: a longer margin; the renewal arrives as late as the lease it extends. Change: silence of 2 leases + reply + margin completes a survey; lapse counts only from then on; a gang found in part is told as failed only then.

--- a/src/driver/gang_keeper.cc
+++ b/src/driver/gang_keeper.cc
@@ -175,7 +175,6 @@
     if (epoch == this->epoch)
         return {};
     this->epoch = epoch;
-    this->doubtful = false;
     this->provenAt = 0;
     this->book.beginSurvey(now);
     return {};
@@ -213,18 +212,14 @@
 // every worker was asked again, no lease counts as lapsed.
 void GangKeeper::doubtEpoch(Millis now)
 {
-    if (this->epoch == 0)
-        return;
-    this->doubtful = true;
-    this->book.beginSurvey(now);
+    if (this->epoch > 0)
+        this->book.beginSurvey(now);
 }
 
 void GangKeeper::proveEpoch(const WorkerAsk& ask, Millis now)
 {
-    if (this->doubtful && !this->book.isComplete(now))
-        return;
-    this->doubtful = false;
-    this->provenAt = std::max(this->provenAt, ask.builtAt);
+    if (this->book.isComplete(now))
+        this->provenAt = std::max(this->provenAt, ask.builtAt);
 }
 
 void GangKeeper::startReading(Millis now)
--- a/src/driver/gang_keeper.h
+++ b/src/driver/gang_keeper.h
@@ -105,8 +105,7 @@
     std::uint64_t epoch { 0 };
     std::uint64_t refusedEpoch { 0 };
     bool draining { false };
-    Millis provenAt { 0 }; // When a worker last accepted the epoch.
-    bool doubtful { false }; // Suspended since; every worker is asked first.
+    Millis provenAt { 0 }; // When a worker last accepted the epoch, all workers having been heard.
     Millis readingUntil { 0 };
     Millis lastAdvance { 0 };
     Millis nextTick { 0 };
--- a/src/driver/gang_types.h
+++ b/src/driver/gang_types.h
@@ -104,6 +104,11 @@
     // A reservation outlives the wait for the others, and not by much, so that
     // two half-reserved gangs free each other's resources.
     Millis reservation() const { return this->reserveLimit + this->reply; }
+
+    // A worker that has not accepted our epoch may still take a renewal that an
+    // earlier owner sent just before it was refused elsewhere, as late as the
+    // end of the lease that it extends. After such a silence nothing runs there.
+    Millis foreignSilence() const { return 2 * this->lease + this->reply + this->clockMargin; }
 };
 
 } // namespace rattan::driver
--- a/src/driver/testing/gang_random_test.cc
+++ b/src/driver/testing/gang_random_test.cc
@@ -134,9 +134,20 @@
 class GangRandomTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(GangRandomTest);
     CPPUNIT_TEST(holdsUnderRandomTrouble);
+    CPPUNIT_TEST(successorWaitsForLateRenewal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A worker froze, a renewal of the old driver reached it late, and it had
+    // not heard of the new one. The new planner called the job failed while that
+    // member still ran, so the job ran twice for a moment.
+    void successorWaitsForLateRenewal()
+    {
+        RandomCourse course(1771);
+        course.run();
+        CPPUNIT_ASSERT_EQUAL(std::string(), course.fault());
+    }
+
     // Anything may fail at any moment, together or twice. A user would notice
     // half a job computing, a job that nobody knows, or one that ended twice.
     void holdsUnderRandomTrouble()
--- a/src/driver/worker_book.cc
+++ b/src/driver/worker_book.cc
@@ -166,6 +166,7 @@
 void WorkerBook::beginSurvey(Millis now)
 {
     this->surveySince = now;
+    this->complete = false;
     for (auto& [worker, record] : this->records) {
         record.answered = false;
         record.wantedSince = now;
@@ -174,7 +175,7 @@
     this->markAllDue(now);
 }
 
-Survey WorkerBook::survey(Millis now) const
+Survey WorkerBook::survey(Millis now)
 {
     Survey survey;
     survey.complete = this->isComplete(now);
@@ -185,12 +186,15 @@
     return survey;
 }
 
-bool WorkerBook::isComplete(Millis now) const
+bool WorkerBook::isComplete(Millis now)
 {
-    return this->listKnown && std::all_of(this->records.begin(), this->records.end(), [this, now](const auto& entry) {
+    if (this->complete || !this->listKnown)
+        return this->complete;
+    this->complete = std::all_of(this->records.begin(), this->records.end(), [this, now](const auto& entry) {
         const WorkerRecord& record = entry.second;
         return (!record.listed && record.gangs.empty()) || this->isHeard(record, now);
     });
+    return this->complete;
 }
 
 std::vector<std::pair<const WorkerRecord*, const platform::WorkerLease*>> WorkerBook::leasesOf(GangId id) const
@@ -232,11 +236,9 @@
     }
 }
 
-// A silent worker counts as heard once whatever ran there has lapsed.
 bool WorkerBook::isHeard(const WorkerRecord& record, Millis now) const
 {
-    const Millis silence = this->options.lease + this->options.reply + this->options.clockMargin;
-    return record.answered || now >= std::max(record.wantedSince, this->surveySince) + silence;
+    return record.answered || now >= std::max(record.wantedSince, this->surveySince) + this->options.foreignSilence();
 }
 
 void WorkerBook::forgetUnlisted()
--- a/src/driver/worker_book.h
+++ b/src/driver/worker_book.h
@@ -100,7 +100,7 @@
 
     // Every answer so far is out of date.
     void beginSurvey(Millis now);
-    Survey survey(Millis now) const;
+    Survey survey(Millis now);
 
     // The members that report a lease of this gang.
     std::vector<GangMember> membersOf(GangId) const;
@@ -108,8 +108,10 @@
     // How many members the gang has, by the notes of its leases; 0 if unknown.
     std::size_t sizeOf(GangId) const;
 
-    // Every listed worker has answered, or was silent for a lease time.
-    bool isComplete(Millis now) const;
+    // Every worker that was listed has answered since the survey began, or was
+    // silent for so long that nothing an earlier owner started runs there. Once
+    // true it stays true until the next beginSurvey().
+    bool isComplete(Millis now);
 
     void dropGangs();
 
@@ -124,6 +126,7 @@
     std::set<std::string> silent;
     std::size_t probes { 0 };
     bool listKnown { false };
+    bool complete { false };
     Millis surveySince { 0 };
 };
 
