--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -35,6 +35,15 @@
     return names.at(static_cast<std::size_t>(level));
 }
 
+Level levelNamed(std::string_view name)
+{
+    for (const Level level : { Level::Debug, Level::Info, Level::Warning, Level::Error }) {
+        if (nameOf(level) == name)
+            return level;
+    }
+    return Level::Info;
+}
+
 void startLog(std::string program, std::string instance, Level lowest)
 {
     LogState& state = logState();
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -29,6 +29,9 @@
 
 std::string_view nameOf(Level);
 
+// The level of that name; Info for any other text.
+Level levelNamed(std::string_view);
+
 struct Event {
     std::uint16_t number;
     std::string_view name;
--- a/src/planner/decision_loop.cc
+++ b/src/planner/decision_loop.cc
@@ -11,13 +11,13 @@
 
 namespace {
 
-constexpr std::size_t recordsPerTurn = 2000;
+    constexpr std::size_t recordsPerTurn = 2000;
 
-// While learning, the survey is asked for every turn: leases are running out.
-constexpr Millis learningSurveyPeriod = 50;
-// A planner that cannot read the log begins with the jobs that the workers and
-// its peers tell of, rather than leave running gangs to lapse.
-constexpr Millis longestWaitForLog = 3000;
+    // While learning, the survey is asked for every turn: leases are running out.
+    constexpr Millis learningSurveyPeriod = 50;
+    // A planner that cannot read the log begins with the jobs that the workers and
+    // its peers tell of, rather than leave running gangs to lapse.
+    constexpr Millis longestWaitForLog = 3000;
 
 } // namespace
 
--- a/src/planner/domain_planner.cc
+++ b/src/planner/domain_planner.cc
@@ -24,55 +24,55 @@
 
 namespace {
 
-constexpr int epochCounterShift = 16;
-constexpr std::uint64_t epochOwnerMask = 0xffff;
-constexpr std::size_t restatesPerTick = 50;
-constexpr Millis restateCheckPeriod = 1000;
-
-std::uint64_t epochAbove(std::uint64_t highest, const std::string& incarnation)
-{
-    const std::uint64_t owner = std::hash<std::string>()(incarnation) & epochOwnerMask;
-    return (((highest >> epochCounterShift) + 1) << epochCounterShift) | owner;
-}
+    constexpr int epochCounterShift = 16;
+    constexpr std::uint64_t epochOwnerMask = 0xffff;
+    constexpr std::size_t restatesPerTick = 50;
+    constexpr Millis restateCheckPeriod = 1000;
+
+    std::uint64_t epochAbove(std::uint64_t highest, const std::string& incarnation)
+    {
+        const std::uint64_t owner = std::hash<std::string>()(incarnation) & epochOwnerMask;
+        return (((highest >> epochCounterShift) + 1) << epochCounterShift) | owner;
+    }
 
-decide::Adjacency adjacencyOf(const std::string& name)
-{
-    if (name == "worker")
-        return decide::Adjacency::Worker;
-    return name == "rack" ? decide::Adjacency::Rack : decide::Adjacency::Domain;
-}
+    decide::Adjacency adjacencyOf(const std::string& name)
+    {
+        if (name == "worker")
+            return decide::Adjacency::Worker;
+        return name == "rack" ? decide::Adjacency::Rack : decide::Adjacency::Domain;
+    }
 
-decide::FailureReason failureOf(const std::string& reason)
-{
-    if (reason.starts_with("start_failed"))
-        return decide::FailureReason::StartFailed;
-    if (reason.starts_with("reserve_refused"))
-        return decide::FailureReason::ReserveRefused;
-    if (reason.starts_with("member_lost"))
-        return decide::FailureReason::MemberLost;
-    if (reason.starts_with("task_failed"))
-        return decide::FailureReason::StartFailed;
-    if (reason.starts_with("lease_lapsed"))
-        return decide::FailureReason::LeaseLapsed;
-    return decide::FailureReason::Other;
-}
+    decide::FailureReason failureOf(const std::string& reason)
+    {
+        if (reason.starts_with("start_failed"))
+            return decide::FailureReason::StartFailed;
+        if (reason.starts_with("reserve_refused"))
+            return decide::FailureReason::ReserveRefused;
+        if (reason.starts_with("member_lost"))
+            return decide::FailureReason::MemberLost;
+        if (reason.starts_with("task_failed"))
+            return decide::FailureReason::StartFailed;
+        if (reason.starts_with("lease_lapsed"))
+            return decide::FailureReason::LeaseLapsed;
+        return decide::FailureReason::Other;
+    }
 
-JobOutcome outcomeOf(decide::Outcome outcome)
-{
-    switch (outcome) {
-    case decide::Outcome::Done:
-        return JobOutcome::Done;
-    case decide::Outcome::Cancelled:
-        return JobOutcome::Cancelled;
-    case decide::Outcome::Refused:
-        return JobOutcome::Refused;
-    case decide::Outcome::Failed:
-        break;
+    JobOutcome outcomeOf(decide::Outcome outcome)
+    {
+        switch (outcome) {
+        case decide::Outcome::Done:
+            return JobOutcome::Done;
+        case decide::Outcome::Cancelled:
+            return JobOutcome::Cancelled;
+        case decide::Outcome::Refused:
+            return JobOutcome::Refused;
+        case decide::Outcome::Failed:
+            break;
+        }
+        return JobOutcome::Failed;
     }
-    return JobOutcome::Failed;
-}
 
-bool holdsResources(const std::string& leaseState) { return leaseState != "failed" && leaseState != "lapsed"; }
+    bool holdsResources(const std::string& leaseState) { return leaseState != "failed" && leaseState != "lapsed"; }
 
 } // namespace
 
--- a/src/planner/driver_link.cc
+++ b/src/planner/driver_link.cc
@@ -4,79 +4,79 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds exchangeTimeout { 2000 };
-constexpr std::chrono::milliseconds surveyTimeout { 3000 };
+    constexpr std::chrono::milliseconds exchangeTimeout { 2000 };
+    constexpr std::chrono::milliseconds surveyTimeout { 3000 };
 
-void fill(rpc::Order::Builder builder, const Order& order)
-{
-    builder.setKind(static_cast<rpc::Order::Kind>(order.kind));
-    builder.setJob(order.job);
-    builder.setAttempt(static_cast<std::uint32_t>(order.attempt));
-    builder.setPayload(order.payload);
-    builder.setReason(order.reason);
-    builder.setSharePercent(static_cast<std::uint32_t>(order.sharePercent));
-    builder.setKey(order.key);
-    builder.setWorkspace(order.workspace);
-    builder.setLease(order.lease);
-    auto members = builder.initMembers(static_cast<unsigned>(order.members.size()));
-    for (unsigned i = 0; i < members.size(); ++i) {
-        members[i].setWorker(order.members[i].worker);
-        members[i].setAddress(order.members[i].address);
-        members[i].setAccelerators(static_cast<std::uint32_t>(order.members[i].accelerators));
-        members[i].setCores(static_cast<std::uint32_t>(order.members[i].cores));
-        members[i].setMemoryMb(static_cast<std::uint64_t>(order.members[i].memoryMb));
+    void fill(rpc::Order::Builder builder, const Order& order)
+    {
+        builder.setKind(static_cast<rpc::Order::Kind>(order.kind));
+        builder.setJob(order.job);
+        builder.setAttempt(static_cast<std::uint32_t>(order.attempt));
+        builder.setPayload(order.payload);
+        builder.setReason(order.reason);
+        builder.setSharePercent(static_cast<std::uint32_t>(order.sharePercent));
+        builder.setKey(order.key);
+        builder.setWorkspace(order.workspace);
+        builder.setLease(order.lease);
+        auto members = builder.initMembers(static_cast<unsigned>(order.members.size()));
+        for (unsigned i = 0; i < members.size(); ++i) {
+            members[i].setWorker(order.members[i].worker);
+            members[i].setAddress(order.members[i].address);
+            members[i].setAccelerators(static_cast<std::uint32_t>(order.members[i].accelerators));
+            members[i].setCores(static_cast<std::uint32_t>(order.members[i].cores));
+            members[i].setMemoryMb(static_cast<std::uint64_t>(order.members[i].memoryMb));
+        }
     }
-}
 
-DriverEvent readEvent(rpc::DriverEvent::Reader reader)
-{
-    DriverEvent event;
-    event.number = reader.getNumber();
-    event.kind = static_cast<DriverEventKind>(reader.getKind());
-    event.job = reader.getJob();
-    event.attempt = reader.getAttempt();
-    event.worker = reader.getWorker();
-    event.reason = reader.getReason();
-    event.result = reader.getResult();
-    event.membersReady = reader.getMembersReady();
-    event.usedAccelerators = reader.getUsedAccelerators();
-    event.usedMemoryMb = static_cast<std::int64_t>(reader.getUsedMemoryMb());
-    event.progress = reader.getProgress();
-    return event;
-}
+    DriverEvent readEvent(rpc::DriverEvent::Reader reader)
+    {
+        DriverEvent event;
+        event.number = reader.getNumber();
+        event.kind = static_cast<DriverEventKind>(reader.getKind());
+        event.job = reader.getJob();
+        event.attempt = reader.getAttempt();
+        event.worker = reader.getWorker();
+        event.reason = reader.getReason();
+        event.result = reader.getResult();
+        event.membersReady = reader.getMembersReady();
+        event.usedAccelerators = reader.getUsedAccelerators();
+        event.usedMemoryMb = static_cast<std::int64_t>(reader.getUsedMemoryMb());
+        event.progress = reader.getProgress();
+        return event;
+    }
 
-SurveyedLease readLease(rpc::LeaseView::Reader reader)
-{
-    SurveyedLease lease;
-    lease.lease = reader.getLease();
-    lease.job = reader.getJob();
-    lease.attempt = reader.getAttempt();
-    lease.state = reader.getState();
-    lease.accelerators = reader.getAccelerators();
-    lease.cores = reader.getCores();
-    lease.memoryMb = static_cast<std::int64_t>(reader.getMemoryMb());
-    lease.key = reader.getKey();
-    lease.workspace = reader.getWorkspace();
-    lease.gangSize = reader.getGangSize();
-    return lease;
-}
+    SurveyedLease readLease(rpc::LeaseView::Reader reader)
+    {
+        SurveyedLease lease;
+        lease.lease = reader.getLease();
+        lease.job = reader.getJob();
+        lease.attempt = reader.getAttempt();
+        lease.state = reader.getState();
+        lease.accelerators = reader.getAccelerators();
+        lease.cores = reader.getCores();
+        lease.memoryMb = static_cast<std::int64_t>(reader.getMemoryMb());
+        lease.key = reader.getKey();
+        lease.workspace = reader.getWorkspace();
+        lease.gangSize = reader.getGangSize();
+        return lease;
+    }
 
-SurveyedWorker readWorker(rpc::WorkerView::Reader reader)
-{
-    SurveyedWorker worker;
-    worker.worker = reader.getWorker();
-    worker.address = reader.getAddress();
-    worker.rack = reader.getRack();
-    worker.accelerators = reader.getAccelerators();
-    worker.cores = reader.getCores();
-    worker.memoryMb = static_cast<std::int64_t>(reader.getMemoryMb());
-    worker.leaving = reader.getLeaving();
-    worker.reachable = reader.getReachable();
-    worker.epoch = reader.getEpoch();
-    for (const auto lease : reader.getLeases())
-        worker.leases.push_back(readLease(lease));
-    return worker;
-}
+    SurveyedWorker readWorker(rpc::WorkerView::Reader reader)
+    {
+        SurveyedWorker worker;
+        worker.worker = reader.getWorker();
+        worker.address = reader.getAddress();
+        worker.rack = reader.getRack();
+        worker.accelerators = reader.getAccelerators();
+        worker.cores = reader.getCores();
+        worker.memoryMb = static_cast<std::int64_t>(reader.getMemoryMb());
+        worker.leaving = reader.getLeaving();
+        worker.reachable = reader.getReachable();
+        worker.epoch = reader.getEpoch();
+        for (const auto lease : reader.getLeases())
+            worker.leases.push_back(readLease(lease));
+        return worker;
+    }
 
 } // namespace
 
--- a/src/planner/view_messages.cc
+++ b/src/planner/view_messages.cc
@@ -4,28 +4,28 @@
 
 namespace {
 
-std::uint32_t amount(std::int64_t value) { return static_cast<std::uint32_t>(value); }
+    std::uint32_t amount(std::int64_t value) { return static_cast<std::uint32_t>(value); }
 
-void fill(rpc::WorkspaceView::Builder builder, const WorkspaceReport& report)
-{
-    builder.setWorkspace(report.workspace);
-    builder.setGuaranteedAccelerators(amount(report.guaranteed));
-    builder.setUsedAccelerators(amount(report.used));
-    builder.setBorrowedAccelerators(amount(report.borrowed));
-    builder.setQueuedUrgent(amount(report.queuedUrgent));
-    builder.setQueuedOrdinary(amount(report.queuedOrdinary));
-    builder.setQueuedPatient(amount(report.queuedPatient));
-    builder.setRunning(amount(report.running));
-}
+    void fill(rpc::WorkspaceView::Builder builder, const WorkspaceReport& report)
+    {
+        builder.setWorkspace(report.workspace);
+        builder.setGuaranteedAccelerators(amount(report.guaranteed));
+        builder.setUsedAccelerators(amount(report.used));
+        builder.setBorrowedAccelerators(amount(report.borrowed));
+        builder.setQueuedUrgent(amount(report.queuedUrgent));
+        builder.setQueuedOrdinary(amount(report.queuedOrdinary));
+        builder.setQueuedPatient(amount(report.queuedPatient));
+        builder.setRunning(amount(report.running));
+    }
 
-void fill(rpc::RackView::Builder builder, const RackReport& report)
-{
-    builder.setRack(report.rack);
-    builder.setWorkers(amount(report.workers));
-    builder.setAccelerators(amount(report.accelerators));
-    builder.setFree(amount(report.free));
-    builder.setQuarantined(amount(report.quarantined));
-}
+    void fill(rpc::RackView::Builder builder, const RackReport& report)
+    {
+        builder.setRack(report.rack);
+        builder.setWorkers(amount(report.workers));
+        builder.setAccelerators(amount(report.accelerators));
+        builder.setFree(amount(report.free));
+        builder.setQuarantined(amount(report.quarantined));
+    }
 
 } // namespace
 
