--- /dev/null
+++ b/src/entry/claim_key.cc
@@ -0,0 +1,58 @@
+#include "entry/claim_key.h"
+
+#include "base/random.h"
+
+#include <algorithm>
+#include <ctime>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+namespace rattan::entry {
+
+namespace {
+
+    constexpr std::size_t stampLength = 16; // YYYYMMDDTHHMMSSZ
+    constexpr std::size_t mintedDigits = 16;
+
+    std::string stampOf(Millis wall)
+    {
+        const auto seconds = static_cast<std::time_t>(wall / 1000);
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        return fmt::format("{:%Y%m%dT%H%M%SZ}", parts);
+    }
+
+    int numberAt(std::string_view text, std::size_t at, std::size_t digits)
+    {
+        int value = 0;
+        for (const char c : text.substr(at, digits))
+            value = value * 10 + (c - '0');
+        return value;
+    }
+
+} // namespace
+
+std::optional<Millis> timeOfKey(std::string_view key)
+{
+    if (key.size() <= stampLength + 1 || key[8] != 'T' || key[15] != 'Z' || key[stampLength] != '-')
+        return std::nullopt;
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    if (!std::all_of(key.begin(), key.begin() + 8, isDigit) || !std::all_of(key.begin() + 9, key.begin() + 15, isDigit))
+        return std::nullopt;
+    std::tm parts {};
+    parts.tm_year = numberAt(key, 0, 4) - 1900;
+    parts.tm_mon = numberAt(key, 4, 2) - 1;
+    parts.tm_mday = numberAt(key, 6, 2);
+    parts.tm_hour = numberAt(key, 9, 2);
+    parts.tm_min = numberAt(key, 11, 2);
+    parts.tm_sec = numberAt(key, 13, 2);
+    const Millis time = static_cast<Millis>(timegm(&parts)) * 1000;
+    // timegm carries the 31st of a short month into the next; such a stamp is refused.
+    if (stampOf(time) != key.substr(0, stampLength))
+        return std::nullopt;
+    return time;
+}
+
+std::string mintKey(Millis wall) { return fmt::format("{}-{}", stampOf(wall), randomHex(mintedDigits)); }
+
+} // namespace rattan::entry
