--- a/src/entry/claim_index.h
+++ b/src/entry/claim_index.h
@@ -109,7 +109,7 @@
     void prune();
     void dropAnswers();
 
-    const ClaimLimits limits;
+    ClaimLimits limits;
     std::uint64_t next { 0 };
     bool holed { false }; // Until the next record tells the time after the hole.
     std::optional<Millis> coveredSince; // Empty: from the stream's beginning.
