Let a stopping HTTP server answer what it has begun

Cause: MHD_stop_daemon closes every connection at once, so a request in progress at a planned stop lost its answer. Change: stop() first gives up the listening socket, then waits until every request that was begun is answered (ten seconds at most), then stops the daemon.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <fmt/format.h>
 #include <sys/socket.h>
+#include <thread>
 #include <ulfius.h>
 #include <unistd.h>
 
@@ -18,6 +19,7 @@
 
     constexpr std::size_t threadStackBytes = 512 * 1024;
     constexpr int portTries = 8;
+    constexpr int checksPerSecond = 200;
 
     struct Endpoint {
         const Server* server;
@@ -91,6 +93,22 @@
         return U_CALLBACK_COMPLETE;
     }
 
+    // libmicrohttpd pairs these two: the first when a request line is read, the
+    // second when the answer is written or the connection is gone.
+    std::atomic<std::int64_t>& inProgress(void* data) { return *static_cast<std::atomic<std::int64_t>*>(data); }
+
+    void* onRequestBegun(void* data, const char* uri, MHD_Connection*)
+    {
+        ++inProgress(data);
+        return ulfius_uri_logger(nullptr, uri);
+    }
+
+    void onRequestEnded(void* data, MHD_Connection* connection, void** state, MHD_RequestTerminationCode code)
+    {
+        mhd_request_completed(nullptr, connection, state, code);
+        --inProgress(data);
+    }
+
     int onUnknownPath(const _u_request* from, _u_response* to, void*)
     {
         writeAnswer(errorAnswer({ ErrorCode::NotFound, "http.route", peerOf(from), "no such path", {} }), to);
@@ -118,6 +136,7 @@
     _u_instance instance {};
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     bool running { false };
+    std::atomic<std::int64_t> inProgress { 0 };
 };
 
 Server::Server(ServerOptions options)
@@ -157,9 +176,9 @@
         }
         ulfius_set_default_endpoint(&this->native->instance, &onUnknownPath, nullptr);
         MHD_OptionItem items[] = {
-            { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr },
+            { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&onRequestEnded), &this->native->inProgress },
             { MHD_OPTION_SOCK_ADDR, 0, &bindTo },
-            { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr },
+            { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&onRequestBegun), &this->native->inProgress },
             { MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(this->options.connectionLimit), nullptr },
             { MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(this->options.idleSeconds), nullptr },
             { MHD_OPTION_THREAD_STACK_SIZE, static_cast<intptr_t>(threadStackBytes), nullptr },
@@ -183,6 +202,14 @@
     if (!this->native->running)
         return;
     this->native->running = false;
+    // Stopping the daemon closes every connection, also one whose answer is just
+    // being written; the caller would see a cut answer at a planned stop. So the
+    // listening socket goes first and the requests in progress may end.
+    const MHD_socket listening = MHD_quiesce_daemon(this->native->instance.mhd_daemon);
+    if (listening != MHD_INVALID_SOCKET)
+        close(listening);
+    for (int i = 0; i<this->options.stopSeconds * checksPerSecond&& this->native->inProgress> 0; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000 / checksPerSecond));
     ulfius_stop_framework(&this->native->instance);
     ulfius_clean_instance(&this->native->instance);
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -32,6 +32,7 @@
     std::int64_t bodyLimit { 1 << 20 }; // Bytes.
     std::int64_t connectionLimit { 512 };
     std::int64_t idleSeconds { 60 }; // A silent connection is closed after this.
+    std::int64_t stopSeconds { 10 }; // Longest wait of stop() for requests in progress.
 };
 
 using Handler = std::function<Answer(const Request&)>;
@@ -48,7 +49,8 @@
     // Unavailable when the address cannot be taken.
     Result<void> start();
 
-    // Handlers in progress finish first; idempotent.
+    // Takes no new connections, lets requests in progress be answered whole, then
+    // closes what is left; idempotent.
     void stop();
 
     // The address in use, with the port that was chosen.
