--- a/src/entry/claim_index.h
+++ b/src/entry/claim_index.h
@@ -20,7 +20,7 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
+#include <tuple>
 
 namespace rattan::entry {
 
@@ -94,7 +94,10 @@
         std::string workspace;
         std::string key;
 
-        auto operator<=>(const KeyId&) const = default;
+        bool operator<(const KeyId& other) const
+        {
+            return std::tie(this->time, this->workspace, this->key) < std::tie(other.time, other.workspace, other.key);
+        }
     };
     struct KeyState {
         std::string holder; // Attempt id; empty while free.
