Let job ids start at 1

Cause: the first job of a domain had id 0, which the driver takes for no job; it refused the order, and the planner took over again 20 times a second for ever. Found by the first run of demo/run. Change: a job's id is one above its submit's offset. It does not end yet: a process does not stop.

--- a/src/planner/job_book.cc
+++ b/src/planner/job_book.cc
@@ -1,4 +1,4 @@
-// A job is identified twice: by the offset of its first submit, which never
+// A job is identified twice: by the place of its first submit, which never
 // changes, and by its workspace and key, under which callers know it. A second
 // submit with the same key is the same job, which makes a repeated append after
 // a lost reply harmless. All rules here depend on the order of records only.
@@ -53,7 +53,7 @@
 
 std::vector<JobChange> JobBook::add(std::uint64_t offset, Millis atWall, const JobRecord& record)
 {
-    const std::uint64_t id = record.kind == JobRecordKind::Submit ? offset : record.id;
+    const std::uint64_t id = record.kind == JobRecordKind::Submit ? records::jobIdAt(offset) : record.id;
     const auto known = this->byKey.find({ record.workspace, record.key });
     if (known != this->byKey.end())
         return this->addKnown(offset, atWall, record, this->jobs.at(known->second));
--- a/src/records/job_record.h
+++ b/src/records/job_record.h
@@ -17,7 +17,7 @@
 namespace rattan::records {
 
 enum class JobRecordKind {
-    Submit, // A caller wants a job; the record's offset becomes its id.
+    Submit, // A caller wants a job; jobIdAt the record's offset becomes its id.
     Cancel,
     Starting, // Says, before it happens, that a job which must not run twice starts.
     Final, // How a job ended; the first one counts.
@@ -66,6 +66,9 @@
 inline constexpr std::int64_t mostMembers = 512;
 inline constexpr std::int64_t mostAcceleratorsPerMember = 64;
 
+// Ids start at 1: a 0 in a message means that no job is meant.
+inline std::uint64_t jobIdAt(std::uint64_t submitOffset) { return submitOffset + 1; }
+
 std::string jobStream(const std::string& domain);
 
 Json toJson(const JobSpec&);
