--- a/src/entry/api.cc
+++ b/src/entry/api.cc
@@ -157,9 +157,13 @@
 {
     BOOST_LEAF_AUTO(view, this->parts.planner.domain());
     const auto active = this->parts.config.active();
+    Json executors = Json::object();
+    for (const config::Service& service : active ? active->text.services : std::vector<config::Service> {})
+        executors[service.name] = this->parts.gate.load(service.name).executors;
     view["entry"] = { { "instance", this->parts.instance }, { "config_version", active ? active->version : 0 },
         { "leaving", this->parts.state.leaving.load() }, { "in_flight", this->parts.state.inFlight.load() },
-        { "waiting", this->parts.gate.waiting() }, { "claims_caught_up", this->parts.claims.caughtUp() } };
+        { "waiting", this->parts.gate.waiting() }, { "claims_caught_up", this->parts.claims.caughtUp() },
+        { "executors_listed", this->parts.gate.listed() }, { "executors", std::move(executors) } };
     return http::jsonAnswer(ok, view);
 }
 
--- a/src/entry/claim_log.cc
+++ b/src/entry/claim_log.cc
@@ -174,7 +174,8 @@
 void ClaimLog::run()
 {
     while (!this->stopping) {
-        if (!this->follow(readWait)) {
+        // Waiting for new records only makes sense once the old ones are read.
+        if (!this->follow(this->caughtUp() ? readWait : std::chrono::milliseconds(0))) {
             std::this_thread::sleep_for(pauseAfterFailure);
             continue;
         }
--- a/src/entry/gate.cc
+++ b/src/entry/gate.cc
@@ -81,6 +81,7 @@
 {
     const std::lock_guard lock(this->mutex);
     this->table.update(list, this->clock.now());
+    this->listRead = true;
     this->serveWaiters();
 }
 
@@ -105,6 +106,12 @@
     return this->waiters.size();
 }
 
+bool Gate::listed() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->listRead;
+}
+
 ServiceLoad Gate::load(const std::string& service) const
 {
     const std::lock_guard lock(this->mutex);
--- a/src/entry/gate.h
+++ b/src/entry/gate.h
@@ -59,6 +59,9 @@
     void probed(const std::string& executor, bool healthy);
 
     std::size_t waiting() const;
+
+    // Whether the instance list has ever been read.
+    bool listed() const;
     ServiceLoad load(const std::string& service) const;
 
 private:
@@ -85,6 +88,7 @@
     Waiters waiters; // In order of arrival.
     std::mt19937_64 random;
     std::uint64_t served { 0 };
+    bool listRead { false };
 };
 
 } // namespace rattan::entry
--- a/src/entry/options.cc
+++ b/src/entry/options.cc
@@ -25,6 +25,7 @@
     settings.number("tickets-kept", &options.ticketsKept, 100, 1000000, "tickets", "Used tickets held in memory.");
     settings.number("ticket-ttl-ms", &options.ticketTtlMs, 1000, 86400000, "ms", "How long a ticket may be used.");
     settings.number("retry-percent", &options.retryPercent, 0, 100, "percent", "Retries allowed as a share of requests.");
+    settings.number("stop-notice-ms", &options.stopNoticeMs, 0, 60000, "ms", "How long health says 503 before connections are refused at a stop.");
     settings.number("stop-grace-ms", &options.stopGraceMs, 0, 600000, "ms", "Longest time that requests in flight get at a stop.");
 }
 
--- a/src/entry/options.h
+++ b/src/entry/options.h
@@ -30,6 +30,7 @@
     std::int64_t ticketsKept { 20000 };
     std::int64_t ticketTtlMs { 600000 };
     std::int64_t retryPercent { 10 };
+    std::int64_t stopNoticeMs { 500 };
     std::int64_t stopGraceMs { 10000 };
 };
 
--- a/src/entry/program.cc
+++ b/src/entry/program.cc
@@ -16,9 +16,6 @@
     constexpr std::chrono::milliseconds listTimeout(1000);
     constexpr std::size_t incarnationDigits = 12;
 
-    // How long health says 503 before connections are refused, so that the
-    // balancer can look elsewhere first.
-    constexpr std::chrono::milliseconds noticeTime(500);
     constexpr std::chrono::milliseconds stopCheck(10);
 
     ClaimLimits claimLimits(const EntryOptions& options)
@@ -86,7 +83,8 @@
     this->running = false;
     this->state.leaving = true;
     logEvent(entryStopping, { { "in_flight", this->state.inFlight.load() } });
-    std::this_thread::sleep_for(noticeTime);
+    // The balancer needs a moment to see the 503 and look elsewhere.
+    std::this_thread::sleep_for(std::chrono::milliseconds(this->options.stopNoticeMs));
     const Millis deadline = this->clock.now() + this->options.stopGraceMs;
     while (this->state.inFlight > 0 && this->clock.now() < deadline)
         std::this_thread::sleep_for(stopCheck);
--- a/src/entry/request_service.cc
+++ b/src/entry/request_service.cc
@@ -20,6 +20,14 @@
         return unknown({ code, std::string(step), "", std::move(message), retryAfter });
     }
 
+    // All but a wrong key may be asked again, with the same key.
+    Error askingAgain(Error error)
+    {
+        if (error.code != ErrorCode::BadInput)
+            error.retryAfter = std::max(error.retryAfter, askAgain);
+        return error;
+    }
+
 } // namespace
 
 RequestService::RequestService(const ConfigWatch& config, Forwarder& forwarder, ClaimLog& claims, TicketBook& tickets,
@@ -99,7 +107,7 @@
     });
     // This instance has sent nothing, but another may have; so it is not "not run".
     if (!claim)
-        return unknown(claim.error);
+        return unknown(askingAgain(claim.error));
     // The answer to another request under the same key is not this caller's.
     if (!claim->mine && claim->view.stage != KeyStage::Free && claim->view.fingerprint != fingerprintOf(order))
         return unknownOf(ErrorCode::Conflict, "the key was used for another request; take a new key for this one", {});
