--- a/src/driver/gang_types.h
+++ b/src/driver/gang_types.h
@@ -91,7 +91,7 @@
 struct KeeperOptions {
     Millis period { 1000 }; // Between two exchanges with a worker.
     Millis lease { 4000 }; // Lifetime of a renewed lease.
-    Millis reply { 800 }; // Longest wait for a worker's answer.
+    Millis reply { 500 }; // Longest wait for a worker's answer.
     Millis reserveLimit { 2000 }; // For all members to reserve.
     Millis startLimit { 2000 }; // For all members to start.
     Millis saveLimit { 600000 }; // For all members to checkpoint.
@@ -106,6 +106,11 @@
     // A reservation outlives the wait for the others, and not by much, so that
     // two half-reserved gangs free each other's resources.
     Millis reservation() const { return this->reserveLimit + this->reply; }
+
+    // A worker that has not accepted our epoch may still take a renewal that an
+    // earlier owner sent just before it was refused elsewhere, as late as the
+    // end of the lease that it extends. After such a silence nothing runs there.
+    Millis foreignSilence() const { return 2 * this->lease + this->reply + this->clockMargin; }
 };
 
 } // namespace rattan::driver
