Refuse what cannot be in time, and keep a lane for patient requests

Cause: under three times the load that saturates, requests that were let in waited for nothing: the expected wait counted only who waits now, not the more urgent ones still to come. 1% of them and more were refused only at their deadline of 1 s. Change: the expected wait uses what more urgent requests left over in the last second and must fit in half of the deadline; who still has no slot after half of its time is told so. Patient requests have their own few places and one slot in 16.

--- a/src/entry/gate.cc
+++ b/src/entry/gate.cc
@@ -58,7 +58,10 @@
     Waiter& waiter = this->waiters.emplace_back();
     waiter.request = request;
     const auto self = std::prev(this->waiters.end());
-    while (!waiter.slot && !waiter.refused && this->clock.now() < request.deadline) {
+    // It was let in because half of its time would do. If that proves wrong it is
+    // told so while there is time to ask elsewhere.
+    const Millis giveUpAt = request.deadline - (request.deadline - this->clock.now()) / 2;
+    while (!waiter.slot && !waiter.refused && this->clock.now() < giveUpAt) {
         waiter.changed.wait_for(lock, recheck);
         this->serveWaiters();
     }
@@ -69,8 +72,7 @@
         return *slot;
     if (refused)
         return fail(this->overloaded(request, "more urgent requests took the places"));
-    return fail(ErrorCode::Timeout, std::string(step), "", "no executor was free before the deadline",
-        std::chrono::milliseconds(std::max(this->expectedWait(request), shortestRetryAfter)));
+    return fail(this->overloaded(request, "no executor became free in half of the time given"));
 }
 
 void Gate::release(const Slot& slot, platform::ForwardFate fate, Millis latency)
@@ -128,6 +130,7 @@
     if (!id)
         return std::nullopt;
     this->table.begin(*id);
+    this->given[request.service].at(static_cast<std::size_t>(request.urgency)).note(this->clock.now());
     return Slot { *id, this->table.find(*id)->instance.address };
 }
 
@@ -167,11 +170,16 @@
         return Error { ErrorCode::Unavailable, std::string(step), "",
             fmt::format("no executor of service '{}' in this failure domain", request.service),
             std::chrono::milliseconds(noExecutorRetryAfter) };
-    if (this->clock.now() + this->expectedWait(request) >= request.deadline)
+    if (this->expectedWait(request) * 2 >= request.deadline - this->clock.now())
         return this->overloaded(request, "the wait for an executor is longer than the deadline");
     const std::size_t places = this->waitingLimit * quarters.at(static_cast<std::size_t>(request.urgency)) / 4;
     if (this->waiters.size() < std::max<std::size_t>(places, 1) || this->displaceFor(request.urgency))
         return std::nullopt;
+    // Patient requests keep a few places beside the others, or the slots set aside
+    // for them would find nobody waiting.
+    if (request.urgency == config::Urgency::Patient
+        && this->countWaiting(request.service, config::Urgency::Patient, config::Urgency::Patient) < this->waitingLimit / leastUrgentEvery)
+        return std::nullopt;
     return this->overloaded(request, "too many requests wait for an executor");
 }
 
@@ -193,11 +201,40 @@
 
 Millis Gate::expectedWait(const SlotRequest& request) const
 {
-    const ServiceLoad load = this->table.load(request.service);
-    const auto ahead = std::count_if(this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) {
-        return waiter.request.service == request.service && !lessUrgent(waiter.request.urgency, request.urgency);
-    });
-    return static_cast<Millis>(static_cast<double>(ahead + 1) * load.latencyMs / static_cast<double>(std::max<std::int64_t>(load.share, 1)));
+    const auto waitBehind = [](std::size_t ahead, double rate) { return static_cast<Millis>(static_cast<double>(ahead + 1) * 1000 / rate); };
+    const Millis inTurn = waitBehind(this->countWaiting(request.service, request.urgency, config::Urgency::Urgent), this->rateLeftFor(request));
+    if (request.urgency != config::Urgency::Patient)
+        return inTurn;
+    // Patient requests have one slot in sixteen to themselves.
+    const std::size_t alike = this->countWaiting(request.service, config::Urgency::Patient, config::Urgency::Patient);
+    return std::min(inTurn, waitBehind(alike, this->capacityOf(request.service) / leastUrgentEvery));
+}
+
+std::size_t Gate::countWaiting(const std::string& service, config::Urgency least, config::Urgency most) const
+{
+    return static_cast<std::size_t>(std::count_if(this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) {
+        return waiter.request.service == service && !lessUrgent(waiter.request.urgency, least) && !lessUrgent(most, waiter.request.urgency);
+    }));
+}
+
+double Gate::capacityOf(const std::string& service) const
+{
+    const ServiceLoad load = this->table.load(service);
+    return static_cast<double>(std::max<std::int64_t>(load.share, 1)) * 1000 / std::max(load.latencyMs, 1.0);
+}
+
+// What the executors can do in a second, less what more urgent requests have
+// taken lately: those still to come will go first as well. Counting only those
+// that wait now, patient requests were let in and starved to their deadlines.
+double Gate::rateLeftFor(const SlotRequest& request) const
+{
+    const double capacity = this->capacityOf(request.service);
+    double left = capacity;
+    if (const auto found = this->given.find(request.service); found != this->given.end()) {
+        for (std::size_t i = 0; i < static_cast<std::size_t>(request.urgency); ++i)
+            left -= found->second.at(i).perSecond(this->clock.now());
+    }
+    return std::max(left, capacity / leastUrgentEvery);
 }
 
 Error Gate::overloaded(const SlotRequest& request, const std::string& why) const
--- a/src/entry/gate.h
+++ b/src/entry/gate.h
@@ -10,8 +10,8 @@
 // The number of waiting requests is bounded: patient ones may fill half of the
 // places, ordinary ones three quarters, urgent ones all, and one that finds no
 // place takes that of the youngest less urgent one, which is then refused. A
-// request whose deadline cannot hold the expected wait is refused too, with the
-// time after which asking again makes sense; a queue full of requests that are
+// request whose expected wait takes more than half of the time it has is refused
+// too, with the time after which asking again makes sense; a queue full of requests that are
 // too old when their turn comes would spend all slots on nothing. The most
 // urgent waits least, but one free slot in sixteen goes to the least urgent, so
 // that patient requests still progress. Thread-safe; acquire blocks.
@@ -20,9 +20,12 @@
 #include "base/error.h"
 #include "config/text.h"
 #include "entry/executor_table.h"
+#include "entry/rate_meter.h"
 
+#include <array>
 #include <condition_variable>
 #include <list>
+#include <map>
 #include <mutex>
 #include <random>
 #include <set>
@@ -49,8 +52,8 @@
 
     Gate(std::string domain, std::size_t waitingLimit, const Clock&);
 
-    // Overloaded or Unavailable at once, Timeout at the deadline; in each case
-    // nothing was dispatched.
+    // Overloaded or Unavailable, at once or after half of the time at the latest;
+    // in each case nothing was dispatched.
     Result<Slot> acquire(const SlotRequest&);
     void release(const Slot&, platform::ForwardFate, Millis latency);
 
@@ -79,6 +82,9 @@
     std::optional<Error> admit(const SlotRequest&);
     bool displaceFor(config::Urgency);
     Millis expectedWait(const SlotRequest&) const;
+    double rateLeftFor(const SlotRequest&) const;
+    double capacityOf(const std::string& service) const; // Requests a second.
+    std::size_t countWaiting(const std::string& service, config::Urgency least, config::Urgency most) const;
     Error overloaded(const SlotRequest&, const std::string& why) const;
 
     const std::size_t waitingLimit;
@@ -89,6 +95,9 @@
     std::mt19937_64 random;
     std::uint64_t served { 0 };
     bool listRead { false };
+
+    // Slots given to each urgency, by service; services come from the list.
+    std::map<std::string, std::array<RateMeter, 3>> given;
 };
 
 } // namespace rattan::entry
