--- a/src/config/ledger.cc
+++ b/src/config/ledger.cc
@@ -18,7 +18,7 @@
 namespace {
 
     constexpr std::int64_t highestVersion = std::int64_t { 1 } << 52;
-    constexpr std::size_t longestId = 128;
+    constexpr std::size_t longestId = 256;
 
     Verdict ignored(std::string reason) { return { VerdictKind::Ignored, 0, {}, std::move(reason) }; }
 
