Name service and operation as words of submit request

Cause: both are always needed, and the demo writes them as words. Change: rattanctl submit request SERVICE OPERATION [--body ...].

--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -11,7 +11,7 @@
         { "publish", { "FILE" }, "Publishes a text.", declarePublishSettings, publish },
         { "status", {}, "Shows every failure domain, workspace and instance.", nullptr, status },
         { "submit job", {}, "Submits a job.", declareJobSettings, submitJob },
-        { "submit request", {}, "Sends a request to a service and prints its outcome.", declareRequestSettings, submitRequest },
+        { "submit request", { "SERVICE", "OPERATION" }, "Sends a request to a service and prints its outcome.", declareRequestSettings, submitRequest },
         { "outcome", { "KEY" }, "Asks again how a request ended.", nullptr, outcome },
         { "ticket", {}, "Gets tickets for requests that must not run twice.", declareTicketSettings, ticket },
         { "jobs", {}, "Lists the workspace's jobs.", declareListSettings, jobs },
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -18,8 +18,6 @@
     void declareRequestOnly(Settings& settings, Options& options)
     {
         settings.text("ticket", &options.ticket, "TICKET", "A ticket got before, in place of a key.");
-        settings.text("service", &options.service, "NAME", "Service of the text in force.");
-        settings.text("operation", &options.operation, "NAME", "Operation of that service.");
         settings.number("deadline-ms", &options.deadlineMs, 0, hour, "ms (0: the operation's own)", "Time within which the answer is of use.");
         settings.text("body", &options.body, "JSON", "Body of the request; text that is not JSON is sent as a string.");
     }
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -24,8 +24,6 @@
     std::string author;
     std::string key;
     std::string ticket;
-    std::string service;
-    std::string operation;
     std::string body;
     std::int64_t deadlineMs { 0 }; // 0: the operation's own.
     std::string jobClass;
--- a/src/ctl/request_commands.cc
+++ b/src/ctl/request_commands.cc
@@ -40,11 +40,9 @@
 ExitCode submitRequest(Context& context)
 {
     const Options& options = context.options;
-    if (options.service.empty() || options.operation.empty())
-        return misuse(context, "submit request needs --service and --operation");
     if (!options.key.empty() && !options.ticket.empty())
         return misuse(context, "--key and --ticket exclude each other");
-    Json body { { "service", options.service }, { "operation", options.operation } };
+    Json body { { "service", context.words[0] }, { "operation", context.words[1] } };
     // Whether the operation may run twice is in the text, which a caller cannot
     // read; a key does no harm where it is not needed. It stays the same at each
     // entry that is tried, or the request could run once for each.
--- a/src/ctl/testing/job_commands_test.cc
+++ b/src/ctl/testing/job_commands_test.cc
@@ -110,7 +110,7 @@
         FakeEntry free;
         full.expectError("POST /v1/requests", { ErrorCode::Overloaded, "entry.gate", "", "no room", std::chrono::milliseconds(1000) });
         free.expect("POST /v1/requests", 200, { { "outcome", "done" }, { "status", 200 }, { "answer", "seat 4" } });
-        const RunResult result = runWith({ full.address(), free.address() }, { "submit", "request", "--service", "booking", "--operation", "hold", "--body", R"({"seat":4})" });
+        const RunResult result = runWith({ full.address(), free.address() }, { "submit", "request", "booking", "hold", "--body", R"({"seat":4})" });
         CPPUNIT_ASSERT(result.code == ExitCode::Ok);
         CPPUNIT_ASSERT(has(result.lines, "seat 4"));
         CPPUNIT_ASSERT_EQUAL(full.lastBody()["key"].get<std::string>(), free.lastBody()["key"].get<std::string>());
@@ -157,7 +157,7 @@
             FakeEntry entry;
             for (const std::string call : { "GET /v1/jobs", "GET /v1/jobs/k", "GET /v1/status", "GET /v1/config", "POST /v1/requests", "GET /v1/traces/0123456789abcdef0123456789abcdef" })
                 entry.expect(call, 200, answer);
-            const std::vector<std::vector<std::string>> lines { { "jobs" }, { "explain", "k" }, { "status" }, { "submit", "request", "--service", "a", "--operation", "b" },
+            const std::vector<std::vector<std::string>> lines { { "jobs" }, { "explain", "k" }, { "status" }, { "submit", "request", "a", "b" },
                 { "trace", "0123456789abcdef0123456789abcdef" }, { "diff", std::string(RATTAN_SOURCE_DIR) + "/examples/kitami.yaml" } };
             for (const auto& line : lines)
                 runWith({ entry.address() }, line);
--- a/src/ctl/testing/program_test.cc
+++ b/src/ctl/testing/program_test.cc
@@ -38,7 +38,7 @@
             { "explain", "" }, { "status", "--colour", "mauve" }, { "status", "--colour" }, { "status", "--what", "1" },
             { "status", "--entry", "localhost" }, { "drain", "here" }, { "trace", "12" }, { "completion", "fish" }, { "submit", "job" },
             { "submit", "job", "--class", "x", "--members", "0" }, { "submit", "job", "--class", "x", "--payload", "{" },
-            { "submit", "request", "--service", "a" }, { "submit", "request", "--service", "a", "--operation", "b", "--key", "k", "--ticket", "t" },
+            { "submit", "request", "a" }, { "submit", "request", "a", "b/c" }, { "submit", "request", "a", "b", "--key", "k", "--ticket", "t" },
             { "validate", "/nonexistent/file" }
         };
         for (const auto& line : bad) {
