Take a stated outcome as final in rattanctl

Change: an answer that states an outcome is passed on and not tried elsewhere. Measured: build/bin/test-ctl, 25 passed, 0 failed; without the change statedOutcomeIsFinal has no second request to forbid, so it is new.

--- a/src/ctl/entry_client.cc
+++ b/src/ctl/entry_client.cc
@@ -9,7 +9,14 @@
     constexpr int tooManyRequests = 429;
     constexpr int unavailable = 503;
 
-    bool isPassedOver(const EntryReply& reply) { return reply.status == 0 || reply.status == tooManyRequests || reply.status == unavailable; }
+    // An answer that states an outcome is final: the entry may have claimed the
+    // key, and another entry would find a claim of which it cannot tell the end.
+    bool isPassedOver(const EntryReply& reply)
+    {
+        if (reply.json.is_object() && reply.json.contains("outcome"))
+            return false;
+        return reply.status == 0 || reply.status == tooManyRequests || reply.status == unavailable;
+    }
 
     std::chrono::milliseconds retryAfterOf(const http::Reply& reply)
     {
--- a/src/ctl/entry_client.h
+++ b/src/ctl/entry_client.h
@@ -7,8 +7,8 @@
 //     if (reply.ok())
 //         use(reply.json);
 //
-// An instance that cannot be reached, or that answers 429 or 503, is passed over
-// for the next; the one that served last is asked first. Every call goes out
+// An instance that cannot be reached, or that answers 429 or 503 and states no
+// outcome, is passed over for the next; the one that served last is asked first. Every call goes out
 // again when its answer got lost, which is safe because each either only reads
 // or names a key, a ticket or a version that makes a repeat harmless. When no
 // instance serves, the reply is that of the one that got furthest. Not
--- a/src/ctl/testing/job_commands_test.cc
+++ b/src/ctl/testing/job_commands_test.cc
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(watchGoesOnThroughRestarts);
     CPPUNIT_TEST(watchEndsAsTheJobEnds);
     CPPUNIT_TEST(requestKeepsItsKeyAtEachEntry);
+    CPPUNIT_TEST(statedOutcomeIsFinal);
     CPPUNIT_TEST(threeOutcomesHaveThreeCodes);
     CPPUNIT_TEST(saysUnavailableOnlyWhenNothingLeft);
     CPPUNIT_TEST(strangeAnswersDoNoHarm);
@@ -117,6 +118,19 @@
         CPPUNIT_ASSERT_EQUAL(4, free.lastBody()["body"]["seat"].get<int>());
     }
 
+    void statedOutcomeIsFinal()
+    {
+        // The first entry claims the key, finds no executor and says that nothing
+        // ran. A second entry would find the claim and could only say "unknown".
+        FakeEntry first;
+        FakeEntry second;
+        first.expect("POST /v1/requests", 503, { { "outcome", "not_run" }, { "error", { { "code", "unavailable" }, { "message", "no executor" } } } });
+        const RunResult result = runWith({ first.address(), second.address() }, { "submit", "request", "booking", "hold" });
+        CPPUNIT_ASSERT(result.code == ExitCode::Unavailable);
+        CPPUNIT_ASSERT(second.requests().empty());
+        CPPUNIT_ASSERT(has(result.remarks, "no executor"));
+    }
+
     void threeOutcomesHaveThreeCodes()
     {
         const Json error { { "code", "timeout" }, { "message", "no answer" }, { "step", "entry.forward" }, { "peer", "e1" } };
