Add the scenario runner: Lua files against real processes over held links

Cause: each property needs a proof on real processes under kills, cuts, freezes and outages, judged from what truly ran. Change: rattan-scenario embeds Lua 5.4; primitives start processes, hold a relay for each (from, to) pair, show each machine the instance list with its own links, and read the stand-ins' records; prelude.lua makes the verbs. Three scenarios hold the runner and the stand-ins themselves.

--- /dev/null
+++ b/testing/scenario/list_view.cc
@@ -0,0 +1,44 @@
+#include "scenario/list_view.h"
+
+#include <stdexcept>
+
+namespace rattan::testing {
+
+namespace {
+
+    constexpr std::chrono::milliseconds listTimeout { 3000 };
+
+} // namespace
+
+ListView::ListView(Network& network, std::string viewer, std::string list)
+    : network(network)
+    , viewer(std::move(viewer))
+    , listAddress(std::move(list))
+    , list(this->listAddress, listTimeout)
+    , server(http::ServerOptions {})
+{
+    this->server.route("GET", "/v1/instances", [this](const http::Request&) { return this->answer(); });
+}
+
+void ListView::start()
+{
+    if (const auto error = attemptVoid([&] { return this->server.start(); }))
+        throw std::runtime_error(error->message);
+}
+
+http::Answer ListView::answer()
+{
+    auto instances = attempt([&] { return this->list.instances(); });
+    if (!instances)
+        return http::errorAnswer(instances.error);
+    Json shown = Json::array();
+    for (platform::Instance& instance : *instances) {
+        instance.address = this->network.link(this->viewer, instance.id, instance.address);
+        if (!instance.rpc.empty())
+            instance.rpc = this->network.link(this->viewer, instance.id, instance.rpc);
+        shown.push_back(platform::toJson(instance));
+    }
+    return http::jsonAnswer(200, { { "instances", std::move(shown) } });
+}
+
+} // namespace rattan::testing
