--- a/testing/scenario/prelude.lua
+++ b/testing/scenario/prelude.lua
@@ -379,7 +379,7 @@
     return os.date("!%Y%m%dT%H%M%SZ", rr.wall() // 1000) .. "-" .. (name or "k") .. rr.random(1000000000)
 end
 
-local function describe_call(name, method, path, body, token, timeout_ms)
+function describe_call(name, method, path, body, token, timeout_ms)
     return {
         method = method, address = instances[name].entry, path = path, body = body, timeout_ms = timeout_ms or 20000,
         headers = token and { Authorization = "Bearer " .. token } or nil,
@@ -573,3 +573,122 @@
     end
     return longest
 end
+
+-- Judges that several scenarios share ---------------------------------------------
+
+-- What a reply says of a request must be true by the executors' own record, which
+-- the request's body is found in by its mark.
+function check_truth(reply, mark)
+    local runs = #executor_runs(mark)
+    local outcome = outcome_of(reply)
+    expect(runs <= 1, mark .. " ran at most once (" .. runs .. " runs)")
+    if outcome == "done" then
+        expect_equal(1, runs, mark .. " was said to be done and ran")
+        local answer = rr.decode(reply.body.answer)
+        expect(answer.echo:find(mark, 1, true), "the answer is that to " .. mark)
+    elseif outcome == "not_run" then
+        expect_equal(0, runs, mark .. " was said not to have run")
+    end
+    return outcome
+end
+
+-- Where a request is refused or left open, the caller is told when to come back.
+function expect_retry_after(reply)
+    expect(reply.headers and reply.headers["retry-after"], "the answer says when to come back")
+end
+
+-- Waits until the body with this mark has begun to run at an executor.
+function await_run(mark)
+    eventually(mark .. " has begun to run", function() return #executor_runs(mark) > 0 end)
+end
+
+-- Returns a function that looks at every instance and fails if any of them shows
+-- a version below one that it showed before.
+function version_watch()
+    local highest = {}
+    return function()
+        for name in pairs(instances) do
+            local version = rr.running(name .. ".entry") and version_of(name)
+            if version then
+                if version < (highest[name] or 0) then
+                    error(name .. " went back from version " .. highest[name] .. " to " .. version, 2)
+                end
+                highest[name] = version
+            end
+        end
+        return highest
+    end
+end
+
+-- No accelerator of a worker is used twice, by the workers' own record.
+function check_no_overlap(accelerators)
+    for _, domain in pairs(domains) do
+        for id in pairs(domain.workers) do
+            local moments = {}
+            for _, run in ipairs(history(id)) do
+                moments[#moments + 1] = { at = run.started, change = run.accelerators }
+                moments[#moments + 1] = { at = run.ended == 0 and math.huge or run.ended, change = -run.accelerators }
+            end
+            table.sort(moments, function(x, y) return x.at < y.at or (x.at == y.at and x.change < y.change) end)
+            local used = 0
+            for _, moment in ipairs(moments) do
+                used = used + moment.change
+                expect(used <= (accelerators or 8), "no more accelerators of " .. id .. " run than it has")
+            end
+        end
+    end
+end
+
+-- The most members of a gang that ever ran at once; above its size means that two
+-- attempts ran side by side.
+function most_at_once(tag)
+    local moments = {}
+    for _, run in ipairs(task_runs(tag)) do
+        moments[#moments + 1] = { at = run.started, change = 1 }
+        moments[#moments + 1] = { at = run.ended == 0 and math.huge or run.ended, change = -1 }
+    end
+    table.sort(moments, function(x, y) return x.at < y.at or (x.at == y.at and x.change < y.change) end)
+    local count, most = 0, 0
+    for _, moment in ipairs(moments) do
+        count = count + moment.change
+        most = math.max(most, count)
+    end
+    return most
+end
+
+-- A gang of `members` never ran in part for longer than one lease and what it
+-- takes to notice, and never twice at once.
+lease_ms = 4000
+function check_gang(tag, members)
+    local partial = longest_partial(tag, members)
+    expect(partial <= lease_ms + 500, "gang " .. tag .. " ran in part for " .. partial .. " ms, one lease at most")
+    expect(most_at_once(tag) <= members, "gang " .. tag .. " never ran twice at once")
+    check_no_overlap()
+end
+
+-- The instance that decides for the domain, as the instances' status tells.
+function active_instance(domain)
+    for name, instance in pairs(instances) do
+        if instance.domain == domain and rr.running(name .. ".entry") then
+            local reply = rr.http(describe_call(name, "GET", "/v1/status", nil, tokens.operator, 2000))
+            local active = reply.status == 200 and (reply.body.activeInstance or reply.body.active_instance)
+            if active and active ~= "" and instances[active] then
+                return active
+            end
+        end
+    end
+    return nil
+end
+
+function await_active(domain)
+    return eventually("domain " .. domain .. " has an active planner", function() return active_instance(domain) end)
+end
+
+-- Another live instance of the same domain.
+function other_than(name)
+    for other, instance in pairs(instances) do
+        if other ~= name and instance.domain == instances[name].domain then
+            return other
+        end
+    end
+end
