--- a/testing/scenario/prelude.lua
+++ b/testing/scenario/prelude.lua
@@ -216,6 +216,7 @@
         if (options.executors or 0) > 0 then
             start_executors(domain, "booking", options.executors)
         end
+        domains[domain] = domains[domain] or { workers = {}, executors = {} }
         for i = 1, options.instances or 1 do
             start_instance(domain .. "-" .. i, domain)
         end
@@ -504,8 +505,13 @@
         reply = publish(first, sample_text(options), 0)
         return reply.status == 200 or reply.status == 409
     end)
-    for name in pairs(instances) do
+    for name, instance in pairs(instances) do
         await_version(name, 1)
+        if next(domains[instance.domain].executors) then
+            eventually(name .. " has found its executors", function()
+                return outcome_of(request(name, { operation = "free-seats", body = { seat = "ready" } })) == "done"
+            end)
+        end
     end
 end
 
