Show an instance its own address without a link

Cause: a planner compares the list's addresses with its own; a link to itself made it look like another instance, and no planner ever decided. Change: ListView leaves the viewer's own addresses as they are.

--- a/testing/scenario/list_view.cc
+++ b/testing/scenario/list_view.cc
@@ -33,9 +33,12 @@
         return http::errorAnswer(instances.error);
     Json shown = Json::array();
     for (platform::Instance& instance : *instances) {
-        instance.address = this->network.link(this->viewer, instance.id, instance.address);
-        if (!instance.rpc.empty())
-            instance.rpc = this->network.link(this->viewer, instance.id, instance.rpc);
+        // A machine reaches itself without a link, and knows itself by its address.
+        if (instance.id != this->viewer) {
+            instance.address = this->network.link(this->viewer, instance.id, instance.address);
+            if (!instance.rpc.empty())
+                instance.rpc = this->network.link(this->viewer, instance.id, instance.rpc);
+        }
         shown.push_back(platform::toJson(instance));
     }
     return http::jsonAnswer(200, { { "instances", std::move(shown) } });
