Let urgent work take the place of work that stops at once

Cause: urgent jobs evicted gangs that first saved their work, and were put on workers whose gangs could not all leave, so they waited for checkpoints. Change: urgent claims count the room that the gangs which may go would leave, and first look for gangs that stop at once; own guaranteed work may go too.

--- a/src/decide/eviction.cc
+++ b/src/decide/eviction.cc
@@ -75,6 +75,18 @@
 
 } // namespace
 
+Amounts roomAfter(const Engine& engine, WorkerId worker, const MayEvict& may)
+{
+    const WorkerRecord& record = engine.workers[worker];
+    Amounts room = record.room();
+    for (const JobId id : record.gangs) {
+        const JobRecord& job = *engine.find(id);
+        if (job.ending() || may(job))
+            room = room + amountsOn(job, worker);
+    }
+    return room;
+}
+
 std::optional<std::vector<JobId>> chooseVictims(
     const Engine& engine, const std::vector<Placement>& placements, const MayEvict& may, Millis now)
 {
--- a/src/decide/eviction.h
+++ b/src/decide/eviction.h
@@ -17,4 +17,7 @@
 // Gangs that are on their way out count as gone, room held by claims as taken.
 std::optional<std::vector<JobId>> chooseVictims(const Engine&, const std::vector<Placement>&, const MayEvict&, Millis now);
 
+// Room on a worker, free of claims, if all gangs that may go were gone.
+Amounts roomAfter(const Engine&, WorkerId, const MayEvict&);
+
 } // namespace rattan::decide::detail
--- a/src/decide/guaranteed.cc
+++ b/src/decide/guaranteed.cc
@@ -173,9 +173,9 @@
         std::optional<HomeMatch> home;
         if (this->placeAtHome(job, home) || this->placeInRoom(job))
             return true;
-        if (home && this->reclaim(job, *home))
+        if (job.spec.urgency == Urgency::Urgent && this->claimUrgent(job))
             return true;
-        return job.spec.urgency == Urgency::Urgent && this->claimUrgent(job);
+        return home && this->reclaim(job, *home);
     }
 
     bool Pass::placeAtHome(JobRecord& job, std::optional<HomeMatch>& home)
@@ -233,7 +233,7 @@
         this->dropLesserClaims(home.placements);
         const MayEvict borrowed = [](const JobRecord& victim) { return victim.right == Right::Borrowed; };
         return this->evictAndClaim(
-            job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, false);
+            job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, job.spec.urgency == Urgency::Urgent);
     }
 
     // A guarantee goes before a claim that is none.
@@ -268,22 +268,25 @@
         if (!this->evictable(job) || static_cast<std::int64_t>(this->engine.claiming.size()) >= this->engine.options.mostClaims)
             return false;
         const WorkerTable& workers = this->engine.workers;
-        const Amounts& each = job.spec.perMember;
         const FitsOn fits = [&](WorkerId worker, std::int64_t limit) {
-            const WorkerRecord& record = workers[worker];
-            const std::int64_t most = record.capacity.accelerators - record.fixed - record.held.accelerators;
-            return each.accelerators > 0 ? std::min(limit, std::max<std::int64_t>(most, 0) / each.accelerators) : limit;
+            return timesInto(roomAfter(this->engine, worker, may), job.spec.perMember, limit);
         };
         auto places = findPlaces(workers.reclaimable(), job.shape(), fits, this->engine.random());
         return places && this->evictAndClaim(job, std::move(*places), Right::Borrowed, {}, may, reason, atOnce);
     }
 
+    // Urgent work cannot wait for a checkpoint: it takes the place of work that
+    // stops at once, if there is any.
     bool Pass::claimUrgent(JobRecord& job)
     {
         const MayEvict lesser = [&](const JobRecord& victim) {
-            return victim.right == Right::Borrowed && victim.spec.urgency != Urgency::Urgent;
+            const bool own = victim.spec.workspace == job.spec.workspace;
+            return (victim.right == Right::Borrowed || (own && victim.evictable(this->engine.options.borrowCheckpointLimit)))
+                && victim.spec.urgency != Urgency::Urgent && !victim.ending();
         };
-        return this->claimByEviction(job, lesser, StopReason::Preempted, true);
+        const MayEvict atOnce = [&](const JobRecord& victim) { return victim.stoppable() && lesser(victim); };
+        return this->claimByEviction(job, atOnce, StopReason::Preempted, true)
+            || this->claimByEviction(job, lesser, StopReason::Preempted, true);
     }
 
     // Jobs whose turn has come and that find no room get some from borrowed work
