Measure scatter against what the racks could hold if filled

Cause: a shape of 6 in racks of 10 counted 4 of 10 as scattered for ever. Change: the best case fills place after place within their sizes.

--- a/src/decide/fragmentation.cc
+++ b/src/decide/fragmentation.cc
@@ -1,8 +1,9 @@
 // For a piece of k accelerators that has to lie within one worker or rack, a
-// place with f free ones can use floor(f/k)*k of them, and all F free ones
-// gathered could give floor(F/k)*k. Fragmentation is one minus the ratio of what
-// the places can use to what could be used if gathered; 0 when less than one
-// piece is free in all, for then nothing is scattered that could serve.
+// place with f free ones can use floor(f/k)*k of them. If all free ones lay
+// together, they would fill place after place, the largest first, and each could
+// use its own in the same way. Fragmentation is one minus the ratio of the two;
+// 0 when not even one piece could be gathered, for then nothing is scattered that
+// could serve.
 //
 // A gang within the domain needs no gathering across workers, but each of its
 // members does; it counts as pieces of one member within a worker.
@@ -73,9 +74,25 @@
         return sum;
     }
 
-    std::int64_t gathered(const RoomIndex& room, const Piece& piece)
+    // The same if `free` accelerators lay together, filling place after place.
+    std::int64_t gathered(const RoomIndex& capacities, const Piece& piece, std::int64_t free)
     {
-        return room.total() / piece.accelerators * piece.accelerators;
+        const std::int64_t size = piece.accelerators;
+        std::int64_t sum = 0;
+        const auto fill = [&](std::int64_t place) {
+            sum += std::min(place, free) / size * size;
+            free -= std::min(place, free);
+        };
+        if (piece.within == Adjacency::Worker) {
+            for (auto bucket = capacities.workers().rbegin(); bucket != capacities.workers().rend(); ++bucket) {
+                for (std::size_t i = 0; i < bucket->second.size() && free > 0; ++i)
+                    fill(bucket->first);
+            }
+        } else {
+            for (auto rack = capacities.racks().rbegin(); rack != capacities.racks().rend() && free > 0; ++rack)
+                fill(rack->first);
+        }
+        return sum;
     }
 
 } // namespace
@@ -89,9 +106,10 @@
         if (view == GuaranteeView::Reclaimable)
             room = &engine.workers.reclaimable();
     }
-    if (piece.accelerators == 0 || room->total() < piece.accelerators)
+    if (piece.accelerators == 0)
         return 0;
-    return 1 - static_cast<double>(usable(*room, piece)) / static_cast<double>(gathered(*room, piece));
+    const std::int64_t best = gathered(engine.workers.capacities(), piece, room->total());
+    return best == 0 ? 0 : std::max(0.0, 1 - static_cast<double>(usable(*room, piece)) / static_cast<double>(best));
 }
 
 } // namespace rattan::decide::detail
