Move a little work for gangs that scattered accelerators hold back

Cause: gangs waited although enough accelerators were free, in holes. Fragmentation counts the largest waiting shape for which enough is free at all.

--- a/src/decide/fragmentation.cc
+++ b/src/decide/fragmentation.cc
@@ -34,16 +34,21 @@
             largest = piece;
     }
 
-    // Looks at the first jobs of each line, which go next.
+    // The largest shape that could run if all that is free lay together. Looks at
+    // the first jobs of each line, which go next.
     Piece largestWaiting(const Engine& engine)
     {
         constexpr int perLine = 16;
+        const std::int64_t free = engine.workers.room().total();
         Piece largest;
         for (const Urgency rank : { Urgency::Urgent, Urgency::Ordinary, Urgency::Patient }) {
             for (const auto& [workspace, line] : engine.queue.linesOf(rank)) {
                 auto entry = line.begin();
-                for (int i = 0; i < perLine && entry != line.end(); ++i, ++entry)
-                    keepLarger(largest, pieceOf(engine.find(entry->job)->shape()));
+                for (int i = 0; i < perLine && entry != line.end(); ++i, ++entry) {
+                    const GangShape shape = engine.find(entry->job)->shape();
+                    if (shape.accelerators() <= free)
+                        keepLarger(largest, pieceOf(shape));
+                }
             }
         }
         return largest;
--- a/src/decide/guaranteed.cc
+++ b/src/decide/guaranteed.cc
@@ -28,6 +28,9 @@
     constexpr std::size_t mostVisits = 512; // Jobs looked at in one pass.
     constexpr std::size_t mostStarts = 256; // In one pass; the rest follows at once.
     constexpr std::size_t mostOverdueClaims = 2;
+    constexpr std::size_t mostMoveClaims = 4;
+    constexpr Millis moveHorizon = 10 * 60 * 1000;
+    constexpr Millis restartTime = 10000;
     constexpr Millis reviewEvery = 5000; // While jobs wait.
     constexpr Millis promoteAfter = 4 * 3600 * 1000;
 
@@ -59,6 +62,7 @@
         void promote();
         void run(Urgency);
         void claimOverdue(Urgency);
+        void moveForWaiting(Urgency);
         bool spent() const { return this->visits >= mostVisits || this->misses >= this->engine.options.mostAttemptsPerStep; }
         bool cutShort() const { return this->starts >= mostStarts; }
 
@@ -72,6 +76,7 @@
         bool reclaim(JobRecord&, HomeMatch&);
         bool claimByEviction(JobRecord&, const MayEvict&, StopReason, bool atOnce);
         bool claimUrgent(JobRecord&);
+        void moveFor(JobRecord&);
         bool evictAndClaim(JobRecord&, std::vector<Placement>, Right, std::vector<Grant>, const MayEvict&, StopReason,
             bool atOnce);
         void dropLesserClaims(const std::vector<Placement>&);
@@ -103,6 +108,8 @@
             pass.run(rank);
         for (const Urgency rank : { Urgency::Ordinary, Urgency::Patient })
             pass.claimOverdue(rank);
+        for (const Urgency rank : { Urgency::Ordinary, Urgency::Patient })
+            pass.moveForWaiting(rank);
         this->wake = never;
         if (engine.queue.size() > 0)
             this->wake = pass.cutShort() ? now : now + reviewEvery;
@@ -231,7 +238,11 @@
     bool Pass::reclaim(JobRecord& job, HomeMatch& home)
     {
         this->dropLesserClaims(home.placements);
-        const MayEvict borrowed = [](const JobRecord& victim) { return victim.right == Right::Borrowed; };
+        // Urgent work of the workspace itself stays, or the two would evict each other in turn.
+        const MayEvict borrowed = [&](const JobRecord& victim) {
+            const bool ownUrgent = victim.spec.workspace == job.spec.workspace && victim.spec.urgency < job.spec.urgency;
+            return victim.right == Right::Borrowed && !ownUrgent;
+        };
         return this->evictAndClaim(
             job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, job.spec.urgency == Urgency::Urgent);
     }
@@ -271,7 +282,9 @@
         const FitsOn fits = [&](WorkerId worker, std::int64_t limit) {
             return timesInto(roomAfter(this->engine, worker, may), job.spec.perMember, limit);
         };
-        auto places = findPlaces(workers.reclaimable(), job.shape(), fits, this->engine.random());
+        auto places = job.spec.urgency == Urgency::Urgent
+            ? findPlaces(workers.reclaimable(), job.shape(), fits, this->engine.random())
+            : findRoomiest(workers.room(), job.shape(), fits, this->engine.random());
         return places && this->evictAndClaim(job, std::move(*places), Right::Borrowed, {}, may, reason, atOnce);
     }
 
@@ -313,6 +326,42 @@
         }
     }
 
+    // A gang for which enough is free, but scattered, gets a place by moving a
+    // little work that can be saved; that work finds other holes at once.
+    void Pass::moveForWaiting(Urgency rank)
+    {
+        if (!this->engine.options.moves)
+            return;
+        std::vector<QueueEntry> waiting;
+        for (const auto& [workspace, line] : this->engine.queue.linesOf(rank))
+            waiting.push_back(*line.begin());
+        std::sort(waiting.begin(), waiting.end());
+        for (const QueueEntry& entry : waiting) {
+            if (this->engine.claiming.size() >= mostMoveClaims || this->spent())
+                return;
+            JobRecord& job = this->engine.jobs.at(entry.job);
+            if (this->engine.mayStart(job) && this->engine.workers.room().total() >= job.shape().accelerators())
+                this->moveFor(job);
+        }
+    }
+
+    // The move is worth it while the accelerator time lost to saving and starting
+    // again stays below what the gang would lose by waiting a while.
+    void Pass::moveFor(JobRecord& job)
+    {
+        const std::int64_t size = job.shape().accelerators();
+        const double worth = static_cast<double>(size) * static_cast<double>(std::min(this->engine.estimate(job), moveHorizon));
+        const MayEvict movable = [&](const JobRecord& victim) {
+            const std::int64_t victimSize = victim.shape().accelerators();
+            const auto cost = static_cast<double>(victimSize * (victim.spec.checkpointTime + restartTime));
+            return victim.right == Right::Borrowed && victim.spec.urgency != Urgency::Urgent
+                && victim.state == JobState::Running && victim.savable(this->engine.options.borrowCheckpointLimit)
+                && victim.evictions < this->engine.options.mostEvictionsPerJob && 2 * victimSize <= size && cost < worth;
+        };
+        if (this->engine.markMove())
+            this->claimByEviction(job, movable, StopReason::Moved, false);
+    }
+
 } // namespace
 
 std::unique_ptr<PlacementPolicy> makeGuaranteed() { return std::make_unique<GuaranteedPolicy>(); }
--- a/src/decide/place_finder.cc
+++ b/src/decide/place_finder.cc
@@ -13,6 +13,7 @@
 
     constexpr std::size_t mostMisses = 64; // Workers of one bucket that turn out not to fit.
     constexpr std::size_t mostRacks = 64;
+    constexpr std::size_t mostRoomiestRacks = 8;
 
     // Calls `visit` for the workers of a bucket until it returns false or too
     // many in a row were of no use; a large bucket is entered at `turn`.
@@ -98,6 +99,52 @@
             return std::nullopt;
         }
 
+        std::optional<std::vector<Placement>> amongRoomiest(const RoomIndex::Buckets& buckets) const
+        {
+            std::vector<Placement> places;
+            std::int64_t missing = this->shape.members;
+            for (auto at = buckets.rbegin(); at != buckets.rend() && missing > 0; ++at) {
+                visitBucket(at->second, this->turn, [&](WorkerId worker, bool& useful) {
+                    const std::int64_t count = this->fits(worker, missing);
+                    useful = count > 0;
+                    places.insert(places.end(), count, placementOn(worker, this->shape.perMember));
+                    missing -= count;
+                    return missing > 0;
+                });
+            }
+            if (missing > 0)
+                return std::nullopt;
+            return places;
+        }
+
+        std::optional<std::vector<Placement>> onRoomiestWorker(const RoomIndex::Buckets& buckets) const
+        {
+            std::optional<WorkerId> found;
+            std::size_t seen = 0;
+            const std::int64_t members = this->shape.members;
+            for (auto at = buckets.rbegin(); at != buckets.rend() && !found && seen < mostMisses; ++at) {
+                visitBucket(at->second, this->turn, [&](WorkerId worker, bool&) {
+                    if (this->fits(worker, members) >= members)
+                        found = worker;
+                    return !found && ++seen < mostMisses;
+                });
+            }
+            if (!found)
+                return std::nullopt;
+            return std::vector<Placement>(members, placementOn(*found, this->shape.perMember));
+        }
+
+        std::optional<std::vector<Placement>> inRoomiestRack(const RoomIndex& index) const
+        {
+            std::size_t seen = 0;
+            const auto& racks = index.racks();
+            for (auto at = racks.rbegin(); at != racks.rend() && seen < mostRoomiestRacks; ++at, ++seen) {
+                if (auto places = this->amongRoomiest(index.workersOf(at->second)))
+                    return places;
+            }
+            return std::nullopt;
+        }
+
     private:
         // By accelerators alone.
         bool mayFit(const RoomIndex::Buckets& buckets) const
@@ -135,4 +182,19 @@
     return search.among(index.workers());
 }
 
+std::optional<std::vector<Placement>> findRoomiest(
+    const RoomIndex& index, const GangShape& shape, const FitsOn& fits, std::uint64_t turn)
+{
+    const Search search(shape, fits, turn);
+    switch (shape.adjacency) {
+    case Adjacency::Worker:
+        return search.onRoomiestWorker(index.workers());
+    case Adjacency::Rack:
+        return search.inRoomiestRack(index);
+    case Adjacency::Domain:
+        break;
+    }
+    return search.amongRoomiest(index.workers());
+}
+
 } // namespace rattan::decide::detail
--- a/src/decide/place_finder.h
+++ b/src/decide/place_finder.h
@@ -26,4 +26,9 @@
 // Looks at a bounded number of racks, and of workers for each member.
 std::optional<std::vector<Placement>> findPlaces(const RoomIndex&, const GangShape&, const FitsOn&, std::uint64_t turn);
 
+// The same, beginning at the most room: for claims, where what is free already
+// need not be evicted. `fits` says what would fit if gangs were evicted.
+std::optional<std::vector<Placement>> findRoomiest(
+    const RoomIndex&, const GangShape&, const FitsOn&, std::uint64_t turn);
+
 } // namespace rattan::decide::detail
