Let urgent work take its own workspace's guarantee instead of its gangs' place

Change: a less urgent gang gives its home up and the urgent job then holds that home by guarantee; reclaiming evicts any borrower again. Moves look at four waiting gangs of a workspace, and only those that happen count to the cap.

--- a/src/decide/engine.cc
+++ b/src/decide/engine.cc
@@ -138,14 +138,11 @@
     return found->second.used + job.shape().accelerators() <= found->second.rule.mostAccelerators;
 }
 
-bool Engine::markMove()
+bool Engine::mayMove()
 {
     while (!this->moves.empty() && this->moves.front() <= this->now - hour)
         this->moves.pop_front();
-    if (static_cast<std::int64_t>(this->moves.size()) >= this->options.mostMovesPerHour)
-        return false;
-    this->moves.push_back(this->now);
-    return true;
+    return static_cast<std::int64_t>(this->moves.size()) < this->options.mostMovesPerHour;
 }
 
 void Engine::start(JobRecord& job, std::vector<Placement> placements, Right right, std::vector<Grant> grants)
--- a/src/decide/engine.h
+++ b/src/decide/engine.h
@@ -69,7 +69,8 @@
     Millis estimate(const JobRecord&) const;
     bool withinLimit(const JobRecord&) const;
     bool mayStart(const JobRecord&) const;
-    bool markMove(); // False when the cap on moves is reached.
+    bool mayMove(); // False when the cap on moves is reached.
+    void markMove() { this->moves.push_back(this->now); }
 
     const Options options;
     Fault fault { Fault::None };
--- a/src/decide/guaranteed.cc
+++ b/src/decide/guaranteed.cc
@@ -29,6 +29,7 @@
     constexpr std::size_t mostStarts = 256; // In one pass; the rest follows at once.
     constexpr std::size_t mostOverdueClaims = 2;
     constexpr std::size_t mostMoveClaims = 4;
+    constexpr int movesPerLine = 4;
     constexpr Millis moveHorizon = 10 * 60 * 1000;
     constexpr Millis restartTime = 10000;
     constexpr Millis reviewEvery = 5000; // While jobs wait.
@@ -77,6 +78,7 @@
         bool claimByEviction(JobRecord&, const MayEvict&, StopReason, bool atOnce);
         bool claimUrgent(JobRecord&);
         void moveFor(JobRecord&);
+        void yieldOwnHome(const JobRecord&);
         bool evictAndClaim(JobRecord&, std::vector<Placement>, Right, std::vector<Grant>, const MayEvict&, StopReason,
             bool atOnce);
         void dropLesserClaims(const std::vector<Placement>&);
@@ -182,7 +184,11 @@
             return true;
         if (job.spec.urgency == Urgency::Urgent && this->claimUrgent(job))
             return true;
-        return home && this->reclaim(job, *home);
+        if (home && this->reclaim(job, *home))
+            return true;
+        if (job.spec.urgency == Urgency::Urgent)
+            this->yieldOwnHome(job);
+        return false;
     }
 
     bool Pass::placeAtHome(JobRecord& job, std::optional<HomeMatch>& home)
@@ -238,11 +244,7 @@
     bool Pass::reclaim(JobRecord& job, HomeMatch& home)
     {
         this->dropLesserClaims(home.placements);
-        // Urgent work of the workspace itself stays, or the two would evict each other in turn.
-        const MayEvict borrowed = [&](const JobRecord& victim) {
-            const bool ownUrgent = victim.spec.workspace == job.spec.workspace && victim.spec.urgency < job.spec.urgency;
-            return victim.right == Right::Borrowed && !ownUrgent;
-        };
+        const MayEvict borrowed = [](const JobRecord& victim) { return victim.right == Right::Borrowed; };
         return this->evictAndClaim(
             job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, job.spec.urgency == Urgency::Urgent);
     }
@@ -293,15 +295,37 @@
     bool Pass::claimUrgent(JobRecord& job)
     {
         const MayEvict lesser = [&](const JobRecord& victim) {
-            const bool own = victim.spec.workspace == job.spec.workspace;
-            return (victim.right == Right::Borrowed || (own && victim.evictable(this->engine.options.borrowCheckpointLimit)))
-                && victim.spec.urgency != Urgency::Urgent && !victim.ending();
+            return victim.right == Right::Borrowed && victim.spec.urgency != Urgency::Urgent && !victim.ending();
         };
         const MayEvict atOnce = [&](const JobRecord& victim) { return victim.stoppable() && lesser(victim); };
         return this->claimByEviction(job, atOnce, StopReason::Preempted, true)
             || this->claimByEviction(job, lesser, StopReason::Preempted, true);
     }
 
+    // Has a less urgent gang of the same workspace give up its guarantee. The
+    // urgent job, first in line, finds the home idle once that gang has gone; it
+    // must hold it by guarantee, or the gang would reclaim it in turn.
+    void Pass::yieldOwnHome(const JobRecord& job)
+    {
+        JobRecord* victim = nullptr;
+        for (const SlotId id : this->engine.book.of(job.spec.workspace)) {
+            for (const HomePiece& piece : this->engine.book.all()[id].pieces) {
+                for (const JobId other : this->engine.workers[piece.worker].gangs) {
+                    JobRecord& gang = this->engine.jobs.at(other);
+                    const bool own = gang.spec.workspace == job.spec.workspace && gang.right == Right::Guaranteed;
+                    if (!own || gang.spec.urgency <= job.spec.urgency || gang.shape().accelerators() < job.shape().accelerators())
+                        continue;
+                    if (gang.ending())
+                        return; // On its way out already.
+                    if (gang.evictable(this->engine.options.borrowCheckpointLimit) && (!victim || gang.stoppable() > victim->stoppable()))
+                        victim = &gang;
+                }
+            }
+        }
+        if (victim)
+            this->engine.evict(*victim, StopReason::Preempted, true);
+    }
+
     // Jobs whose turn has come and that find no room get some from borrowed work
     // that stands behind them, a few at a time.
     void Pass::claimOverdue(Urgency rank)
@@ -333,8 +357,11 @@
         if (!this->engine.options.moves)
             return;
         std::vector<QueueEntry> waiting;
-        for (const auto& [workspace, line] : this->engine.queue.linesOf(rank))
-            waiting.push_back(*line.begin());
+        for (const auto& [workspace, line] : this->engine.queue.linesOf(rank)) {
+            auto entry = line.begin();
+            for (int i = 0; i < movesPerLine && entry != line.end(); ++i, ++entry)
+                waiting.push_back(*entry);
+        }
         std::sort(waiting.begin(), waiting.end());
         for (const QueueEntry& entry : waiting) {
             if (this->engine.claiming.size() >= mostMoveClaims || this->spent())
@@ -358,8 +385,8 @@
                 && victim.state == JobState::Running && victim.savable(this->engine.options.borrowCheckpointLimit)
                 && victim.evictions < this->engine.options.mostEvictionsPerJob && 2 * victimSize <= size && cost < worth;
         };
-        if (this->engine.markMove())
-            this->claimByEviction(job, movable, StopReason::Moved, false);
+        if (this->engine.mayMove() && this->claimByEviction(job, movable, StopReason::Moved, false))
+            this->engine.markMove();
     }
 
 } // namespace
