--- a/src/decide/engine.cc
+++ b/src/decide/engine.cc
@@ -138,14 +138,11 @@
     return found->second.used + job.shape().accelerators() <= found->second.rule.mostAccelerators;
 }
 
-bool Engine::markMove()
+bool Engine::mayMove()
 {
     while (!this->moves.empty() && this->moves.front() <= this->now - hour)
         this->moves.pop_front();
-    if (static_cast<std::int64_t>(this->moves.size()) >= this->options.mostMovesPerHour)
-        return false;
-    this->moves.push_back(this->now);
-    return true;
+    return static_cast<std::int64_t>(this->moves.size()) < this->options.mostMovesPerHour;
 }
 
 void Engine::start(JobRecord& job, std::vector<Placement> placements, Right right, std::vector<Grant> grants)
@@ -228,7 +225,8 @@
     const std::vector<JobId> waiting(this->claiming.begin(), this->claiming.end());
     for (const JobId id : waiting) {
         JobRecord& job = this->jobs.at(id);
-        if (!this->claimReady(job))
+        // Starting one may quarantine a worker and so end the claim of another.
+        if (job.state != JobState::Claiming || !this->claimReady(job))
             continue;
         this->unclaim(job);
         this->start(job, job.placements, job.right, job.grants);
--- a/src/decide/guaranteed.cc
+++ b/src/decide/guaranteed.cc
@@ -28,6 +28,10 @@
     constexpr std::size_t mostVisits = 512; // Jobs looked at in one pass.
     constexpr std::size_t mostStarts = 256; // In one pass; the rest follows at once.
     constexpr std::size_t mostOverdueClaims = 2;
+    constexpr std::size_t mostMoveClaims = 4;
+    constexpr int movesPerLine = 4;
+    constexpr Millis moveHorizon = 10 * 60 * 1000;
+    constexpr Millis restartTime = 10000;
     constexpr Millis reviewEvery = 5000; // While jobs wait.
     constexpr Millis promoteAfter = 4 * 3600 * 1000;
 
@@ -59,6 +63,7 @@
         void promote();
         void run(Urgency);
         void claimOverdue(Urgency);
+        void moveForWaiting(Urgency);
         bool spent() const { return this->visits >= mostVisits || this->misses >= this->engine.options.mostAttemptsPerStep; }
         bool cutShort() const { return this->starts >= mostStarts; }
 
@@ -72,6 +77,8 @@
         bool reclaim(JobRecord&, HomeMatch&);
         bool claimByEviction(JobRecord&, const MayEvict&, StopReason, bool atOnce);
         bool claimUrgent(JobRecord&);
+        void moveFor(JobRecord&);
+        void yieldOwnHome(const JobRecord&);
         bool evictAndClaim(JobRecord&, std::vector<Placement>, Right, std::vector<Grant>, const MayEvict&, StopReason,
             bool atOnce);
         void dropLesserClaims(const std::vector<Placement>&);
@@ -103,6 +110,8 @@
             pass.run(rank);
         for (const Urgency rank : { Urgency::Ordinary, Urgency::Patient })
             pass.claimOverdue(rank);
+        for (const Urgency rank : { Urgency::Ordinary, Urgency::Patient })
+            pass.moveForWaiting(rank);
         this->wake = never;
         if (engine.queue.size() > 0)
             this->wake = pass.cutShort() ? now : now + reviewEvery;
@@ -173,17 +182,21 @@
         std::optional<HomeMatch> home;
         if (this->placeAtHome(job, home) || this->placeInRoom(job))
             return true;
+        if (job.spec.urgency == Urgency::Urgent && this->claimUrgent(job))
+            return true;
         if (home && this->reclaim(job, *home))
             return true;
-        return job.spec.urgency == Urgency::Urgent && this->claimUrgent(job);
+        if (job.spec.urgency == Urgency::Urgent)
+            this->yieldOwnHome(job);
+        return false;
     }
 
     bool Pass::placeAtHome(JobRecord& job, std::optional<HomeMatch>& home)
     {
         const WorkspaceId workspace = job.spec.workspace;
         home = matchHomes(this->engine.book, this->engine.workers, workspace, job.shape());
-        if (home && !home->free
-            && tradeForFree(this->engine.book, this->engine.workers, workspace, job.shape(), this->engine.random()))
+        if (home && !home->free && home->slot
+            && tradeForFree(this->engine.book, this->engine.workers, *home->slot, job.shape(), this->engine.random()))
             home = matchHomes(this->engine.book, this->engine.workers, workspace, job.shape());
         if (!home || !home->free)
             return false;
@@ -233,7 +246,7 @@
         this->dropLesserClaims(home.placements);
         const MayEvict borrowed = [](const JobRecord& victim) { return victim.right == Right::Borrowed; };
         return this->evictAndClaim(
-            job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, false);
+            job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, job.spec.urgency == Urgency::Urgent);
     }
 
     // A guarantee goes before a claim that is none.
@@ -268,22 +281,49 @@
         if (!this->evictable(job) || static_cast<std::int64_t>(this->engine.claiming.size()) >= this->engine.options.mostClaims)
             return false;
         const WorkerTable& workers = this->engine.workers;
-        const Amounts& each = job.spec.perMember;
         const FitsOn fits = [&](WorkerId worker, std::int64_t limit) {
-            const WorkerRecord& record = workers[worker];
-            const std::int64_t most = record.capacity.accelerators - record.fixed - record.held.accelerators;
-            return each.accelerators > 0 ? std::min(limit, std::max<std::int64_t>(most, 0) / each.accelerators) : limit;
+            return timesInto(roomAfter(this->engine, worker, may), job.spec.perMember, limit);
         };
-        auto places = findPlaces(workers.reclaimable(), job.shape(), fits, this->engine.random());
+        auto places = job.spec.urgency == Urgency::Urgent
+            ? findPlaces(workers.reclaimable(), job.shape(), fits, this->engine.random())
+            : findRoomiest(workers.room(), job.shape(), fits, this->engine.random());
         return places && this->evictAndClaim(job, std::move(*places), Right::Borrowed, {}, may, reason, atOnce);
     }
 
+    // Urgent work cannot wait for a checkpoint: it takes the place of work that
+    // stops at once, if there is any.
     bool Pass::claimUrgent(JobRecord& job)
     {
         const MayEvict lesser = [&](const JobRecord& victim) {
-            return victim.right == Right::Borrowed && victim.spec.urgency != Urgency::Urgent;
+            return victim.right == Right::Borrowed && victim.spec.urgency != Urgency::Urgent && !victim.ending();
         };
-        return this->claimByEviction(job, lesser, StopReason::Preempted, true);
+        const MayEvict atOnce = [&](const JobRecord& victim) { return victim.stoppable() && lesser(victim); };
+        return this->claimByEviction(job, atOnce, StopReason::Preempted, true)
+            || this->claimByEviction(job, lesser, StopReason::Preempted, true);
+    }
+
+    // Has a less urgent gang of the same workspace give up its guarantee. The
+    // urgent job, first in line, finds the home idle once that gang has gone; it
+    // must hold it by guarantee, or the gang would reclaim it in turn.
+    void Pass::yieldOwnHome(const JobRecord& job)
+    {
+        JobRecord* victim = nullptr;
+        for (const SlotId id : this->engine.book.of(job.spec.workspace)) {
+            for (const HomePiece& piece : this->engine.book.all()[id].pieces) {
+                for (const JobId other : this->engine.workers[piece.worker].gangs) {
+                    JobRecord& gang = this->engine.jobs.at(other);
+                    const bool own = gang.spec.workspace == job.spec.workspace && gang.right == Right::Guaranteed;
+                    if (!own || gang.spec.urgency <= job.spec.urgency || gang.shape().accelerators() < job.shape().accelerators())
+                        continue;
+                    if (gang.ending())
+                        return; // On its way out already.
+                    if (gang.evictable(this->engine.options.borrowCheckpointLimit) && (!victim || gang.stoppable() > victim->stoppable()))
+                        victim = &gang;
+                }
+            }
+        }
+        if (victim)
+            this->engine.evict(*victim, StopReason::Preempted, true);
     }
 
     // Jobs whose turn has come and that find no room get some from borrowed work
@@ -310,6 +350,45 @@
         }
     }
 
+    // A gang for which enough is free, but scattered, gets a place by moving a
+    // little work that can be saved; that work finds other holes at once.
+    void Pass::moveForWaiting(Urgency rank)
+    {
+        if (!this->engine.options.moves)
+            return;
+        std::vector<QueueEntry> waiting;
+        for (const auto& [workspace, line] : this->engine.queue.linesOf(rank)) {
+            auto entry = line.begin();
+            for (int i = 0; i < movesPerLine && entry != line.end(); ++i, ++entry)
+                waiting.push_back(*entry);
+        }
+        std::sort(waiting.begin(), waiting.end());
+        for (const QueueEntry& entry : waiting) {
+            if (this->engine.claiming.size() >= mostMoveClaims || this->spent())
+                return;
+            JobRecord& job = this->engine.jobs.at(entry.job);
+            if (this->engine.mayStart(job) && this->engine.workers.room().total() >= job.shape().accelerators())
+                this->moveFor(job);
+        }
+    }
+
+    // The move is worth it while the accelerator time lost to saving and starting
+    // again stays below what the gang would lose by waiting a while.
+    void Pass::moveFor(JobRecord& job)
+    {
+        const std::int64_t size = job.shape().accelerators();
+        const double worth = static_cast<double>(size) * static_cast<double>(std::min(this->engine.estimate(job), moveHorizon));
+        const MayEvict movable = [&](const JobRecord& victim) {
+            const std::int64_t victimSize = victim.shape().accelerators();
+            const auto cost = static_cast<double>(victimSize * (victim.spec.checkpointTime + restartTime));
+            return victim.right == Right::Borrowed && victim.spec.urgency != Urgency::Urgent
+                && victim.state == JobState::Running && victim.savable(this->engine.options.borrowCheckpointLimit)
+                && victim.evictions < this->engine.options.mostEvictionsPerJob && 2 * victimSize <= size && cost < worth;
+        };
+        if (this->engine.mayMove() && this->claimByEviction(job, movable, StopReason::Moved, false))
+            this->engine.markMove();
+    }
+
 } // namespace
 
 std::unique_ptr<PlacementPolicy> makeGuaranteed() { return std::make_unique<GuaranteedPolicy>(); }
