--- a/src/bin/rattan_driver.cc
+++ b/src/bin/rattan_driver.cc
@@ -14,15 +14,6 @@
 
 constexpr std::chrono::milliseconds listTimeout { 1000 };
 
-Level levelNamed(const std::string& name)
-{
-    for (const Level level : { Level::Debug, Level::Info, Level::Warning, Level::Error }) {
-        if (nameOf(level) == name)
-            return level;
-    }
-    return Level::Info;
-}
-
 int serve(const driver::DriverOptions& options, const StopSignal& stop)
 {
     const SystemClock clock;
--- a/src/driver/gang.cc
+++ b/src/driver/gang.cc
@@ -177,7 +177,7 @@
 void Gang::resumed(Millis now)
 {
     if (this->gangPhase == GangPhase::Reserving || this->gangPhase == GangPhase::Starting)
-        this->endWith(GangEventKind::Failed, "", "the driver was suspended while the gang gathered", now);
+        this->endWith(GangEventKind::Failed, "", "reserve_refused: the driver was suspended while the gang gathered", now);
 }
 
 void Gang::forget(Millis now)
--- a/src/driver/gang_orders.cc
+++ b/src/driver/gang_orders.cc
@@ -49,7 +49,7 @@
     if (this->gangs.contains(order.id) || this->recent.contains(order.id))
         return;
     if (order.members.empty() || this->draining) {
-        this->log.add({ .kind = GangEventKind::Failed, .id = order.id, .reason = this->draining ? "the driver is draining" : "the gang has no members" });
+        this->log.add({ .kind = GangEventKind::Failed, .id = order.id, .reason = this->draining ? "reserve_refused: the driver is draining" : "reserve_refused: the gang has no members" });
         return;
     }
     this->hold(Gang::start(order, this->options, now), now);
@@ -72,7 +72,7 @@
     Gang gang = Gang::adopt(whole, this->options, now);
     const std::size_t size = this->book.sizeOf(order.id);
     if (gang.members().size() < size)
-        gang.failIncomplete(fmt::format("only {} of {} members were found", gang.members().size(), size), now);
+        gang.failIncomplete(fmt::format("member_lost: only {} of {} members were found", gang.members().size(), size), now);
     this->hold(std::move(gang), now);
 }
 
@@ -114,7 +114,7 @@
     for (const MemberState& state : gang.members()) {
         WorkerRecord* record = this->book.obtain(state.member.worker, state.member.address);
         if (!record) {
-            this->log.add({ .kind = GangEventKind::Failed, .id = id, .worker = state.member.worker, .reason = "too many workers are known" });
+            this->log.add({ .kind = GangEventKind::Failed, .id = id, .worker = state.member.worker, .reason = "reserve_refused: too many workers are known" });
             return;
         }
     }
--- a/src/driver/gang_types.h
+++ b/src/driver/gang_types.h
@@ -6,11 +6,11 @@
 #include "base/clock.h"
 #include "base/json.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace rattan::driver {
@@ -20,7 +20,8 @@
     std::uint64_t job { 0 };
     std::uint32_t attempt { 0 };
 
-    auto operator<=>(const GangId&) const = default;
+    bool operator==(const GangId&) const = default;
+    bool operator<(const GangId& other) const { return std::tie(this->job, this->attempt) < std::tie(other.job, other.attempt); }
 };
 
 // "<job>.<attempt>", for example "41.1".
