--- a/src/peers/membership.cc
+++ b/src/peers/membership.cc
@@ -100,8 +100,10 @@
 {
     std::vector<InstanceReport> reports;
     for (const auto& [name, known] : this->others) {
-        if (this->isLive(known, now))
-            reports.push_back(known.report);
+        if (!this->isLive(known, now))
+            continue;
+        reports.push_back(known.report);
+        reports.back().age = now - known.heardAt;
     }
     return reports;
 }
