--- a/src/driver/testing/gang_keeper_test.cc
+++ b/src/driver/testing/gang_keeper_test.cc
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(failedStartStopsTheRest);
     CPPUNIT_TEST(keepsRunningThroughLostAnswers);
     CPPUNIT_TEST(cutMemberStopsTheRest);
+    CPPUNIT_TEST(deadMemberStopsTheRest);
     CPPUNIT_TEST(frozenDriverLetsGangLapse);
     CPPUNIT_TEST(silentPlannerDoesNotStopGangs);
     CPPUNIT_TEST(higherEpochTakesOver);
@@ -128,6 +129,20 @@
         CPPUNIT_ASSERT(domain.faults.empty());
     }
 
+    // A member's machine dies with its task. The others would go on computing
+    // what nobody can finish, on accelerators that others wait for.
+    void deadMemberStopsTheRest()
+    {
+        VirtualDomain domain = runningGang(4);
+        domain.runFor(1234);
+        domain.workers[2].leases.clear();
+        domain.cutUntil[2] = domain.now + 60000;
+        CPPUNIT_ASSERT(domain.runUntil([&] { return domain.running("1.1") == 0; }, 20000));
+        CPPUNIT_ASSERT(domain.longestPartial > 0 && domain.longestPartial <= partialBound(domain.options));
+        CPPUNIT_ASSERT(domain.runUntil([&] { return domain.heard(0, GangEventKind::Failed, 1) == 1; }, 10000));
+        CPPUNIT_ASSERT(domain.faults.empty());
+    }
+
     // The driver's machine sleeps for longer than a lease. Nothing may run in
     // part, and on waking it must not renew or start from its old picture.
     void frozenDriverLetsGangLapse()
