Let two readers in each domain tail the configuration and the others take it from peers

Cause: every instance long-polling the log sends each text from the log to all 112 instances, most of them over links between regions. Change: the first two of a rendezvous order in each domain read; the others fetch from peers, at once from one that says it has a newer version.

--- a/src/peers/membership.cc
+++ b/src/peers/membership.cc
@@ -132,13 +132,15 @@
     return addresses;
 }
 
-std::size_t Membership::rank(const std::string& duty, Millis now) const
+std::size_t Membership::rank(const std::string& duty, Among among, Millis now) const
 {
     const std::uint64_t own = rendezvous(duty, this->ownReport.instance);
-    std::size_t before = 0;
-    for (const auto& [name, known] : this->others)
-        before += this->isLive(known, now) && !known.report.leaving && rendezvous(duty, name) > own ? 1 : 0;
-    return before;
+    const auto goesBefore = [&](const auto& entry) {
+        const auto& [name, known] = entry;
+        const bool counts = among == Among::Everybody || known.report.domain == this->ownReport.domain;
+        return counts && this->isLive(known, now) && !known.report.leaving && rendezvous(duty, name) > own;
+    };
+    return static_cast<std::size_t>(std::count_if(this->others.begin(), this->others.end(), goesBefore));
 }
 
 void Membership::learn(const InstanceReport& report, Millis heardAt, Millis now)
--- a/src/peers/membership.h
+++ b/src/peers/membership.h
@@ -65,9 +65,14 @@
     // Addresses of other domains' planners, in an order that is the same each time.
     std::vector<std::string> foreignAddresses() const;
 
-    // How many live instances go before us in an order that all share; used to
-    // share out duties such as restating the configuration.
-    std::size_t rank(const std::string& duty, Millis now) const;
+    // How many live instances go before us in an order that all share, in our
+    // domain or everywhere; shares out duties such as reading a stream. The
+    // first of all is also the first of its domain.
+    enum class Among {
+        Domain,
+        Everybody,
+    };
+    std::size_t rank(const std::string& duty, Among, Millis now) const;
 
 private:
     struct Known {
--- a/src/peers/peers.cc
+++ b/src/peers/peers.cc
@@ -13,6 +13,7 @@
     using std::chrono::milliseconds;
 
     constexpr std::size_t pageRecords = 100;
+    const std::string configDuty = "config";
 
     constexpr milliseconds shortestPause { 100 };
 
@@ -142,10 +143,10 @@
 {
     this->learn(from, known);
     const std::lock_guard lock(this->mutex);
-    // A greeter that is behind a peer asks it for the text in its next round,
-    // which then should not wait.
+    // The text is fetched in the next round, which then should not wait.
     if (from.configVersion > static_cast<std::uint64_t>(this->keeper.inForce().number)) {
         this->hurry = true;
+        this->newerAt = from.plannerAddress;
         this->changed.notify_all();
     }
 }
@@ -205,6 +206,9 @@
     const std::vector<std::string> foreign = this->membership.foreignAddresses();
     if (!foreign.empty())
         addresses.push_back(foreign[this->random() % foreign.size()]);
+    if (!this->newerAt.empty() && std::find(addresses.begin(), addresses.end(), this->newerAt) == addresses.end())
+        addresses.push_back(this->newerAt);
+    this->newerAt.clear();
     return addresses;
 }
 
@@ -226,29 +230,44 @@
 void Peers::tailConfig()
 {
     bool reachable = true;
-    for (;;) {
-        const std::uint64_t from = [this] {
-            const std::lock_guard lock(this->mutex);
-            return this->keeper.next();
-        }();
-        const auto page = attempt([&] { return this->log.read("config", from, pageRecords, this->options.logWait); });
-        if (page.value.has_value() != reachable)
-            logEvent(page ? configLogBack : configLogDown, { { "step", page.error.step }, { "message", page.error.message } });
-        reachable = page.value.has_value();
-        std::optional<Json> restate;
-        if (page) {
-            std::unique_lock lock(this->mutex);
-            const Millis now = this->clock.now();
-            if (this->keeper.read(*page, now, this->clock.wall()))
-                logEvent(configInForce, { { "version", this->keeper.inForce().number }, { "from", "log" } });
-            restate = this->keeper.restateDue(this->membership.rank("restate", now), now, this->clock.wall());
-        }
-        // A restate whose reply is lost may stand in the log twice, to no harm.
-        if (restate && attempt([&] { return this->log.append("config", { *restate }); }))
-            logEvent(configRestated, { { "version", (*restate)["version"].dump() } });
-        if (!this->pause(page ? milliseconds(0) : this->options.logRetry))
-            return;
+    milliseconds wait { 0 };
+    do
+        wait = this->isReader() ? this->readOnce(reachable) : this->options.logRetry;
+    while (this->pause(wait));
+}
+
+bool Peers::isReader() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->membership.rank(configDuty, Membership::Among::Domain, this->clock.now()) < this->options.readers;
+}
+
+// One long poll of the stream; answers how long to wait before the next.
+milliseconds Peers::readOnce(bool& reachable)
+{
+    const std::uint64_t from = [this] {
+        const std::lock_guard lock(this->mutex);
+        return this->keeper.next();
+    }();
+    const auto page = attempt([&] { return this->log.read("config", from, pageRecords, this->options.logWait); });
+    if (page.value.has_value() != reachable)
+        logEvent(page ? configLogBack : configLogDown, { { "step", page.error.step }, { "message", page.error.message } });
+    reachable = page.value.has_value();
+    if (!page)
+        return this->options.logRetry;
+    std::optional<Json> restate;
+    {
+        const std::lock_guard lock(this->mutex);
+        const Millis now = this->clock.now();
+        if (this->keeper.read(*page, now, this->clock.wall()))
+            logEvent(configInForce, { { "version", this->keeper.inForce().number }, { "from", "log" } });
+        const std::size_t rank = this->membership.rank(configDuty, Membership::Among::Everybody, now);
+        restate = this->keeper.restateDue(rank, now, this->clock.wall());
     }
+    // A restate whose reply is lost may stand in the log twice, to no harm.
+    if (restate && attempt([&] { return this->log.append("config", { *restate }); }))
+        logEvent(configRestated, { { "version", (*restate)["version"].dump() } });
+    return milliseconds(0);
 }
 
 // Waits unless stopping; false once it is time to end.
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -2,7 +2,9 @@
 
 // The other instances and the configuration, kept up to date by three threads:
 // one greets peers, one reads the instance list, one tails the log's `config`
-// stream. Every call is thread-safe and returns at once.
+// stream while this instance is one of the readers of its domain. The others
+// hear of a new version in greetings and fetch the text from whoever has it
+// (docs/SPREADING.md). Every call is thread-safe and returns at once.
 //
 //     Peers peers({ .own = report, .seeds = options.peers }, clock, list, log);
 //     peers.start();
@@ -33,6 +35,7 @@
     std::chrono::milliseconds greetTimeout { 400 };
     std::chrono::milliseconds logWait { 2000 }; // Long poll of the stream.
     std::chrono::milliseconds logRetry { 500 };
+    std::size_t readers { 2 }; // Of the stream, in each domain.
 };
 
 class Peers {
@@ -75,6 +78,8 @@
     bool waitForRound();
     void readList();
     void tailConfig();
+    std::chrono::milliseconds readOnce(bool& reachable);
+    bool isReader() const;
     bool pause(std::chrono::milliseconds);
     std::vector<std::string> targets();
     void takeConfig(const config::Checkpoint&, const std::string& from);
@@ -94,6 +99,7 @@
     std::mt19937_64 random;
     bool stopping { false };
     bool hurry { false }; // Greet now.
+    std::string newerAt; // Who has a newer text than we, by its own word.
     std::vector<std::thread> threads;
 };
 
