--- a/src/driver/testing/virtual_domain.h
+++ b/src/driver/testing/virtual_domain.h
@@ -52,7 +52,7 @@
     Millis longestPartial { 0 };
     std::vector<std::string> faults;
 
-    GangOrder order(std::uint64_t job, std::vector<std::size_t> at, std::int64_t accelerators, Millis runTime)
+    GangOrder order(std::uint64_t job, const std::vector<std::size_t>& at, std::int64_t accelerators, Millis runTime)
     {
         GangOrder made { .id = { job, 1 }, .payload = { { "run_ms", runTime } }, .key = "k" + std::to_string(job), .workspace = "w" };
         for (const std::size_t i : at)
@@ -124,7 +124,7 @@
         VirtualDriver& driver = this->drivers[index];
         driver.keeper.advance(this->now);
         while (auto ask = driver.keeper.nextAsk(this->now))
-            this->send(index, std::move(*ask));
+            this->send(index, *ask);
         for (GangEvent& event : driver.keeper.events()) {
             if (event.number <= driver.acknowledged)
                 continue;
@@ -139,7 +139,7 @@
     Millis latency() { return 1 + static_cast<Millis>(this->random() % 15); }
     bool lost() { return static_cast<double>(this->random() % 1000) < this->lossShare * 1000; }
 
-    void send(std::size_t driver, WorkerAsk ask)
+    void send(std::size_t driver, const WorkerAsk& ask)
     {
         const std::size_t worker = std::stoul(ask.address);
         const auto answered = std::make_shared<bool>(false);
@@ -164,7 +164,7 @@
     }
 
     // What reaches a frozen driver waits until it runs again.
-    void complete(std::size_t driver, Millis at, std::shared_ptr<bool> answered, std::function<void()> action)
+    void complete(std::size_t driver, Millis at, const std::shared_ptr<bool>& answered, const std::function<void()>& action)
     {
         this->queue.emplace(at, [this, driver, answered, action] {
             if (*answered)
