Define fragmentation by the pieces that are wanted

Cause: one accelerator held in a rack of 64 counted as half the rack scattered, although the one shape of 32 that was wanted had its place. Change: counts the pieces that waiting shapes, or else idle guarantees, want; the strict view (as many as there could be, free only) is printed beside it.

--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -252,7 +252,7 @@
             for (; this->nextSample <= time && this->nextSample <= last; this->nextSample += sampleEvery) {
                 this->result.fragmentation += this->decider.fragmentation();
                 this->result.strictFragmentation
-                    += decide::detail::fragmentationOf(this->decider.engine(), decide::detail::GuaranteeView::FreeOnly);
+                    += decide::detail::fragmentationOf(this->decider.engine(), decide::detail::FragmentationView::Strict);
                 ++this->samples;
             }
             if (time < this->nextCheck)
--- a/src/decide/decider.cc
+++ b/src/decide/decider.cc
@@ -130,7 +130,7 @@
 }
 
 std::vector<WorkerId> Decider::quarantined() const { return this->inner->health.list(); }
-double Decider::fragmentation() const { return detail::fragmentationOf(*this->inner, detail::GuaranteeView::Reclaimable); }
+double Decider::fragmentation() const { return detail::fragmentationOf(*this->inner, detail::FragmentationView::Wanted); }
 std::vector<std::string> Decider::violations() const { return detail::checkState(*this->inner); }
 
 } // namespace rattan::decide
--- a/src/decide/decider.h
+++ b/src/decide/decider.h
@@ -56,9 +56,10 @@
     std::vector<RackStatus> racks() const;
     std::vector<WorkerId> quarantined() const;
 
-    // Share of the free accelerators that the largest waiting shape, or else the
-    // largest idle guaranteed shape, could use if they were gathered and cannot
-    // use as they lie; 0 to 1. An idle guarantee may use what is borrowed.
+    // Of the pieces that the largest waiting shape wants and could have if what is
+    // free lay together, the share that it cannot have as it lies; 0 to 1. While
+    // nothing waits, of the largest idle guaranteed shapes, which may use what is
+    // borrowed. docs/DECISIONS.md argues for this.
     double fragmentation() const;
 
     // Checks the state against the invariants; empty when all hold. For tests
--- a/src/decide/fragmentation.cc
+++ b/src/decide/fragmentation.cc
@@ -1,16 +1,21 @@
-// For a piece of k accelerators that has to lie within one worker or rack, a
-// place with f free ones can use floor(f/k)*k of them. If all free ones lay
-// together, they would fill place after place, the largest first, and each could
-// use its own in the same way. Fragmentation is one minus the ratio of the two;
-// 0 when not even one piece could be gathered, for then nothing is scattered that
-// could serve.
+// The wanted pieces are those of the largest waiting shape for which enough is
+// free at all: where too little is free, gathering it would not help. While no
+// such shape waits they are the largest idle guaranteed shapes, which may use
+// what is borrowed. A gang within the domain needs no gathering across workers,
+// but each of its members does; it counts as pieces of one member on a worker.
 //
-// A gang within the domain needs no gathering across workers, but each of its
-// members does; it counts as pieces of one member within a worker.
+// A place (a worker, or a rack) with f free accelerators holds floor(f/k) pieces
+// of k. If all free ones lay together, they would fill place after place, the
+// largest first. Fragmentation is the share of the pieces which are wanted and
+// could be had in the second way that cannot be had in the first; 0 when none
+// could be, for then nothing is scattered that could serve. The strict view
+// counts as many pieces as there could be instead of those that are wanted, and
+// lets guarantees use only what is free.
 
 #include "decide/fragmentation.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace rattan::decide::detail {
 
@@ -19,19 +24,22 @@
     struct Piece {
         std::int64_t accelerators { 0 };
         Adjacency within { Adjacency::Worker };
+        std::int64_t wanted { 0 }; // How many of them.
     };
 
     Piece pieceOf(const GangShape& shape)
     {
         if (shape.adjacency == Adjacency::Domain)
-            return { shape.perMember.accelerators, Adjacency::Worker };
-        return { shape.accelerators(), shape.adjacency };
+            return { shape.perMember.accelerators, Adjacency::Worker, shape.members };
+        return { shape.accelerators(), shape.adjacency, 1 };
     }
 
     void keepLarger(Piece& largest, const Piece& piece)
     {
         if (piece.accelerators > largest.accelerators)
             largest = piece;
+        else if (piece.accelerators == largest.accelerators && piece.within == largest.within)
+            largest.wanted += piece.wanted;
     }
 
     // The largest shape that could run if all that is free lay together. Looks at
@@ -59,33 +67,33 @@
         Piece largest;
         for (const Slot& slot : engine.book.all()) {
             if (!slot.retired && slot.taken() == 0 && slot.within != Adjacency::Domain)
-                keepLarger(largest, { slot.units, slot.within });
+                keepLarger(largest, { slot.units, slot.within, 1 });
         }
         return largest;
     }
 
-    // Pieces times their size that fit into the places of this index.
-    std::int64_t usable(const RoomIndex& room, const Piece& piece)
+    // Pieces that fit into the places of this index.
+    std::int64_t fitting(const RoomIndex& room, const Piece& piece)
     {
         const std::int64_t size = piece.accelerators;
         std::int64_t sum = 0;
         if (piece.within == Adjacency::Worker) {
             for (const auto& [free, workers] : room.workers())
-                sum += free / size * size * static_cast<std::int64_t>(workers.size());
+                sum += free / size * static_cast<std::int64_t>(workers.size());
         } else {
             for (const auto& [free, rack] : room.racks())
-                sum += free / size * size;
+                sum += free / size;
         }
         return sum;
     }
 
     // The same if `free` accelerators lay together, filling place after place.
-    std::int64_t gathered(const RoomIndex& capacities, const Piece& piece, std::int64_t free)
+    std::int64_t fittingGathered(const RoomIndex& capacities, const Piece& piece, std::int64_t free)
     {
         const std::int64_t size = piece.accelerators;
         std::int64_t sum = 0;
         const auto fill = [&](std::int64_t place) {
-            sum += std::min(place, free) / size * size;
+            sum += std::min(place, free) / size;
             free -= std::min(place, free);
         };
         if (piece.within == Adjacency::Worker) {
@@ -102,19 +110,22 @@
 
 } // namespace
 
-double fragmentationOf(const Engine& engine, GuaranteeView view)
+double fragmentationOf(const Engine& engine, FragmentationView view)
 {
+    const bool strict = view == FragmentationView::Strict;
     const RoomIndex* room = &engine.workers.room();
     Piece piece = largestWaiting(engine);
     if (piece.accelerators == 0) {
         piece = largestIdleGuarantee(engine);
-        if (view == GuaranteeView::Reclaimable)
+        if (!strict)
             room = &engine.workers.reclaimable();
     }
     if (piece.accelerators == 0)
         return 0;
-    const std::int64_t best = gathered(engine.workers.capacities(), piece, room->total());
-    return best == 0 ? 0 : std::max(0.0, 1 - static_cast<double>(usable(*room, piece)) / static_cast<double>(best));
+    const std::int64_t most = strict ? std::numeric_limits<std::int64_t>::max() : piece.wanted;
+    const std::int64_t best = std::min(most, fittingGathered(engine.workers.capacities(), piece, room->total()));
+    const std::int64_t have = std::min(most, fitting(*room, piece));
+    return best == 0 ? 0 : std::max(0.0, 1 - static_cast<double>(have) / static_cast<double>(best));
 }
 
 } // namespace rattan::decide::detail
--- a/src/decide/fragmentation.h
+++ b/src/decide/fragmentation.h
@@ -6,13 +6,11 @@
 
 namespace rattan::decide::detail {
 
-// What idle guaranteed shapes may use when no job waits.
-enum class GuaranteeView {
-    Reclaimable, // What borrowed gangs hold counts as usable, as a guarantee means.
-    FreeOnly, // Stricter: only what is free at this moment.
+enum class FragmentationView {
+    Wanted, // Of the pieces that jobs or guarantees want; see Decider::fragmentation.
+    Strict, // Of all pieces that there could be, of what is free at this moment.
 };
 
-// See Decider::fragmentation, which takes the first view.
-double fragmentationOf(const Engine&, GuaranteeView);
+double fragmentationOf(const Engine&, FragmentationView);
 
 } // namespace rattan::decide::detail
