Pack homes anew seldom in large books, and once on take-over

Cause: with a home that could not be found, every release packed all slots anew; a planner that learned its workers did so once for each. Change: a large book packs again only after a quarter as many calls as slots; while paused no homes are sought.

--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -46,9 +46,11 @@
 
         RunResult run()
         {
+            this->decider.pause(true);
             this->tell(this->workload.text);
             for (const decide::WorkerSeen& worker : this->workload.workers)
                 this->tell(worker);
+            this->decider.pause(false);
             this->schedule();
             while (!this->events.empty() && this->open > 0) {
                 const Scheduled next = this->events.top();
--- a/src/decide/engine_events.cc
+++ b/src/decide/engine_events.cc
@@ -117,6 +117,7 @@
 {
     this->reviewDue = this->reviewDue || (this->paused && !hold);
     this->paused = hold;
+    this->book.hold(hold);
     this->changed = true;
 }
 
--- a/src/decide/guarantee_book.cc
+++ b/src/decide/guarantee_book.cc
@@ -10,6 +10,12 @@
 
 namespace rattan::decide::detail {
 
+namespace {
+
+    constexpr std::size_t smallBook = 256; // Slots.
+
+} // namespace
+
 std::int64_t Slot::homed() const
 {
     std::int64_t sum = 0;
@@ -44,6 +50,7 @@
         }
     }
     this->reindex();
+    this->callsToSkip = 0;
     this->settle();
 }
 
@@ -98,6 +105,13 @@
     }
 }
 
+void GuaranteeBook::hold(bool on)
+{
+    this->holding = on;
+    this->callsToSkip = 0;
+    this->settle();
+}
+
 void GuaranteeBook::workerChanged(WorkerId worker)
 {
     const WorkerRecord& record = this->workers[worker];
@@ -116,6 +130,8 @@
 
 void GuaranteeBook::settle()
 {
+    if (this->holding)
+        return;
     for (const SlotId id : this->hardestFirst({ this->homeless.begin(), this->homeless.end() }, PackOrder::Largest))
         this->fill(id);
     std::int64_t missing = 0;
@@ -124,6 +140,19 @@
     // No order helps when there is simply not enough.
     if (missing == 0 || missing > this->workers.unpromised().total())
         return;
+    // Packing anew costs as much as there are slots. After it was of no use, a
+    // large book is packed again only once enough calls have paid for it.
+    if (this->callsToSkip > 0) {
+        --this->callsToSkip;
+        return;
+    }
+    this->packAnew();
+    if (!this->homeless.empty() && this->slots.size() > smallBook)
+        this->callsToSkip = this->slots.size() / 4;
+}
+
+void GuaranteeBook::packAnew()
+{
     this->repack(PackOrder::Largest);
     const std::size_t unmetThen = this->homeless.size();
     if (unmetThen == 0)
--- a/src/decide/guarantee_book.h
+++ b/src/decide/guarantee_book.h
@@ -60,6 +60,10 @@
     // in slots that go keep their grants until they are released.
     void setRules(const std::vector<WorkspaceRule>&);
 
+    // While held, no homes are looked for: a planner that takes over learns its
+    // workers one by one and homes everything once.
+    void hold(bool);
+
     // A worker became usable, or ceased to be, or changed its capacity.
     void workerChanged(WorkerId);
 
@@ -105,6 +109,7 @@
     void dropIdleOn(SlotId, WorkerId);
     bool fill(SlotId);
     bool fillFrom(SlotId, const RoomIndex::Buckets&, std::int64_t missing);
+    void packAnew();
     void repack(PackOrder);
     std::vector<SlotId> hardestFirst(std::vector<SlotId>, PackOrder) const;
     void reindex();
@@ -115,6 +120,8 @@
     std::map<ShapeKey, std::vector<SlotId>> byShape;
     std::map<WorkerId, std::set<SlotId>> byWorker; // With a piece there.
     std::set<SlotId> homeless;
+    std::size_t callsToSkip { 0 }; // Before settle() packs anew.
+    bool holding { false };
 };
 
 } // namespace rattan::decide::detail
