Let the planner know its neighbours by heartbeats, and close the whole path

Cause: the planner knew its neighbours from the platform's lagging list alone, and a planner that started while the log was down knew no jobs. Change: src/peers replaces the list follower; a planner that cannot read the log fetches the book of jobs from its peers before it decides.

--- a/src/planner/decision_loop.cc
+++ b/src/planner/decision_loop.cc
@@ -5,6 +5,7 @@
 #include "planner/decision_loop.h"
 
 #include "base/log.h"
+#include "planner/book_fetch.h"
 #include "planner/events.h"
 
 namespace rattan::planner {
@@ -22,14 +23,14 @@
 } // namespace
 
 DecisionLoop::DecisionLoop(const PlannerOptions& options, std::string incarnation, SharedPlanner& shared,
-    BoundedRing<JobTailItem>& ring, LogWriter& writer, const JobTail& tail, std::function<bool()> shouldDecide)
+    BoundedRing<JobTailItem>& ring, LogWriter& writer, const JobTail& tail, peers::Peers& peers)
     : options(options)
     , incarnation(std::move(incarnation))
     , shared(shared)
     , ring(ring)
     , writer(writer)
     , tail(tail)
-    , shouldDecide(std::move(shouldDecide))
+    , peers(peers)
 {
 }
 
@@ -60,7 +61,8 @@
 {
     this->takeRecords();
     const Millis now = SystemClock().now();
-    this->follow(this->shouldDecide());
+    this->takeText();
+    this->followMembership();
     this->lookAtWorkers(driver, now);
     {
         const std::lock_guard lock(this->shared.mutex);
@@ -68,6 +70,8 @@
     }
     this->exchange(driver);
     this->writeRecords();
+    const std::lock_guard lock(this->shared.mutex);
+    this->peers.setActive(this->shared.planner.stage() != Stage::Standby, this->shared.planner.epoch());
 }
 
 void DecisionLoop::takeRecords()
@@ -81,27 +85,65 @@
     }
 }
 
-void DecisionLoop::follow(bool wanted)
+void DecisionLoop::takeText()
+{
+    const config::Version version = this->peers.textInForce();
+    if (version.number <= this->textGiven || !version.text)
+        return;
+    this->textGiven = version.number;
+    const std::lock_guard lock(this->shared.mutex);
+    this->shared.planner.applyText(static_cast<std::uint64_t>(version.number), *version.text, SystemClock().now());
+}
+
+void DecisionLoop::followMembership()
 {
-    const bool decides = [&] {
+    const bool wanted = this->peers.ownIsActive();
+    const Stage stage = [&] {
         const std::lock_guard lock(this->shared.mutex);
-        return this->shared.planner.stage() != Stage::Standby;
+        return this->shared.planner.stage();
     }();
-    if (decides && !wanted)
+    if (!wanted) {
+        this->wantedSince = 0;
         this->standDown("another instance decides for the failure domain");
-    if (decides || !wanted)
         return;
+    }
     const Millis now = SystemClock().now();
-    if (this->activatedAt == 0)
-        this->activatedAt = now;
-    const bool bookIsWhole = this->tail.caughtUp() && this->ring.size() == 0;
-    if (!bookIsWhole && now - this->activatedAt < longestWaitForLog)
+    if (this->wantedSince == 0)
+        this->wantedSince = now;
+    if (stage != Stage::Standby || !this->bookIsWhole(now))
         return;
-    this->activatedAt = 0;
     const std::lock_guard lock(this->shared.mutex);
     this->shared.planner.activate();
 }
 
+bool DecisionLoop::bookIsWhole(Millis now)
+{
+    if (this->tail.caughtUp() && this->ring.size() == 0)
+        return true;
+    if (now - this->wantedSince < longestWaitForLog)
+        return false;
+    this->fetchBookFromPeers();
+    return true;
+}
+
+// The log is down and this instance has just started. Jobs that it does not
+// know would be taken for orphans and stopped; the peers know them.
+void DecisionLoop::fetchBookFromPeers()
+{
+    for (const peers::InstanceReport& peer : this->peers.known()) {
+        if (peer.domain != this->options.domain || peer.instance == this->options.instance)
+            continue;
+        const auto book = attempt([&] { return fetchBook(peer.plannerAddress, JobBookLimits().open + JobBookLimits().ended); });
+        if (!book)
+            continue;
+        const std::lock_guard lock(this->shared.mutex);
+        const Millis wall = SystemClock().wall();
+        for (const records::JobRecord& record : *book)
+            this->shared.planner.applyRecord({ 0, wall, record }, SystemClock().now());
+        logEvent(events::bookFetched, { { "peer", peer.plannerAddress }, { "records", book->size() } });
+    }
+}
+
 void DecisionLoop::lookAtWorkers(DriverLink& driver, Millis now)
 {
     Stage stage = Stage::Standby;
@@ -116,8 +158,10 @@
         return;
     this->lastSurvey = now;
     const auto survey = attempt([&] { return driver.survey(epoch); });
-    if (this->driverAnswers.exchange(static_cast<bool>(survey)) && !survey)
+    if (this->driverAnswers && !survey)
         logEvent(events::driverUnreachable, { { "step", survey.error.step }, { "peer", survey.error.peer }, { "error", survey.error.message } });
+    this->driverAnswers = static_cast<bool>(survey);
+    this->peers.setDriverReady(this->driverAnswers);
     if (!survey) {
         // Taking over again is how a planner learns what a driver that started
         // anew, or that follows a higher epoch, holds.
--- a/src/planner/decision_loop.h
+++ b/src/planner/decision_loop.h
@@ -11,6 +11,7 @@
 // job record comes, so that an urgent job waits for no timer.
 
 #include "base/ring.h"
+#include "peers/peers.h"
 #include "planner/domain_planner.h"
 #include "planner/driver_link.h"
 #include "planner/job_tail.h"
@@ -18,7 +19,6 @@
 #include "planner/options.h"
 
 #include <atomic>
-#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -37,22 +37,21 @@
 
 class DecisionLoop {
 public:
-    // `shouldDecide` tells whether membership has this instance decide now.
     DecisionLoop(const PlannerOptions&, std::string incarnation, SharedPlanner&, BoundedRing<JobTailItem>&, LogWriter&,
-        const JobTail&, std::function<bool()> shouldDecide);
+        const JobTail&, peers::Peers&);
     ~DecisionLoop();
 
     void start();
     void stop();
 
-    // Whether the driver has answered lately.
-    bool driverReady() const { return this->driverAnswers; }
-
 private:
     void run();
     void turn(DriverLink&);
     void takeRecords();
-    void follow(bool shouldDecide);
+    void takeText();
+    void followMembership();
+    bool bookIsWhole(Millis now);
+    void fetchBookFromPeers();
     void lookAtWorkers(DriverLink&, Millis now);
     void exchange(DriverLink&);
     void writeRecords();
@@ -64,12 +63,13 @@
     BoundedRing<JobTailItem>& ring;
     LogWriter& writer;
     const JobTail& tail;
-    std::function<bool()> shouldDecide;
+    peers::Peers& peers;
+    std::int64_t textGiven { 0 };
     std::string driverIncarnation;
     std::vector<Order> unsent; // Orders that no exchange has carried yet.
     Millis lastSurvey { 0 };
-    Millis activatedAt { 0 };
-    std::atomic<bool> driverAnswers { false };
+    Millis wantedSince { 0 }; // When membership first chose this instance; 0: it has not.
+    bool driverAnswers { false };
     std::atomic<bool> stopping { false };
     std::thread thread;
 };
--- a/src/planner/events.h
+++ b/src/planner/events.h
@@ -20,6 +20,7 @@
 inline constexpr Event deciding { 3021, "planner.deciding", Level::Info, "The leases are learnt; this planner decides for its failure domain." };
 inline constexpr Event stoodDown { 3022, "planner.stood_down", Level::Info, "This planner no longer decides; the reason is given." };
 inline constexpr Event driverUnreachable { 3023, "planner.driver_unreachable", Level::Warning, "The driver of this instance does not answer." };
+inline constexpr Event bookFetched { 3024, "planner.book_fetched", Level::Info, "The log is down; a peer told the jobs that it knows." };
 inline constexpr Event jobEnded { 3030, "planner.job_ended", Level::Info, "A job got its final answer." };
 inline constexpr Event gangOrdered { 3031, "planner.gang_ordered", Level::Info, "A gang is to start on the workers named." };
 inline constexpr Event gangStopOrdered { 3032, "planner.gang_stop_ordered", Level::Info, "A gang is to stop; the reason is given." };
@@ -29,7 +30,7 @@
 inline std::vector<Event> all()
 {
     return { started, stopping, stopped, logUnreachable, logReachableAgain, recordsTrimmed, recordPassedOver, appendFailed,
-        activated, deciding, stoodDown, driverUnreachable, jobEnded, gangOrdered, gangStopOrdered, workerQuarantined, textInForce };
+        activated, deciding, stoodDown, driverUnreachable, bookFetched, jobEnded, gangOrdered, gangStopOrdered, workerQuarantined, textInForce };
 }
 
 } // namespace rattan::planner::events
--- a/src/planner/planner_service.cc
+++ b/src/planner/planner_service.cc
@@ -1,51 +1,20 @@
 #include "planner/planner_service.h"
 
+#include "peers/state_message.h"
 #include "planner/view_messages.h"
 
 namespace rattan::planner {
 
 namespace {
 
-constexpr std::uint32_t mostJobViews = 1000;
-constexpr std::uint32_t mostSnapshotRecords = 5000;
-
-void fill(rpc::InstanceState::Builder builder, const InstanceReport& report)
-{
-    builder.setInstance(report.instance);
-    builder.setIncarnation(report.incarnation);
-    builder.setDomain(report.domain);
-    builder.setPlannerAddress(report.plannerAddress);
-    builder.setEntryAddress(report.entryAddress);
-    builder.setConfigVersion(report.configVersion);
-    builder.setLeaving(report.leaving);
-    builder.setDriverReady(report.driverReady);
-    builder.setActivePlanner(report.activePlanner);
-    builder.setEpoch(report.epoch);
-    builder.setAgeMs(static_cast<std::uint64_t>(std::max<Millis>(report.age, 0)));
-}
-
-InstanceReport read(rpc::InstanceState::Reader reader)
-{
-    InstanceReport report;
-    report.instance = reader.getInstance();
-    report.incarnation = reader.getIncarnation();
-    report.domain = reader.getDomain();
-    report.plannerAddress = reader.getPlannerAddress();
-    report.entryAddress = reader.getEntryAddress();
-    report.configVersion = reader.getConfigVersion();
-    report.leaving = reader.getLeaving();
-    report.driverReady = reader.getDriverReady();
-    report.activePlanner = reader.getActivePlanner();
-    report.epoch = reader.getEpoch();
-    report.age = static_cast<Millis>(reader.getAgeMs());
-    return report;
-}
+    constexpr std::uint32_t mostJobViews = 1000;
+    constexpr std::uint32_t mostSnapshotRecords = 5000;
 
 } // namespace
 
-PlannerService::PlannerService(SharedPlanner& shared, Neighbours& neighbours, const JobTail& tail, std::function<void()> onDrain)
+PlannerService::PlannerService(SharedPlanner& shared, peers::Peers& peers, const JobTail& tail, std::function<void()> onDrain)
     : shared(shared)
-    , neighbours(neighbours)
+    , peers(peers)
     , tail(tail)
     , onDrain(std::move(onDrain))
 {
@@ -53,7 +22,7 @@
 
 kj::Promise<void> PlannerService::config(ConfigContext context)
 {
-    const config::Version version = this->neighbours.textInForce();
+    const config::Version version = this->peers.textInForce();
     auto config = context.getResults().initConfig();
     config.setVersion(static_cast<std::uint64_t>(version.number));
     if (static_cast<std::uint64_t>(version.number) > context.getParams().getAfter()) {
@@ -111,25 +80,23 @@
     fill(view, this->shared.planner.domainReport());
     view.setLogReachable(this->tail.reachable());
     if (this->shared.planner.stage() != Stage::Standby)
-        view.setActiveInstance(this->neighbours.own().instance);
-    const auto known = this->neighbours.known();
+        view.setActiveInstance(this->peers.own().instance);
+    const auto known = this->peers.known();
     auto instances = view.initInstances(static_cast<unsigned>(known.size()));
     for (unsigned i = 0; i < instances.size(); ++i)
-        fill(instances[i], known[i]);
+        peers::fill(instances[i], known[i]);
     return kj::READY_NOW;
 }
 
 kj::Promise<void> PlannerService::greet(GreetContext context)
 {
-    std::vector<InstanceReport> told;
-    for (const auto state : context.getParams().getKnown())
-        told.push_back(read(state));
-    this->neighbours.heard(read(context.getParams().getFrom()), told);
-    fill(context.getResults().initOwn(), this->neighbours.own());
-    const auto known = this->neighbours.known();
+    const auto params = context.getParams();
+    this->peers.heard(peers::readReport(params.getFrom()), peers::readReports(params.getKnown()));
+    peers::fill(context.getResults().initOwn(), this->peers.own());
+    const auto known = this->peers.sample();
     auto list = context.getResults().initKnown(static_cast<unsigned>(known.size()));
     for (unsigned i = 0; i < list.size(); ++i)
-        fill(list[i], known[i]);
+        peers::fill(list[i], known[i]);
     return kj::READY_NOW;
 }
 
@@ -156,10 +123,10 @@
 
 std::unique_ptr<capnp::EzRpcClient> PlannerService::elsewhere(bool forwarded)
 {
-    if (forwarded || this->neighbours.ownIsActive())
+    if (forwarded || this->peers.ownIsActive())
         return nullptr;
-    const std::string active = this->neighbours.activePlanner();
-    if (active.empty() || active == this->neighbours.own().plannerAddress)
+    const std::string active = this->peers.activePlanner();
+    if (active.empty() || active == this->peers.own().plannerAddress)
         return nullptr;
     return std::make_unique<capnp::EzRpcClient>(active.c_str());
 }
--- a/src/planner/planner_service.h
+++ b/src/planner/planner_service.h
@@ -5,8 +5,8 @@
 // domain go on to the active planner of the domain, once, when that is another
 // instance.
 
+#include "peers/peers.h"
 #include "planner/decision_loop.h"
-#include "planner/neighbours.h"
 #include "rpc/rattan.capnp.h"
 
 #include <capnp/ez-rpc.h>
@@ -19,7 +19,7 @@
 
 class PlannerService final : public rpc::Planner::Server {
 public:
-    PlannerService(SharedPlanner&, Neighbours&, const JobTail&, std::function<void()> onDrain);
+    PlannerService(SharedPlanner&, peers::Peers&, const JobTail&, std::function<void()> onDrain);
 
 protected:
     kj::Promise<void> config(ConfigContext) override;
@@ -35,7 +35,7 @@
     std::unique_ptr<capnp::EzRpcClient> elsewhere(bool forwarded);
 
     SharedPlanner& shared;
-    Neighbours& neighbours;
+    peers::Peers& peers;
     const JobTail& tail;
     std::function<void()> onDrain;
 };
--- a/src/planner/program.cc
+++ b/src/planner/program.cc
@@ -3,10 +3,8 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "base/stop_signal.h"
-#include "planner/config_follower.h"
 #include "planner/decision_loop.h"
 #include "planner/events.h"
-#include "planner/list_neighbours.h"
 #include "planner/planner_service.h"
 #include "rpc/server.h"
 
@@ -16,35 +14,18 @@
 
 namespace {
 
-constexpr std::size_t recordRing = 4096;
-constexpr std::size_t incarnationDigits = 16;
-constexpr std::chrono::milliseconds textPeriod { 100 };
+    constexpr std::size_t recordRing = 4096;
+    constexpr std::size_t incarnationDigits = 16;
 
-// Hands each new text in force to the decisions.
-class TextFeeder {
-public:
-    TextFeeder(Neighbours& neighbours, SharedPlanner& shared)
-        : neighbours(neighbours)
-        , shared(shared)
+    peers::PeersOptions peersOptions(const PlannerOptions& options, peers::InstanceReport own)
     {
+        peers::PeersOptions result;
+        result.own = std::move(own);
+        result.seeds = options.peers;
+        result.config.retention = options.retentionSeconds * 1000;
+        return result;
     }
 
-    void look()
-    {
-        const config::Version version = this->neighbours.textInForce();
-        if (version.number <= this->given || !version.text)
-            return;
-        this->given = version.number;
-        const std::lock_guard lock(this->shared.mutex);
-        this->shared.planner.applyText(static_cast<std::uint64_t>(version.number), *version.text, SystemClock().now());
-    }
-
-private:
-    Neighbours& neighbours;
-    SharedPlanner& shared;
-    std::int64_t given { 0 };
-};
-
 } // namespace
 
 int runPlanner(const PlannerOptions& options)
@@ -57,24 +38,21 @@
     BoundedRing<JobTailItem> ring(recordRing);
     JobTail tail(log, options.domain, &ring);
     LogWriter writer(log, options.domain);
-    InstanceReport own;
+    peers::InstanceReport own;
     own.instance = options.instance;
     own.incarnation = incarnation;
     own.domain = options.domain;
     own.plannerAddress = options.rpcAnnounce.empty() ? options.rpcListen : options.rpcAnnounce;
     own.entryAddress = options.entryAddress;
-    ListNeighbours neighbours(options, own, list, log);
-    TextFeeder feeder(neighbours, shared);
-    DecisionLoop loop(options, incarnation, shared, ring, writer, tail, [&] {
-        feeder.look();
-        return neighbours.ownIsActive();
-    });
-    rpc::ServerThread server(options.rpcListen, [&] { return kj::heap<PlannerService>(shared, neighbours, tail, [] { kill(getpid(), SIGTERM); }); });
+    const SystemClock clock;
+    peers::Peers peers(peersOptions(options, own), clock, list, log);
+    DecisionLoop loop(options, incarnation, shared, ring, writer, tail, peers);
+    rpc::ServerThread server(options.rpcListen, [&] { return kj::heap<PlannerService>(shared, peers, tail, [] { kill(getpid(), SIGTERM); }); });
     if (const auto error = attemptVoid([&] { return server.start(); })) {
         logEvent(events::stopped, { { "error", error->message }, { "peer", error->peer } });
         return 1;
     }
-    neighbours.start();
+    peers.start();
     tail.start();
     writer.start();
     loop.start();
@@ -82,12 +60,12 @@
 
     stop.wait();
     logEvent(events::stopping);
-    neighbours.leave();
+    peers.leave();
     loop.stop();
     ring.close();
     tail.stop();
     writer.stop();
-    neighbours.stop();
+    peers.stop();
     server.stop();
     logEvent(events::stopped);
     return 0;
