--- a/bench/entry/bench_entry.cc
+++ b/bench/entry/bench_entry.cc
@@ -124,6 +124,7 @@
     {
         std::vector<std::vector<Sample>> samples(callerThreads);
         std::vector<std::thread> threads;
+        threads.reserve(callerThreads);
         const Millis begin = clock.now();
         for (int i = 0; i < callerThreads; ++i)
             threads.emplace_back([&, i] { samples[static_cast<std::size_t>(i)] = callSteadily(forwarder, clock, i, rate); });
--- a/src/entry/appender.cc
+++ b/src/entry/appender.cc
@@ -85,6 +85,7 @@
         if (items.empty())
             return;
         std::vector<Json> records;
+        records.reserve(items.size());
         for (const ItemPointer& item : items)
             records.push_back(item->record);
         const auto done = attempt([&] { return this->log.append(this->stream, records); });
--- a/src/entry/program.cc
+++ b/src/entry/program.cc
@@ -36,7 +36,7 @@
 
 } // namespace
 
-Program::Program(const EntryOptions& given, TextParser parser)
+Program::Program(const EntryOptions& given, const TextParser& parser)
     : options(given)
     , incarnation(fmt::format("{}.{}", given.instance, randomHex(incarnationDigits)))
     , planner(given.planner, plannerTimeout)
--- a/src/entry/program.h
+++ b/src/entry/program.h
@@ -20,7 +20,7 @@
 
 class Program {
 public:
-    Program(const EntryOptions&, TextParser);
+    Program(const EntryOptions&, const TextParser&);
     ~Program();
 
     Result<void> start();
--- a/src/entry/testing/claim_index_test.cc
+++ b/src/entry/testing/claim_index_test.cc
@@ -159,11 +159,11 @@
         }
 
         // The record that says so may be repeated after a lost reply.
-        void giveUp(Claimant& claimant, PendingClaim claim)
+        void giveUp(Claimant& claimant, const PendingClaim& claim)
         {
-            claimant.waiting.erase(claim.attempt);
             for (int i = this->below(2); i >= 0; --i)
                 this->onTheWay.push_back(outcomeOf(claim.key, claim.attempt, OutcomeKind::NotRun));
+            claimant.waiting.erase(claim.attempt);
             this->landOne();
         }
 
--- a/src/entry/testing/claim_log_test.cc
+++ b/src/entry/testing/claim_log_test.cc
@@ -64,6 +64,7 @@
     {
         constexpr int holds = 200;
         std::vector<std::future<Attempt<Claim>>> claims;
+        claims.reserve(holds);
         for (int i = 0; i < holds; ++i)
             claims.push_back(std::async(std::launch::async, [this] { return this->claim(*this->first, this->newKey()); }));
         for (auto& claim : claims)
--- a/src/entry/testing/raw_server.h
+++ b/src/entry/testing/raw_server.h
@@ -24,8 +24,8 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof address;
-        bind(this->listening, reinterpret_cast<sockaddr*>(&address), length);
-        listen(this->listening, 16);
+        if (bind(this->listening, reinterpret_cast<sockaddr*>(&address), length) != 0 || listen(this->listening, 16) != 0)
+            return;
         getsockname(this->listening, reinterpret_cast<sockaddr*>(&address), &length);
         this->port = ntohs(address.sin_port);
         this->thread = std::thread([this] { this->run(); });
@@ -34,7 +34,8 @@
     ~RawServer()
     {
         this->stopping = true;
-        this->thread.join();
+        if (this->thread.joinable())
+            this->thread.join();
         close(this->listening);
     }
 
