--- a/src/planner/events.h
+++ b/src/planner/events.h
@@ -4,7 +4,7 @@
 
 #include "base/log.h"
 
-#include <vector>
+#include <array>
 
 namespace rattan::planner::events {
 
@@ -27,10 +27,8 @@
 inline constexpr Event workerQuarantined { 3040, "planner.worker_quarantined", Level::Warning, "A worker failed too many starts and gets no work but probes." };
 inline constexpr Event textInForce { 3050, "planner.text_in_force", Level::Info, "Decisions follow this version of the operators' text." };
 
-inline std::vector<Event> all()
-{
-    return { started, stopping, stopped, logUnreachable, logReachableAgain, recordsTrimmed, recordPassedOver, appendFailed,
-        activated, deciding, stoodDown, driverUnreachable, bookFetched, jobEnded, gangOrdered, gangStopOrdered, workerQuarantined, textInForce };
-}
+inline constexpr std::array plannerEvents { started, stopping, stopped, logUnreachable, logReachableAgain, recordsTrimmed,
+    recordPassedOver, appendFailed, activated, deciding, stoodDown, driverUnreachable, bookFetched, jobEnded, gangOrdered,
+    gangStopOrdered, workerQuarantined, textInForce };
 
 } // namespace rattan::planner::events
