Count every member of a gang that is taken over

Cause: a worker holds one lease for all members of a gang, and the planner told the decisions of one member for each lease. Ruled out: lost gangs; no driver had ended one. Change: a lease is split into as many placements as members it stands for. Conclusion: what a takeover learns equals what runs.

--- a/src/planner/domain_planner.cc
+++ b/src/planner/domain_planner.cc
@@ -72,6 +72,19 @@
         return JobOutcome::Failed;
     }
 
+    // How many members of the gang one worker's lease stands for.
+    std::int64_t membersIn(const OrderMember& lease, const records::JobSpec& spec)
+    {
+        std::int64_t count = 1;
+        if (spec.accelerators > 0)
+            count = lease.accelerators / spec.accelerators;
+        else if (spec.cores > 0)
+            count = lease.cores / spec.cores;
+        else if (spec.memoryMb > 0)
+            count = lease.memoryMb / spec.memoryMb;
+        return std::clamp<std::int64_t>(count, 1, spec.members);
+    }
+
     bool holdsResources(const std::string& leaseState) { return leaseState != "failed" && leaseState != "lapsed"; }
 
 } // namespace
@@ -254,12 +267,8 @@
         if (facts.reachable && facts.leaving)
             this->feed(decide::WorkerLeaving { this->workerNames.idOf(name) }, now);
     }
-    for (const auto& [id, gang] : this->found) {
-        decide::GangLearned learned { gang.job, gang.attempt, {}, gang.adopted, this->workspaceNames.idOf(gang.workspace) };
-        for (const OrderMember& member : gang.members)
-            learned.placements.push_back({ this->workerNames.idOf(member.worker), member.accelerators, member.cores, member.memoryMb });
-        this->feed(learned, now);
-    }
+    for (const auto& [id, gang] : this->found)
+        this->feed(this->learnedGang(gang), now);
     for (const std::uint64_t id : this->book.open())
         this->submitToDecider(*this->book.find(id), now);
     this->found.clear();
@@ -269,6 +278,21 @@
     logEvent(events::deciding, { { "domain", this->options.domain }, { "epoch", this->ownEpoch }, { "workers", this->workers.size() }, { "open_jobs", this->book.openCount() } });
 }
 
+// A worker holds one lease for all members of a gang that it runs, and the
+// decisions count a placement for each member. Without the split, a gang taken
+// over would seem to use less than it does.
+decide::GangLearned DomainPlanner::learnedGang(const FoundGang& gang)
+{
+    decide::GangLearned learned { gang.job, gang.attempt, {}, gang.adopted, this->workspaceNames.idOf(gang.workspace) };
+    const Job* job = this->book.find(gang.job);
+    for (const OrderMember& member : gang.members) {
+        const std::int64_t count = job ? membersIn(member, job->spec) : 1;
+        const decide::Placement share { this->workerNames.idOf(member.worker), member.accelerators / count, member.cores / count, member.memoryMb / count };
+        learned.placements.insert(learned.placements.end(), static_cast<std::size_t>(count), share);
+    }
+    return learned;
+}
+
 void DomainPlanner::watchWorkers(const Survey& survey, Millis now)
 {
     std::set<std::string> listed;
--- a/src/planner/domain_planner.h
+++ b/src/planner/domain_planner.h
@@ -118,6 +118,7 @@
     void collectGangs(const SurveyedWorker&);
     void adoptWholeGangs();
     void beginDeciding(Millis now);
+    decide::GangLearned learnedGang(const FoundGang&);
     void watchWorkers(const Survey&, Millis now);
     void submitToDecider(const Job&, Millis now);
     decide::TextChanged textForDecider();
--- a/src/planner/testing/domain_planner_test.cc
+++ b/src/planner/testing/domain_planner_test.cc
@@ -115,6 +115,7 @@
     CPPUNIT_TEST(leavesAJobToThePlannerThatRecordedFirst);
     CPPUNIT_TEST(doesNotRepeatAJobThatMayHaveRun);
     CPPUNIT_TEST(takesOverWholeGangsAtOnce);
+    CPPUNIT_TEST(countsEveryMemberOfAGangTakenOver);
     CPPUNIT_TEST(stopsIncompleteGangs);
     CPPUNIT_TEST_SUITE_END();
 
@@ -249,6 +250,26 @@
         CPPUNIT_ASSERT(bench.orders(OrderKind::StartGang).empty());
     }
 
+    // Two members of a gang run under one lease at one worker. Counted as one
+    // member after a planner was replaced, half of what the gang uses would seem
+    // free, and the next gang would be refused by the workers.
+    void countsEveryMemberOfAGangTakenOver()
+    {
+        Bench bench;
+        JobRecord record = Bench::submit("k", "route-map", 2);
+        record.spec.accelerators = 4;
+        bench.append(record);
+        SurveyedLease lease { .lease = "11.1", .job = 11, .attempt = 1, .state = "running", .accelerators = 8 };
+        lease.cores = 2;
+        lease.memoryMb = 2048;
+        lease.key = "k";
+        lease.workspace = "guides";
+        lease.gangSize = 1;
+        bench.survey.workers[0].leases.push_back(lease);
+        bench.decide();
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 8 }, bench.planner.domainReport().workspaces.at(0).used);
+    }
+
     // Only one of two members is found: the other's worker died with the planner.
     // The half that runs would compute for nothing.
     void stopsIncompleteGangs()
