--- a/testing/relay/pump.cc
+++ b/testing/relay/pump.cc
@@ -39,6 +39,7 @@
         this->ended = true;
         return true;
     }
+    this->readBytes += static_cast<std::uint64_t>(count);
     Millis due = now + rule.delay;
     if (rule.loss > 0 && std::uniform_real_distribution<double>(0, 1)(random) < rule.loss)
         due += retransmission;
--- a/testing/relay/pump.h
+++ b/testing/relay/pump.h
@@ -7,6 +7,7 @@
 #include "relay/answer_framer.h"
 #include "relay/relay_hub.h"
 
+#include <cstdint>
 #include <deque>
 #include <optional>
 #include <random>
@@ -25,6 +26,7 @@
     bool wantsRead() const { return !this->ended && this->queuedBytes < mostQueuedBytes; }
     // True when bytes are due and only the sink's room is missing.
     bool wantsWrite(Millis now) const;
+    std::uint64_t bytesRead() const { return this->readBytes; }
     // When the next bytes are due; empty when nothing waits.
     std::optional<Millis> nextDue() const;
 
@@ -55,6 +57,7 @@
     std::size_t queuedBytes { 0 };
     AnswerFramer framer;
     std::deque<Chunk> chunks;
+    std::uint64_t readBytes { 0 };
 };
 
 } // namespace rattan::testing
--- a/testing/relay/relay_hub.cc
+++ b/testing/relay/relay_hub.cc
@@ -83,6 +83,7 @@
         LinkOptions options;
         LinkRule rule;
         int listener { -1 };
+        std::uint64_t carried { 0 };
     };
 
     struct Connection {
@@ -183,9 +184,12 @@
         }
         Connection& connection = *watch.connection;
         const Millis now = this->clock.now();
-        const LinkRule& rule = this->links.at(connection.link).rule;
-        if (ready.fd == watch.pump->source() && !watch.pump->readSome(now, rule, this->random))
-            connection.broken = true;
+        Link& link = this->links.at(connection.link);
+        if (ready.fd == watch.pump->source()) {
+            const std::uint64_t before = watch.pump->bytesRead();
+            connection.broken = !watch.pump->readSome(now, link.rule, this->random) || connection.broken;
+            link.carried += watch.pump->bytesRead() - before;
+        }
         if (!watch.pump->writeDue(now))
             connection.broken = true;
     }
@@ -245,6 +249,12 @@
     return this->state->links.at(id).options.listen;
 }
 
+std::uint64_t RelayHub::carried(LinkId id) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->state->links.at(id).carried;
+}
+
 void RelayHub::setRule(LinkId id, LinkRule rule)
 {
     const std::lock_guard lock(this->mutex);
--- a/testing/relay/relay_hub.h
+++ b/testing/relay/relay_hub.h
@@ -60,6 +60,9 @@
     void setRule(LinkId, LinkRule);
     void setTarget(LinkId, const std::string& target);
 
+    // Bytes that the link has carried, both ways.
+    std::uint64_t carried(LinkId) const;
+
     void stop();
 
 private:
--- a/testing/scenario/network.cc
+++ b/testing/scenario/network.cc
@@ -49,6 +49,17 @@
     this->apply();
 }
 
+std::uint64_t Network::carriedBy(const std::string& machine)
+{
+    const std::lock_guard lock(this->mutex);
+    std::uint64_t bytes = 0;
+    for (const auto& [key, link] : this->links) {
+        if (link.from == machine || link.to == machine)
+            bytes += this->hub.carried(link.id);
+    }
+    return bytes;
+}
+
 bool Network::covers(const std::string& end, const std::string& machine) const
 {
     if (end == machine)
--- a/testing/scenario/network.h
+++ b/testing/scenario/network.h
@@ -30,6 +30,8 @@
     void setRule(const std::string& a, const std::string& b, LinkRule);
     void clearRule(const std::string& a, const std::string& b);
     void clearRules();
+    // Bytes that all links from or to the machine have carried so far.
+    std::uint64_t carriedBy(const std::string& machine);
 
 private:
     struct PlacedLink {
--- a/testing/scenario/primitives.cc
+++ b/testing/scenario/primitives.cc
@@ -118,6 +118,7 @@
         this->processes.signal(arguments.at(0), signalNamed(arguments.at(1)));
         return nullptr;
     };
+    this->functions["process_id"] = [this](const Json& arguments) -> Json { return this->processes.idOf(arguments.at(0)); };
     this->functions["running"] = [this](const Json& arguments) -> Json { return this->processes.isKnown(arguments.at(0)); };
     this->functions["poll_exit"] = [this](const Json& arguments) -> Json {
         const auto exit = this->processes.poll(arguments.at(0));
@@ -159,6 +160,7 @@
         this->network.clearRule(arguments.at(0), arguments.at(1));
         return nullptr;
     };
+    this->functions["carried"] = [this](const Json& arguments) -> Json { return this->network.carriedBy(arguments.at(0)); };
     this->functions["clear_rules"] = [this](const Json&) -> Json {
         this->network.clearRules();
         return nullptr;
--- a/testing/scenario/processes.h
+++ b/testing/scenario/processes.h
@@ -28,6 +28,7 @@
     // Standard output and error go to files under `directory`. Throws
     // std::runtime_error when there are too many or the program is missing.
     void start(const std::string& name, const std::vector<std::string>& command, const std::string& directory);
+    pid_t idOf(const std::string& name) const { return this->pids.at(name); }
     bool isKnown(const std::string& name) const { return this->pids.contains(name); }
     void signal(const std::string& name, int number) const;
     // Empty while it runs; the name is forgotten once it has ended.
