--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -42,7 +42,7 @@
 {
     declareKey(settings, options);
     settings.text("class", &options.jobClass, "NAME", "Job class of the text in force.");
-    settings.number("members", &options.members, 1, 4096, "members", "Members of the gang.");
+    settings.number("members", &options.members, 1, 512, "members", "Members of the gang.");
     settings.number("accelerators", &options.accelerators, 0, 64, "accelerators", "Accelerators of each member.");
     settings.number("cores", &options.cores, 0, 4096, "cores", "Processor cores of each member.");
     settings.number("memory-mb", &options.memoryMb, 0, 1 << 24, "MiB", "Memory of each member.");
--- a/src/ctl/request_commands.cc
+++ b/src/ctl/request_commands.cc
@@ -30,8 +30,10 @@
         }
         context.console.line(fmt::format("{}: status {}{}", context.console.paint(Colour::Green, textField(reply.json, "outcome")),
             numberField(reply.json, "status"), key.empty() ? "" : ", key " + key));
-        if (reply.json.contains("answer"))
-            context.console.line(textField(reply.json, "answer"));
+        const std::string encoded = textField(reply.json, "answer_base64");
+        context.console.line(encoded.empty() ? textField(reply.json, "answer") : "base64: " + encoded);
+        if (!field(reply.json, "answer_kept", true))
+            context.console.remark("it ran, but its answer was too large or too old to keep");
         return ExitCode::Ok;
     }
 
