--- a/bench/simulation.cc
+++ b/bench/simulation.cc
@@ -46,9 +46,11 @@
 
         RunResult run()
         {
+            this->decider.pause(true);
             this->tell(this->workload.text);
             for (const decide::WorkerSeen& worker : this->workload.workers)
                 this->tell(worker);
+            this->decider.pause(false);
             this->schedule();
             while (!this->events.empty() && this->open > 0) {
                 const Scheduled next = this->events.top();
@@ -252,7 +254,7 @@
             for (; this->nextSample <= time && this->nextSample <= last; this->nextSample += sampleEvery) {
                 this->result.fragmentation += this->decider.fragmentation();
                 this->result.strictFragmentation
-                    += decide::detail::fragmentationOf(this->decider.engine(), decide::detail::GuaranteeView::FreeOnly);
+                    += decide::detail::fragmentationOf(this->decider.engine(), decide::detail::FragmentationView::Strict);
                 ++this->samples;
             }
             if (time < this->nextCheck)
