Name the trace of each call and check packing beside other faults

Cause: a trial against real processes showed that a caller could not learn the trace id that rattanctl trace wants, that answers ended with an empty line, and that one wrong flag hid guarantees that do not fit. Change: outcomes and complaints name the trace; one closing newline of an answer is not printed; the packing is checked unless workers, guarantees or limits of accelerators are themselves at fault.

--- a/src/config/parse.cc
+++ b/src/config/parse.cc
@@ -1,7 +1,8 @@
 // Three passes: YAML to bounded nodes, nodes to fields with every value checked
 // against the table of keys, then the checks that look at several values. The
 // last pass runs on the fields as far as they could be read, so that one round
-// shows its faults too; only the search for a packing needs sound numbers.
+// shows its faults too; only the search for a packing needs sound workers and
+// guarantees.
 
 #include "config/parse.h"
 
@@ -89,6 +90,14 @@
         return text;
     }
 
+    // A default in place of a wrong amount would make the search speak of numbers
+    // that nobody wrote.
+    bool concernsPacking(const Fault& fault)
+    {
+        return fault.path.empty() || fault.path.rfind("workers", 0) == 0 || fault.path.find("guarantees") != std::string::npos
+            || fault.path.find("most_accelerators") != std::string::npos;
+    }
+
     void order(Faults& faults)
     {
         std::stable_sort(faults.begin(), faults.end(), [](const Fault& a, const Fault& b) {
@@ -115,11 +124,11 @@
         return outcome;
     ReadState state { *tree, {}, {} };
     Text text = readText(state);
-    const bool soundValues = state.faults.empty();
+    const bool canPack = std::none_of(state.faults.begin(), state.faults.end(), concernsPacking);
     checkNames(text, state);
     checkDependencies(text, state);
     checkTokens(text, state);
-    if (soundValues)
+    if (canPack)
         checkGuarantees(text, state);
     outcome.faults = std::move(state.faults);
     order(outcome.faults);
--- a/src/config/testing/parse_test.cc
+++ b/src/config/testing/parse_test.cc
@@ -162,6 +162,12 @@
         text += "    colour: red\n    requests_per_second: 0\n";
         const Faults faults = parse(text).faults;
         CPPUNIT_ASSERT_EQUAL_MESSAGE(allOf(faults), std::size_t { 3 }, faults.size());
+        // Guarantees that do not fit are named beside a wrong flag elsewhere.
+        std::string crowded = replaced("count: 2", "count: 5");
+        crowded.replace(crowded.find("idempotent: false"), 17, "idempotent: maybe");
+        const Faults both = parse(crowded).faults;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(allOf(both), std::size_t { 2 }, both.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("workspaces[0].guarantees[0]"), both[1].path);
         CPPUNIT_ASSERT_EQUAL(std::string("line 17, column 5: workspaces[0].colour: unknown key (accepted: name, token_sha256, guarantees, "
                                          "most_accelerators, most_queued_jobs, requests_per_second)"),
             describe(faults[1]));
--- a/src/ctl/report.cc
+++ b/src/ctl/report.cc
@@ -1,5 +1,6 @@
 // How every command prints answers and failures.
 
+#include "base/trace.h"
 #include "ctl/command.h"
 #include "ctl/json_field.h"
 
@@ -41,11 +42,13 @@
         Json json = reply.json.is_object() ? reply.json : Json::object();
         if (!json.contains("error"))
             json["error"] = { { "code", nameOf(reply.error.code) }, { "message", reply.error.message }, { "step", reply.error.step }, { "peer", reply.error.peer } };
+        json["trace"] = currentSpan().traceId;
         json["exit_code"] = static_cast<int>(code);
         printJson(context, json);
         return code;
     }
-    std::string text = fmt::format("{} (at {}, step {})", reply.error.message, reply.error.peer.empty() ? "no peer" : reply.error.peer, reply.error.step);
+    std::string text = fmt::format("{} (at {}, step {}, trace {})", reply.error.message, reply.error.peer.empty() ? "no peer" : reply.error.peer, reply.error.step,
+        currentSpan().traceId);
     if (code == ExitCode::Unknown)
         text += "; it may have been done";
     constexpr std::int64_t second = 1000;
--- a/src/ctl/request_commands.cc
+++ b/src/ctl/request_commands.cc
@@ -1,5 +1,6 @@
 // submit request, outcome and ticket.
 
+#include "base/trace.h"
 #include "ctl/command.h"
 #include "ctl/json_field.h"
 #include "ctl/key.h"
@@ -16,6 +17,20 @@
         return json.is_discarded() ? Json(text) : json;
     }
 
+    void printAnswer(Context& context, const Json& json)
+    {
+        std::string answer = textField(json, "answer");
+        if (!answer.empty() && answer.back() == '\n')
+            answer.pop_back();
+        const std::string encoded = textField(json, "answer_base64");
+        if (!encoded.empty())
+            answer = "base64: " + encoded;
+        if (!answer.empty())
+            context.console.line(answer);
+        if (!field(json, "answer_kept", true))
+            context.console.remark("it ran, but its answer was too large or too old to keep");
+    }
+
     ExitCode printOutcome(Context& context, const EntryReply& reply, const std::string& key)
     {
         if (!reply.ok()) {
@@ -25,15 +40,15 @@
             return code;
         }
         if (context.options.json) {
-            printJson(context, reply.json);
+            Json json = reply.json;
+            if (json.is_object())
+                json["trace"] = currentSpan().traceId;
+            printJson(context, json);
             return ExitCode::Ok;
         }
-        context.console.line(fmt::format("{}: status {}{}", context.console.paint(Colour::Green, textField(reply.json, "outcome")),
-            numberField(reply.json, "status"), key.empty() ? "" : ", key " + key));
-        const std::string encoded = textField(reply.json, "answer_base64");
-        context.console.line(encoded.empty() ? textField(reply.json, "answer") : "base64: " + encoded);
-        if (!field(reply.json, "answer_kept", true))
-            context.console.remark("it ran, but its answer was too large or too old to keep");
+        context.console.line(fmt::format("{}: status {}{}, trace {}", context.console.paint(Colour::Green, textField(reply.json, "outcome")),
+            numberField(reply.json, "status"), key.empty() ? "" : ", key " + key, currentSpan().traceId));
+        printAnswer(context, reply.json);
         return ExitCode::Ok;
     }
 
