Prove by counting what does not fit, and name the shape rightly

Change: best fit first; then backtracking that gives up as soon as a count of places shows the rest to be hopeless; a bound for each search beside that of the text; domains alike are searched once.

--- a/src/config/check_guarantees.cc
+++ b/src/config/check_guarantees.cc
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 #include <map>
+#include <optional>
 
 namespace rattan::config {
 
@@ -76,19 +77,37 @@
             nameOf(shape.shape->within), shape.workspace->name);
     }
 
-    void reportShape(const std::string& name, const Domain& domain, const std::vector<Shape>& shapes, ReadState& state, SearchBudget& budget)
+    // The shape with which a domain is full, if it is.
+    struct Overflow {
+        std::optional<std::size_t> shape;
+        bool isProved { false };
+    };
+
+    Overflow findOverflow(const Domain& domain, const std::vector<Shape>& shapes, SearchBudget& budget)
     {
+        Fit fit = fitsUpTo(domain, shapes, shapes.size(), budget);
+        if (fit == Fit::Fits)
+            return {};
         std::size_t fitting = 0;
         std::size_t failing = shapes.size();
         while (failing - fitting > 1) {
             const std::size_t middle = fitting + (failing - fitting) / 2;
-            (fitsUpTo(domain, shapes, middle, budget) == Fit::Fits ? fitting : failing) = middle;
+            const Fit half = fitsUpTo(domain, shapes, middle, budget);
+            if (half == Fit::Fits) {
+                fitting = middle;
+                continue;
+            }
+            failing = middle;
+            fit = half;
         }
-        const Shape& shape = shapes[failing - 1];
-        const bool proved = fitsUpTo(domain, shapes, failing, budget) == Fit::DoesNotFit;
+        return { failing - 1, fit == Fit::DoesNotFit };
+    }
+
+    void report(const std::string& name, const Domain& domain, const Shape& shape, bool isProved, ReadState& state)
+    {
         fault(state, shape.path,
             fmt::format("{} {} failure domain '{}' together with the guarantees before it", describe(shape),
-                proved ? "does not fit into" : "could not be shown to fit into", name),
+                isProved ? "does not fit into" : "could not be shown to fit into", name),
             fmt::format("guarantees that fit at once on its {} workers in {} racks with {} accelerators", domain.workers, domain.racks.size(),
                 domain.accelerators));
     }
@@ -132,13 +151,13 @@
     if (shapes.empty() || !pieceCountIsBounded(shapes, state))
         return;
     SearchBudget budget;
-    std::map<std::vector<RackRoom>, bool> known; // Domains alike are searched once.
+    std::map<std::vector<RackRoom>, Overflow> known; // Domains alike are searched once.
     for (const auto& [name, domain] : domains) {
-        const auto [entry, isNew] = known.try_emplace(domain.racks, false);
+        const auto [entry, isNew] = known.try_emplace(domain.racks);
         if (isNew)
-            entry->second = fitsUpTo(domain, shapes, shapes.size(), budget) == Fit::Fits;
-        if (!entry->second)
-            reportShape(name, domain, shapes, state, budget);
+            entry->second = findOverflow(domain, shapes, budget);
+        if (entry->second.shape)
+            report(name, domain, shapes[*entry->second.shape], entry->second.isProved, state);
     }
 }
 
--- a/src/config/packing.cc
+++ b/src/config/packing.cc
@@ -4,7 +4,10 @@
 // checked before all else. Each piece is tried on the tightest place first; a
 // place that looks like one already listed for the same piece is left out, for
 // it can only fail the same way. Best fit alone finds nearly every packing there
-// is; backtracking makes a "no" a proof.
+// is, and is tried first. If it runs into a dead end, the search begins anew with
+// backtracking, which makes a "no" a proof, and gives up every partial packing
+// that a count shows to be hopeless: pieces of at least some size need as many
+// places of that size as there are such pieces.
 //
 // The search keeps its own stack: thousands of pieces would overflow that of a
 // thread that serves HTTP.
@@ -25,6 +28,9 @@
         bool operator==(const Rack&) const = default;
     };
 
+    // Sorting a rack in costs about as much as looking at so many.
+    constexpr std::int64_t looksToSortOne = 16;
+
     struct Place {
         std::size_t rack;
         std::size_t worker; // Unused for a piece within a rack.
@@ -43,37 +49,81 @@
 
     class Search {
     public:
-        Search(std::vector<Rack> racks, std::vector<Piece> pieces, SearchBudget& budget)
+        Search(std::vector<Rack> racks, std::vector<Piece> pieces, std::int64_t looksLeft)
             : racks(std::move(racks))
             , pieces(std::move(pieces))
-            , budget(budget)
+            , looksLeft(looksLeft)
         {
         }
 
+        std::int64_t left() const { return this->looksLeft; }
+
         Fit run()
         {
             if (this->pieces.empty())
                 return Fit::Fits;
+            const Fit greedy = this->search(false);
+            return greedy == Fit::DoesNotFit ? this->search(true) : greedy;
+        }
+
+    private:
+        // Without backtracking, DoesNotFit only says that best fit found nothing.
+        Fit search(bool backtracks)
+        {
+            if (backtracks && this->isHopeless(0))
+                return Fit::DoesNotFit;
             this->descend();
             while (!this->levels.empty()) {
-                if (this->budget.racksLeft < 0)
+                if (this->looksLeft < 0)
                     return Fit::Undecided;
                 Level& level = this->levels.back();
                 if (level.next > 0)
                     this->racks[level.places[level.next - 1].rack] = level.before;
-                if (level.next == level.places.size()) {
+                if (level.next == level.places.size() || (!backtracks && level.next > 0)) {
                     this->levels.pop_back();
                     continue;
                 }
                 this->take(level);
                 if (this->levels.size() == this->pieces.size())
                     return Fit::Fits;
-                this->descend();
+                if (!backtracks || !this->isHopeless(this->levels.size()))
+                    this->descend();
             }
             return Fit::DoesNotFit;
         }
 
-    private:
+        // Whether the pieces from `first` on cannot all be placed, by counting alone.
+        bool isHopeless(std::size_t first)
+        {
+            std::size_t run = first; // Where the pieces within the same kind of place begin.
+            for (std::size_t i = first; i < this->pieces.size(); ++i) {
+                if (this->pieces[i].within != this->pieces[run].within)
+                    run = i;
+                const bool isLastOfSize = i + 1 == this->pieces.size() || this->pieces[i + 1].accelerators != this->pieces[i].accelerators
+                    || this->pieces[i + 1].within != this->pieces[i].within;
+                if (isLastOfSize && this->placesOf(this->pieces[i]) < static_cast<std::int64_t>(i - run + 1))
+                    return true;
+            }
+            return false;
+        }
+
+        // How many pieces of this size there is room for.
+        std::int64_t placesOf(const Piece& piece)
+        {
+            std::int64_t count = 0;
+            for (const Rack& rack : this->racks) {
+                if (piece.within == Adjacency::Rack) {
+                    count += rack.free / piece.accelerators;
+                    continue;
+                }
+                this->looksLeft -= static_cast<std::int64_t>(rack.workers.size());
+                for (const std::int64_t free : rack.workers)
+                    count += free / piece.accelerators;
+            }
+            this->looksLeft -= static_cast<std::int64_t>(this->racks.size());
+            return count;
+        }
+
         void descend()
         {
             Level level;
@@ -96,7 +146,7 @@
 
         std::vector<Place> placesFor(const Piece& piece)
         {
-            this->budget.racksLeft -= static_cast<std::int64_t>(this->racks.size());
+            this->looksLeft -= looksToSortOne * static_cast<std::int64_t>(this->racks.size());
             std::vector<Place> places;
             std::vector<std::size_t> listed; // Racks with the same free total, no two alike.
             for (const std::size_t index : this->racksTightestFirst(piece.accelerators)) {
@@ -137,7 +187,7 @@
 
         std::vector<Rack> racks;
         std::vector<Piece> pieces;
-        SearchBudget& budget;
+        std::int64_t looksLeft;
         std::vector<Level> levels;
     };
 
@@ -171,7 +221,11 @@
         return Fit::DoesNotFit;
     std::erase_if(pieces, isDecidedByTotal);
     std::stable_sort(pieces.begin(), pieces.end(), isPlacedBefore);
-    return Search(std::move(racks), std::move(pieces), budget).run();
+    const std::int64_t granted = std::min(SearchBudget::looksPerSearch, budget.looksLeft);
+    Search search(std::move(racks), std::move(pieces), granted);
+    const Fit fit = search.run();
+    budget.looksLeft -= granted - search.left();
+    return fit;
 }
 
 } // namespace rattan::config
--- a/src/config/packing.h
+++ b/src/config/packing.h
@@ -9,7 +9,7 @@
 // A piece within a worker takes accelerators of one worker; within a rack, of
 // any workers of one rack; within the domain, of any workers. Fits and
 // DoesNotFit are both proved. Packing is NP-hard, so a search that uses its
-// budget up ends with Undecided; the budget counts racks looked at and not
+// budget up ends with Undecided; the budget counts looks and not
 // time, so every instance gets the same answer.
 
 #include "config/text.h"
@@ -33,9 +33,13 @@
     Undecided,
 };
 
-// Shared by all searches of one text, so that its cost is bounded as a whole.
+// Shared by all searches of one text, so that its cost is bounded as a whole; a
+// single search has a bound of its own, so that one that is hard does not leave
+// the others without. Counted in workers and racks looked at.
 struct SearchBudget {
-    std::int64_t racksLeft { 5000000 };
+    static constexpr std::int64_t looksPerSearch = 20000000;
+
+    std::int64_t looksLeft { 200000000 };
 };
 
 Fit fits(std::vector<RackRoom> racks, std::vector<Piece> pieces, SearchBudget&);
--- a/src/config/testing/packing_test.cc
+++ b/src/config/testing/packing_test.cc
@@ -50,6 +50,7 @@
     CPPUNIT_TEST_SUITE(PackingTest);
     CPPUNIT_TEST(needsBacktracking);
     CPPUNIT_TEST(agreesWithTrialOfAllPlaces);
+    CPPUNIT_TEST(countsBeforeItSearches);
     CPPUNIT_TEST(givesUpAtItsBudget);
     CPPUNIT_TEST_SUITE_END();
 
@@ -94,19 +95,40 @@
         CPPUNIT_ASSERT(fitting > rounds / 8 && fitting < rounds * 7 / 8);
     }
 
+    void countsBeforeItSearches()
+    {
+        // Few racks can hold the large pieces, and the small ones fit nearly
+        // anywhere: without counting, the search tries every way to place the
+        // small ones before it believes that the large ones do not fit.
+        std::vector<RackRoom> racks(36, RackRoom(8, 1));
+        racks.resize(41, RackRoom(8, 3));
+        std::vector<Piece> pieces(37, Piece { 3, Adjacency::Worker });
+        pieces.resize(43, Piece { 16, Adjacency::Rack });
+        SearchBudget budget;
+        CPPUNIT_ASSERT(fits(racks, pieces, budget) == Fit::DoesNotFit);
+        pieces.resize(38);
+        pieces.erase(pieces.begin(), pieces.begin() + 4);
+        CPPUNIT_ASSERT(fits(racks, pieces, budget) == Fit::Fits);
+    }
+
     void givesUpAtItsBudget()
     {
-        // Many sizes that almost fit make a proof too long; the answer must come
-        // all the same, and be the same everywhere.
-        std::vector<RackRoom> racks(30);
-        for (std::size_t i = 0; i < racks.size(); ++i)
-            racks[i] = { 101 + static_cast<std::int64_t>(i % 7), 103 + static_cast<std::int64_t>(i % 5) };
-        std::vector<Piece> pieces(90);
-        for (std::size_t i = 0; i < pieces.size(); ++i)
-            pieces[i].accelerators = 50 + static_cast<std::int64_t>(i % 13);
+        // Three sizes that all leave 1 when divided by 4 take at most 999 of 1000,
+        // and all sizes together are above 20 times that, so they do not fit. The
+        // counts do not show it, and trying all ways takes too long. The answer
+        // must come all the same, and be the same everywhere.
+        const std::vector<RackRoom> racks(20, RackRoom { 1000 });
+        std::vector<Piece> pieces(60);
+        std::int64_t total = 0;
+        for (std::size_t i = 0; i < pieces.size(); ++i) {
+            const std::size_t step = i < 42 ? i % 21 : i - 41 + (i >= 50 ? 1 : 0);
+            pieces[i].accelerators = 293 + 4 * static_cast<std::int64_t>(step);
+            total += pieces[i].accelerators;
+        }
+        CPPUNIT_ASSERT(total > 999 * 20 && total <= 1000 * 20);
         SearchBudget budget;
-        CPPUNIT_ASSERT(fits(racks, pieces, budget) != Fit::Fits);
-        CPPUNIT_ASSERT(budget.racksLeft < 0);
+        CPPUNIT_ASSERT(fits(racks, pieces, budget) == Fit::Undecided);
+        CPPUNIT_ASSERT(budget.looksLeft <= SearchBudget {}.looksLeft - SearchBudget::looksPerSearch);
     }
 };
 
