--- a/src/entry/program.cc
+++ b/src/entry/program.cc
@@ -56,6 +56,7 @@
     , server({ .address = given.listen, .bodyLimit = given.bodyLimit, .connectionLimit = given.connectionLimit })
     , api({ given.instance, given.domain, given.operatorTokenSha256, this->config, this->planner, this->publisher, this->jobs,
           this->requests, this->tickets, this->gate, this->claims, this->state, this->metrics, this->clock })
+    , spans(given.otlp, "rattan-entry", given.instance)
 {
 }
 
@@ -69,6 +70,8 @@
     this->listWatch.start();
     this->claims.start();
     this->jobs.start();
+    if (!this->options.otlp.empty())
+        this->spans.start();
     this->running = true;
     this->api.install(this->server);
     BOOST_LEAF_CHECK(this->server.start());
@@ -95,6 +98,7 @@
     this->config.stop();
     this->claims.stop();
     this->jobs.stop();
+    this->spans.stop();
     logEvent(entryStopped, { { "in_flight", this->state.inFlight.load() } });
 }
 
--- a/src/entry/program.h
+++ b/src/entry/program.h
@@ -14,6 +14,7 @@
 #include "entry/api.h"
 #include "entry/list_watch.h"
 #include "entry/options.h"
+#include "entry/span_exporter.h"
 #include "rpc/server.h"
 
 namespace rattan::entry {
@@ -54,6 +55,7 @@
     rpc::ServerThread rpcServer;
     http::Server server;
     Api api;
+    SpanExporter spans;
     bool running { false };
 };
 
