--- a/src/planner/events.h
+++ b/src/planner/events.h
@@ -4,7 +4,7 @@
 
 #include "base/log.h"
 
-#include <vector>
+#include <array>
 
 namespace rattan::planner::events {
 
@@ -20,16 +20,15 @@
 inline constexpr Event deciding { 3021, "planner.deciding", Level::Info, "The leases are learnt; this planner decides for its failure domain." };
 inline constexpr Event stoodDown { 3022, "planner.stood_down", Level::Info, "This planner no longer decides; the reason is given." };
 inline constexpr Event driverUnreachable { 3023, "planner.driver_unreachable", Level::Warning, "The driver of this instance does not answer." };
+inline constexpr Event bookFetched { 3024, "planner.book_fetched", Level::Info, "The log is down; a peer told the jobs that it knows." };
 inline constexpr Event jobEnded { 3030, "planner.job_ended", Level::Info, "A job got its final answer." };
 inline constexpr Event gangOrdered { 3031, "planner.gang_ordered", Level::Info, "A gang is to start on the workers named." };
 inline constexpr Event gangStopOrdered { 3032, "planner.gang_stop_ordered", Level::Info, "A gang is to stop; the reason is given." };
 inline constexpr Event workerQuarantined { 3040, "planner.worker_quarantined", Level::Warning, "A worker failed too many starts and gets no work but probes." };
 inline constexpr Event textInForce { 3050, "planner.text_in_force", Level::Info, "Decisions follow this version of the operators' text." };
 
-inline std::vector<Event> all()
-{
-    return { started, stopping, stopped, logUnreachable, logReachableAgain, recordsTrimmed, recordPassedOver, appendFailed,
-        activated, deciding, stoodDown, driverUnreachable, jobEnded, gangOrdered, gangStopOrdered, workerQuarantined, textInForce };
-}
+inline constexpr std::array plannerEvents { started, stopping, stopped, logUnreachable, logReachableAgain, recordsTrimmed,
+    recordPassedOver, appendFailed, activated, deciding, stoodDown, driverUnreachable, bookFetched, jobEnded, gangOrdered,
+    gangStopOrdered, workerQuarantined, textInForce };
 
 } // namespace rattan::planner::events
