Find planners that end when a peer's planner is replaced

Cause: in one of three runs of the set config_log_outage failed: all three planners had ended by an uncaught kj::Exception, 'already shut down'. The stack's offsets lead to EzRpcClient::getMain called from peers::Greeter::run.

--- a/testing/scenario/prelude.lua
+++ b/testing/scenario/prelude.lua
@@ -53,6 +53,15 @@
     end
 end
 
+-- Called by the runner when the scenario has passed: a process that ended although
+-- nobody ended it is a crash, which a user may not even notice while others serve.
+function check_alive()
+    local ended = rr.ended_unasked()
+    if #ended > 0 then
+        error("ended by themselves: " .. table.concat(ended, ", "), 2)
+    end
+end
+
 -- Conditions ---------------------------------------------------------------
 
 function expect(condition, message)
--- a/testing/scenario/primitives.cc
+++ b/testing/scenario/primitives.cc
@@ -125,6 +125,7 @@
             return nullptr;
         return { { "signalled", exit->signalled }, { "code", exit->code } };
     };
+    this->functions["ended_unasked"] = [this](const Json&) -> Json { return this->processes.endedUnasked(); };
     this->functions["kill"] = [this](const Json& arguments) -> Json {
         this->processes.killAndForget(arguments.at(0));
         return nullptr;
--- a/testing/scenario/processes.cc
+++ b/testing/scenario/processes.cc
@@ -78,6 +78,15 @@
     return ProcessExit { false, WEXITSTATUS(status) };
 }
 
+std::vector<std::string> Processes::endedUnasked()
+{
+    std::vector<std::string> names;
+    for (const auto& [name, pid] : this->pids)
+        names.push_back(name);
+    std::erase_if(names, [this](const std::string& name) { return !this->poll(name); });
+    return names;
+}
+
 void Processes::killAndForget(const std::string& name)
 {
     const auto found = this->pids.find(name);
--- a/testing/scenario/processes.h
+++ b/testing/scenario/processes.h
@@ -32,6 +32,8 @@
     void signal(const std::string& name, int number) const;
     // Empty while it runs; the name is forgotten once it has ended.
     std::optional<ProcessExit> poll(const std::string& name);
+    // Names of processes that ended without being waited for or killed here.
+    std::vector<std::string> endedUnasked();
     void killAndForget(const std::string& name);
     void endAll();
 
--- a/testing/scenario/rattan_scenario.cc
+++ b/testing/scenario/rattan_scenario.cc
@@ -23,6 +23,16 @@
         return 1;
     }
 
+    // The checks that hold at the end of every scenario.
+    bool checkEnd(lua_State* lua)
+    {
+        lua_getglobal(lua, "check_alive");
+        if (lua_pcall(lua, 0, 0, 0) == LUA_OK)
+            return true;
+        fmt::print("{}\n", lua_tostring(lua, -1));
+        return false;
+    }
+
     // Runs the file; prints what went wrong and returns false if it fails.
     bool runFile(lua_State* lua, const std::string& path)
     {
@@ -47,7 +57,7 @@
         lua_State* lua = luaL_newstate();
         luaL_openlibs(lua);
         primitives.install(lua);
-        const bool passed = runFile(lua, options.sources + "/testing/scenario/prelude.lua") && runFile(lua, options.scenario);
+        const bool passed = runFile(lua, options.sources + "/testing/scenario/prelude.lua") && runFile(lua, options.scenario) && checkEnd(lua);
         if (!passed) {
             fmt::print("seed {}; repeat: testing/run-scenarios {} --seed {}\n", options.seed, name, options.seed);
             lua_getglobal(lua, "print_trace");
