Spend less on an exchange: a client for each group of workers, no wake per answer

Cause: perf shows a third of the driver's time in libcurl's search through the connections that a handle keeps: with one client for all, any idle handle is taken, so each of 16 came to hold a connection to every worker. Every answer also woke the scheduler and the reader of the list. Change: HttpWorkers keeps 16 clients and picks one by address; the exchange thread itself pushes what an answer led to; separate conditions for scheduler, list and drain; events are looked through only when there are new ones.

--- a/src/driver/gang_keeper.h
+++ b/src/driver/gang_keeper.h
@@ -46,6 +46,7 @@
     Result<void> take(const std::string& planner, std::uint64_t epoch, std::uint64_t acknowledged,
         const std::vector<GangOrder>&, Millis now);
     std::vector<GangEvent> events() const { return this->log.pending(); }
+    std::uint64_t lastEvent() const { return this->log.nextNumber() - 1; }
     Result<Survey> survey(const std::string& planner, std::uint64_t epoch, Millis now);
 
     // No new gangs from now on; what runs is renewed until another driver has it.
--- a/src/driver/runtime.cc
+++ b/src/driver/runtime.cc
@@ -75,13 +75,14 @@
 void Runtime::beginDrain()
 {
     const std::lock_guard lock(this->mutex);
+    this->draining = true;
     this->keeper.drain();
 }
 
 void Runtime::waitDrained()
 {
     std::unique_lock lock(this->mutex);
-    this->changed.wait_for(lock, milliseconds(this->options.drainMs), [this] { return this->keeper.gangCount() == 0 || this->stopping; });
+    this->drained.wait_for(lock, milliseconds(this->options.drainMs), [this] { return this->keeper.gangCount() == 0 || this->stopping; });
 }
 
 void Runtime::stop()
@@ -91,6 +92,8 @@
         this->stopping = true;
     }
     this->changed.notify_all();
+    this->ended.notify_all();
+    this->drained.notify_all();
     this->asks.close();
     for (std::thread& thread : this->threads)
         thread.join();
@@ -153,8 +156,11 @@
         logEvent(workerSilent, { { "worker", ask.worker }, { "message", report.error.message } });
     else if (!wasReachable && report)
         logEvent(workerBack, { { "worker", ask.worker } });
-    this->nudged = true;
-    this->changed.notify_all();
+    // What the answer led to goes out from here: waking the scheduler for each
+    // answer costs more than the work it would find.
+    this->pushAsks(now);
+    if (this->draining && this->keeper.gangCount() == 0)
+        this->drained.notify_all();
 }
 
 void Runtime::readList()
@@ -173,12 +179,14 @@
             logEvent(listUnreachable, { { "peer", instances.error.peer }, { "message", instances.error.message } });
         }
         reachable = instances.value.has_value();
-        this->changed.wait_for(lock, milliseconds(this->options.listMs), [this] { return this->stopping; });
+        this->ended.wait_for(lock, milliseconds(this->options.listMs), [this] { return this->stopping; });
     }
 }
 
 void Runtime::logNewEvents()
 {
+    if (this->keeper.lastEvent() <= this->loggedEvent)
+        return;
     for (const GangEvent& event : this->keeper.events()) {
         if (event.number <= this->loggedEvent)
             continue;
--- a/src/driver/runtime.h
+++ b/src/driver/runtime.h
@@ -60,10 +60,13 @@
     const std::string ownIncarnation;
 
     std::mutex mutex;
-    std::condition_variable changed;
+    std::condition_variable changed; // For the scheduler.
+    std::condition_variable ended; // For the reader of the list.
+    std::condition_variable drained; // For waitDrained().
     GangKeeper keeper;
     std::uint64_t loggedEvent { 0 };
     bool stopping { false };
+    bool draining { false };
     bool nudged { false };
     BoundedRing<WorkerAsk> asks;
     std::vector<std::thread> threads;
--- a/src/platform/worker.cc
+++ b/src/platform/worker.cc
@@ -179,13 +179,14 @@
 Result<WorkerReport> HttpWorkers::exchange(const std::string& address, const WorkerExchange& exchange,
     std::chrono::milliseconds timeout)
 {
+    http::Client& client = this->clients[std::hash<std::string>()(address) % clientCount].client;
     http::Call call;
     call.method = "POST";
     call.address = address;
     call.path = "/v1/exchange";
     call.body = platform::toJson(exchange).dump(-1, ' ', false, Json::error_handler_t::replace);
     call.timeout = timeout;
-    BOOST_LEAF_AUTO(json, detail::jsonReply(this->client.send(call), "worker.exchange", address));
+    BOOST_LEAF_AUTO(json, detail::jsonReply(client.send(call), "worker.exchange", address));
     return parseReport(json, address);
 }
 
--- a/src/platform/worker.h
+++ b/src/platform/worker.h
@@ -15,6 +15,7 @@
 #include "base/json.h"
 #include "http/client.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -108,13 +109,23 @@
         = 0;
 };
 
+// Each worker's address belongs to one of a few clients, so that its connection
+// is found again: with one client for all, any of its handles may be idle, and
+// every handle would come to keep, and search, a connection to every worker.
 class HttpWorkers final : public Workers {
 public:
     Result<WorkerReport> exchange(const std::string& address, const WorkerExchange&,
         std::chrono::milliseconds timeout) override;
 
 private:
-    http::Client client { { .poolSize = 64, .connectionsPerHandle = 64 } };
+    static constexpr std::size_t clientCount = 16;
+    static constexpr http::ClientOptions clientOptions { .poolSize = 4, .connectionsPerHandle = 512 };
+
+    struct WorkerClient {
+        http::Client client { clientOptions };
+    };
+
+    std::array<WorkerClient, clientCount> clients;
 };
 
 // The wire forms, shared with the stand-in and fuzzed.
