--- a/src/decide/fragmentation.h
+++ b/src/decide/fragmentation.h
@@ -6,7 +6,11 @@
 
 namespace rattan::decide::detail {
 
-// See Decider::fragmentation.
-double fragmentationOf(const Engine&);
+enum class FragmentationView {
+    Wanted, // Of the pieces that jobs or guarantees want; see Decider::fragmentation.
+    Strict, // Of all pieces that there could be, of what is free at this moment.
+};
+
+double fragmentationOf(const Engine&, FragmentationView);
 
 } // namespace rattan::decide::detail
