--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -33,7 +33,7 @@
     ConfigKeeperOptions config;
     Millis listPeriod { 1000 };
     std::chrono::milliseconds greetTimeout { 400 };
-    std::chrono::milliseconds logWait { 2000 }; // Long poll of the stream.
+    std::chrono::milliseconds logWait { 1000 }; // Long poll of the stream; stop() may have to wait for it.
     std::chrono::milliseconds logRetry { 500 };
     std::size_t readers { 2 }; // Of the stream, in each domain.
 };
