Take the list's address for an instance that is silent

Cause: an instance replaced under the same name at another address kept the old one at its peers until it greeted them itself. Change: the list's address counts again once the instance is silent.

--- a/src/peers/membership.cc
+++ b/src/peers/membership.cc
@@ -42,8 +42,9 @@
         known.listed = true;
         known.listedLeaving = instance.leaving;
         known.listedAt = now;
-        // The list lags: an address that the instance told itself is newer.
-        if (known.everHeard)
+        // The list lags: an address that the instance told itself is newer, but
+        // a silent one may have been replaced under the same name elsewhere.
+        if (this->isLive(known, now))
             continue;
         known.report.instance = instance.id;
         known.report.domain = instance.domain;
--- a/src/peers/testing/membership_test.cc
+++ b/src/peers/testing/membership_test.cc
@@ -140,6 +140,13 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, membership.neighbourAddresses().size());
         membership.list({ listed("e2", true) }, start + 3500);
         CPPUNIT_ASSERT_EQUAL(std::string("e1"), activeOf(membership, start + 3600));
+        // Replaced under the same name: its old address answers nobody.
+        platform::Instance moved = listed("e2");
+        moved.rpc = "e2:9";
+        membership.list({ moved }, start + 4000);
+        CPPUNIT_ASSERT_EQUAL(std::string("e2:1"), membership.neighbourAddresses().front());
+        membership.list({ moved }, start + 6000);
+        CPPUNIT_ASSERT_EQUAL(std::string("e2:9"), membership.neighbourAddresses().front());
     }
 
     void staysBounded()
