Read only the part of the instance list that changed and is wanted

Change: readers name domain and kinds and send the entity tag; 304 keeps what was read. The stand-in and the runner's view answer so too.

--- a/src/bin/rattan_driver.cc
+++ b/src/bin/rattan_driver.cc
@@ -18,7 +18,7 @@
 {
     const SystemClock clock;
     platform::HttpWorkers workers;
-    platform::HttpInstanceList list(options.instances, listTimeout);
+    platform::HttpInstanceList list(options.instances, listTimeout, { .domain = options.domain, .kinds = { platform::InstanceKind::Worker } });
     driver::Runtime runtime(options, clock, workers, list);
     rpc::ServerThread server(options.rpcListen, [&runtime] {
         return kj::heap<driver::DriverService>(runtime, [&runtime] { runtime.beginDrain(); });
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -69,7 +69,10 @@
 
     void writeAnswer(const Answer& answer, _u_response* to)
     {
-        ulfius_set_binary_body_response(to, static_cast<unsigned>(answer.status), answer.body.data(), answer.body.size());
+        // ulfius takes no empty body and then leaves the status at 200.
+        if (!answer.body.empty())
+            ulfius_set_binary_body_response(to, static_cast<unsigned>(answer.status), answer.body.data(), answer.body.size());
+        to->status = answer.status;
         u_map_put(to->map_header, "Content-Type", answer.contentType.c_str());
         for (const auto& [name, value] : answer.headers)
             u_map_put(to->map_header, name.c_str(), value.c_str());
--- a/src/http/testing/client_test.cc
+++ b/src/http/testing/client_test.cc
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(nothingSentWhenNobodyListens);
     CPPUNIT_TEST(throwingHandlerIsAnError);
     CPPUNIT_TEST(longAnswerIsAnError);
+    CPPUNIT_TEST(emptyAnswerKeepsItsStatus);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -24,6 +25,7 @@
         });
         this->server.route("GET", "/throw", [](const Request&) -> Answer { throw std::runtime_error("broken"); });
         this->server.route("GET", "/long", [](const Request&) { return Answer { 200, std::string(100, 'x'), "text/plain", {} }; });
+        this->server.route("GET", "/empty", [](const Request&) { return Answer { 304, "", "text/plain", {} }; });
         CPPUNIT_ASSERT(!attemptVoid([&] { return this->server.start(); }));
     }
 
@@ -59,6 +61,10 @@
         CPPUNIT_ASSERT(reply.error->code == ErrorCode::Unavailable);
     }
 
+    // A list that has not changed is answered 304 with no body. ulfius turned it
+    // into 200, and its readers took an empty body for a broken list.
+    void emptyAnswerKeepsItsStatus() { CPPUNIT_ASSERT_EQUAL(304, this->send({ .path = "/empty" }).status); }
+
     void throwingHandlerIsAnError() { CPPUNIT_ASSERT_EQUAL(500, this->send({ .path = "/throw" }).status); }
 
     void longAnswerIsAnError()
--- a/src/planner/program.cc
+++ b/src/planner/program.cc
@@ -33,7 +33,8 @@
     const StopSignal stop;
     const std::string incarnation = randomHex(incarnationDigits);
     platform::HttpLog log(options.log, std::chrono::milliseconds(options.logTimeoutMs));
-    platform::HttpInstanceList list(options.instances, std::chrono::milliseconds(options.logTimeoutMs));
+    platform::HttpInstanceList list(options.instances, std::chrono::milliseconds(options.logTimeoutMs),
+        { .kinds = { platform::InstanceKind::Entry } });
     SharedPlanner shared({ .domain = options.domain, .incarnation = incarnation, .seed = static_cast<std::uint64_t>(options.seed), .retention = options.retentionSeconds * 1000 });
     BoundedRing<JobTailItem> ring(recordRing);
     JobTail tail(log, options.domain, &ring);
--- a/testing/scenario/list_view.cc
+++ b/testing/scenario/list_view.cc
@@ -1,5 +1,7 @@
 #include "scenario/list_view.h"
 
+#include "standins/instance_answer.h"
+
 #include <stdexcept>
 
 namespace rattan::testing {
@@ -17,7 +19,7 @@
     , list(this->listAddress, listTimeout)
     , server(http::ServerOptions {})
 {
-    this->server.route("GET", "/v1/instances", [this](const http::Request&) { return this->answer(); });
+    this->server.route("GET", "/v1/instances", [this](const http::Request& request) { return this->answer(request); });
 }
 
 void ListView::start()
@@ -26,12 +28,11 @@
         throw std::runtime_error(error->message);
 }
 
-http::Answer ListView::answer()
+http::Answer ListView::answer(const http::Request& request)
 {
     auto instances = attempt([&] { return this->list.instances(); });
     if (!instances)
         return http::errorAnswer(instances.error);
-    Json shown = Json::array();
     for (platform::Instance& instance : *instances) {
         // A machine reaches itself without a link, and knows itself by its address.
         if (instance.id != this->viewer) {
@@ -39,9 +40,8 @@
             if (!instance.rpc.empty())
                 instance.rpc = this->network.link(this->viewer, instance.id, instance.rpc);
         }
-        shown.push_back(platform::toJson(instance));
     }
-    return http::jsonAnswer(200, { { "instances", std::move(shown) } });
+    return instancesAnswer(*instances, request);
 }
 
 } // namespace rattan::testing
--- a/testing/scenario/list_view.h
+++ b/testing/scenario/list_view.h
@@ -23,7 +23,7 @@
     const std::string& address() const { return this->server.address(); }
 
 private:
-    http::Answer answer();
+    http::Answer answer(const http::Request&);
 
     Network& network;
     std::string viewer;
--- a/testing/standins/rattan_standin_list.cc
+++ b/testing/standins/rattan_standin_list.cc
@@ -5,6 +5,7 @@
 
 #include "base/settings.h"
 #include "base/stop_signal.h"
+#include "standins/instance_answer.h"
 #include "standins/instance_table.h"
 #include "standins/standin.h"
 
@@ -24,7 +25,7 @@
         {
             this->table.setLag(options.lag);
             http::Server& server = this->standin.server;
-            server.route("GET", "/v1/instances", [this](const http::Request&) { return this->list(); });
+            server.route("GET", "/v1/instances", [this](const http::Request& request) { return this->list(request); });
             server.route("PUT", "/v1/instances/:id", [this](const http::Request& request) { return this->put(request); });
             server.route("DELETE", "/v1/instances/:id", [this](const http::Request& request) {
                 const std::lock_guard lock(this->mutex);
@@ -48,15 +49,12 @@
         }
 
     private:
-        http::Answer list()
+        http::Answer list(const http::Request& request)
         {
             if (auto refusal = this->gate.pass("instances.read"))
                 return *refusal;
-            Json instances = Json::array();
             const std::lock_guard lock(this->mutex);
-            for (const platform::Instance& instance : this->table.visible(this->clock.now()))
-                instances.push_back(platform::toJson(instance));
-            return http::jsonAnswer(200, { { "instances", std::move(instances) } });
+            return instancesAnswer(this->table.visible(this->clock.now()), request);
         }
 
         http::Answer put(const http::Request& request)
