Keep urgent work from waiting for saves that have begun

Cause: an urgent job that looked for work that stops at once counted gangs that were saving theirs as gone, took their place and waited for the save. Change: the first search counts only gangs that are stopping already.

--- a/src/decide/eviction.cc
+++ b/src/decide/eviction.cc
@@ -18,6 +18,11 @@
         return sum;
     }
 
+    bool isLeaving(const JobRecord& job, Patience patience)
+    {
+        return job.state == JobState::Stopping || (patience == Patience::ForSaves && job.ending());
+    }
+
     // What is lost with a gang: patient work before other, little run time and
     // few accelerators before much.
     struct Cost {
@@ -38,9 +43,10 @@
 
     class Choice {
     public:
-        Choice(const Engine& engine, const MayEvict& may, Millis now)
+        Choice(const Engine& engine, const MayEvict& may, Patience patience, Millis now)
             : engine(engine)
             , may(may)
+            , patience(patience)
             , now(now)
         {
         }
@@ -52,7 +58,7 @@
             std::vector<Cost> candidates;
             for (const JobId id : record.gangs) {
                 const JobRecord& job = *this->engine.find(id);
-                if (job.ending() || this->isChosen(id))
+                if (isLeaving(job, this->patience) || this->isChosen(id))
                     room = room + amountsOn(job, worker);
                 else if (this->may(job))
                     candidates.push_back(costOf(job, this->now));
@@ -74,30 +80,31 @@
 
         const Engine& engine;
         const MayEvict& may;
+        Patience patience;
         Millis now;
     };
 
 } // namespace
 
-Amounts roomAfter(const Engine& engine, WorkerId worker, const MayEvict& may)
+Amounts roomAfter(const Engine& engine, WorkerId worker, const MayEvict& may, Patience patience)
 {
     const WorkerRecord& record = engine.workers[worker];
     Amounts room = record.room();
     for (const JobId id : record.gangs) {
         const JobRecord& job = *engine.find(id);
-        if (job.ending() || may(job))
+        if (isLeaving(job, patience) || may(job))
             room = room + amountsOn(job, worker);
     }
     return room;
 }
 
 std::optional<std::vector<JobId>> chooseVictims(
-    const Engine& engine, const std::vector<Placement>& placements, const MayEvict& may, Millis now)
+    const Engine& engine, const std::vector<Placement>& placements, const MayEvict& may, Patience patience, Millis now)
 {
     std::map<WorkerId, Amounts> needs;
     for (const Placement& placement : placements)
         needs[placement.worker] = needs[placement.worker] + amountsOf(placement);
-    Choice choice(engine, may, now);
+    Choice choice(engine, may, patience, now);
     for (const auto& [worker, need] : needs) {
         if (!choice.makeRoom(worker, need))
             return std::nullopt;
--- a/src/decide/guaranteed.cc
+++ b/src/decide/guaranteed.cc
@@ -75,12 +75,12 @@
         bool placeAtHome(JobRecord&, std::optional<HomeMatch>&);
         bool placeInRoom(JobRecord&);
         bool reclaim(JobRecord&, HomeMatch&);
-        bool claimByEviction(JobRecord&, const MayEvict&, StopReason, bool atOnce);
+        bool claimByEviction(JobRecord&, const MayEvict&, StopReason, bool atOnce, Patience = Patience::ForSaves);
         bool claimUrgent(JobRecord&);
         void moveFor(JobRecord&);
         void yieldOwnHome(const JobRecord&);
         bool evictAndClaim(JobRecord&, std::vector<Placement>, Right, std::vector<Grant>, const MayEvict&, StopReason,
-            bool atOnce);
+            bool atOnce, Patience);
         void dropLesserClaims(const std::vector<Placement>&);
         bool evictable(const JobRecord& job) const
         {
@@ -249,7 +249,7 @@
         this->dropLesserClaims(home.placements);
         const MayEvict borrowed = [](const JobRecord& victim) { return victim.right == Right::Borrowed; };
         return this->evictAndClaim(
-            job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, job.spec.urgency == Urgency::Urgent);
+            job, std::move(home.placements), Right::Guaranteed, std::move(home.grants), borrowed, StopReason::Reclaimed, job.spec.urgency == Urgency::Urgent, Patience::ForSaves);
     }
 
     // A guarantee goes before a claim that is none.
@@ -266,9 +266,9 @@
     }
 
     bool Pass::evictAndClaim(JobRecord& job, std::vector<Placement> places, Right right, std::vector<Grant> grants,
-        const MayEvict& may, StopReason reason, bool atOnce)
+        const MayEvict& may, StopReason reason, bool atOnce, Patience patience)
     {
-        const auto victims = chooseVictims(this->engine, places, may, this->now);
+        const auto victims = chooseVictims(this->engine, places, may, patience, this->now);
         if (!victims) {
             ++this->misses;
             return false;
@@ -279,18 +279,18 @@
         return true;
     }
 
-    bool Pass::claimByEviction(JobRecord& job, const MayEvict& may, StopReason reason, bool atOnce)
+    bool Pass::claimByEviction(JobRecord& job, const MayEvict& may, StopReason reason, bool atOnce, Patience patience)
     {
         if (!this->evictable(job) || static_cast<std::int64_t>(this->engine.claiming.size()) >= this->engine.options.mostClaims)
             return false;
         const WorkerTable& workers = this->engine.workers;
         const FitsOn fits = [&](WorkerId worker, std::int64_t limit) {
-            return timesInto(roomAfter(this->engine, worker, may), job.spec.perMember, limit);
+            return timesInto(roomAfter(this->engine, worker, may, patience), job.spec.perMember, limit);
         };
         auto places = job.spec.urgency == Urgency::Urgent
             ? findPlaces(workers.reclaimable(), job.shape(), fits, this->engine.random())
             : findRoomiest(workers.room(), job.shape(), fits, this->engine.random());
-        return places && this->evictAndClaim(job, std::move(*places), Right::Borrowed, {}, may, reason, atOnce);
+        return places && this->evictAndClaim(job, std::move(*places), Right::Borrowed, {}, may, reason, atOnce, patience);
     }
 
     // Urgent work cannot wait for a checkpoint: it takes the place of work that
@@ -301,7 +301,7 @@
             return victim.right == Right::Borrowed && victim.spec.urgency != Urgency::Urgent && !victim.ending();
         };
         const MayEvict atOnce = [&](const JobRecord& victim) { return victim.stoppable() && lesser(victim); };
-        return this->claimByEviction(job, atOnce, StopReason::Preempted, true)
+        return this->claimByEviction(job, atOnce, StopReason::Preempted, true, Patience::ForStopsOnly)
             || this->claimByEviction(job, lesser, StopReason::Preempted, true);
     }
 
