Remember the states a packing search has tried

Change: a search remembers, within a bound of memory, the rooms that it left after each number of pieces, and does not try the same twice.

--- a/src/config/packing.cc
+++ b/src/config/packing.cc
@@ -16,6 +16,8 @@
 
 #include <algorithm>
 #include <numeric>
+#include <set>
+#include <utility>
 
 namespace rattan::config {
 
@@ -25,12 +27,15 @@
         RackRoom workers; // Ascending, so that racks alike compare equal.
         std::int64_t free { 0 };
 
-        bool operator==(const Rack&) const = default;
+        auto operator<=>(const Rack&) const = default;
     };
 
     // Sorting a rack in costs about as much as looking at so many.
     constexpr std::int64_t looksToSortOne = 16;
 
+    // Bounds the memory of a search to a few megabytes.
+    constexpr std::int64_t mostStateNumbers = 200000;
+
     struct Place {
         std::size_t rack;
         std::size_t worker; // Unused for a piece within a rack.
@@ -86,12 +91,29 @@
                 this->take(level);
                 if (this->levels.size() == this->pieces.size())
                     return Fit::Fits;
-                if (!backtracks || !this->isHopeless(this->levels.size()))
+                if (!backtracks || (!this->isHopeless(this->levels.size()) && this->isNewState()))
                     this->descend();
             }
             return Fit::DoesNotFit;
         }
 
+        // Pieces alike can be placed in many orders that leave the same room. What
+        // was tried from such a state once has failed and would fail again.
+        bool isNewState()
+        {
+            std::vector<Rack> state = this->racks;
+            std::sort(state.begin(), state.end());
+            std::int64_t size = 0;
+            for (const Rack& rack : state)
+                size += static_cast<std::int64_t>(rack.workers.size()) + 1;
+            this->looksLeft -= size;
+            if (this->statesSize + size > mostStateNumbers)
+                return !this->states.contains({ this->levels.size(), std::move(state) });
+            const bool isNew = this->states.emplace(this->levels.size(), std::move(state)).second;
+            this->statesSize += isNew ? size : 0;
+            return isNew;
+        }
+
         // Whether the pieces from `first` on cannot all be placed, by counting alone.
         bool isHopeless(std::size_t first)
         {
@@ -188,6 +210,8 @@
         std::vector<Rack> racks;
         std::vector<Piece> pieces;
         std::int64_t looksLeft;
+        std::set<std::pair<std::size_t, std::vector<Rack>>> states; // With the number of pieces placed.
+        std::int64_t statesSize { 0 };
         std::vector<Level> levels;
     };
 
