--- a/src/config/packing.cc
+++ b/src/config/packing.cc
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <numeric>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace rattan::config {
@@ -27,7 +28,8 @@
         RackRoom workers; // Ascending, so that racks alike compare equal.
         std::int64_t free { 0 };
 
-        auto operator<=>(const Rack&) const = default;
+        bool operator==(const Rack&) const = default;
+        bool operator<(const Rack& other) const { return std::tie(this->free, this->workers) < std::tie(other.free, other.workers); }
     };
 
     // Sorting a rack in costs about as much as looking at so many.
