Let the config ledger say which operator won

Cause: the publisher judged a race by the text its planner had and by a rule of its own over the stream; that rule knew nothing of restates and could name the wrong winner when versions followed each other quickly. Change: it reads the stream through config::Ledger, as every planner does, and answers with the ledger's verdict on its own publication. Conclusion: logic that stood twice is gone; loser and winner are told alike.

--- a/src/entry/config_publisher.cc
+++ b/src/entry/config_publisher.cc
@@ -4,6 +4,7 @@
 #include "base/trace.h"
 
 #include <fmt/format.h>
+#include <thread>
 
 namespace rattan::entry {
 
@@ -16,25 +17,8 @@
     constexpr std::size_t publicationDigits = 24;
     constexpr std::size_t recordsPerRead = 200;
     constexpr std::chrono::milliseconds retryAfter(1000);
-
-    struct Publication {
-        std::uint64_t version { 0 }; // Zero: the record is no publication.
-        std::string id;
-        std::string text;
-    };
-
-    Publication readPublication(const Json& value)
-    {
-        JsonReader reader(value, std::string(step));
-        reader.allowUnknown();
-        Publication seen;
-        seen.version = static_cast<std::uint64_t>(reader.number("version", 0, std::numeric_limits<std::int64_t>::max()));
-        seen.id = reader.text("publication", 0, longestAuthor);
-        seen.text = reader.text("text", 1, longestText);
-        if (reader.text("kind", 1, longestAuthor) != "publish" || reader.error())
-            return {};
-        return seen;
-    }
+    constexpr std::chrono::milliseconds readWait(200);
+    constexpr std::chrono::milliseconds pauseAfterFailure(100);
 
     PublishOutcome lostTo(const ActiveConfig& winner) { return { false, winner.version, winner.author }; }
 
@@ -69,41 +53,38 @@
     const auto active = this->watch.active();
     if (active && active->version > amends)
         return lostTo(*active);
-    const std::string publication = randomHex(publicationDigits);
-    const Json record { { "kind", "publish" }, { "version", amends + 1 }, { "amends", amends }, { "text", order.text },
-        { "author", order.author }, { "publication", publication } };
-    const auto appended = attempt([&] { return this->log.append(std::string(stream), { record }); });
+    const config::Publication publication { order.amends, order.text, order.author, randomHex(publicationDigits) };
+    const auto appended = attempt([&] { return this->log.append(std::string(stream), { config::publishRecord(publication) }); });
     const bool surelyNot = !appended && (appended.error.code == ErrorCode::Unavailable || appended.error.code == ErrorCode::Overloaded);
     if (surelyNot)
         return fail(ErrorCode::Unavailable, std::string(step), appended.error.peer, "the log did not take the text; nothing was published: " + appended.error.message, retryAfter);
-    return this->awaitOutcome(order, publication, limit);
+    return this->awaitVerdict(publication, limit);
 }
 
-Result<PublishOutcome> ConfigPublisher::awaitOutcome(const ConfigOrder& order, const std::string& publication,
-    std::chrono::milliseconds limit)
+// The reply to the append may be lost and others publish at the same time, so
+// what counts is the verdict that every reader of the stream reaches alike.
+Result<PublishOutcome> ConfigPublisher::awaitVerdict(const config::Publication& publication, std::chrono::milliseconds limit)
 {
-    const auto made = static_cast<std::uint64_t>(order.amends) + 1;
-    if (!this->watch.waitFor(made, limit))
-        return fail(ErrorCode::Timeout, std::string(step), std::string(stream), "the text is not in force yet and may still come into force; ask for the version later", retryAfter);
-    const auto active = this->watch.active();
-    if (active->version == made && active->source == order.text && active->author == order.author)
-        return PublishOutcome { true, made, order.author };
-    // Later versions may have followed mine already; the log tells who made it.
-    std::uint64_t from = 0;
-    while (true) {
-        BOOST_LEAF_AUTO(page, this->log.read(std::string(stream), from, recordsPerRead, std::chrono::milliseconds(0)));
-        for (const platform::LogRecord& record : page.records) {
-            from = record.offset + 1;
-            const Publication seen = readPublication(record.value);
-            if (seen.version != made || !attempt([&] { return this->parser(seen.text); }))
-                continue;
-            if (seen.id == publication)
-                return PublishOutcome { true, made, order.author };
-            return lostTo(*active);
+    const std::lock_guard lock(this->mutex);
+    const SystemClock clock;
+    const Millis deadline = clock.now() + limit.count();
+    while (clock.now() < deadline) {
+        const auto page = attempt([&] { return this->log.read(std::string(stream), this->ledger.next(), recordsPerRead, readWait); });
+        if (!page) {
+            std::this_thread::sleep_for(pauseAfterFailure);
+            continue;
         }
-        if (page.records.empty() || from >= page.next)
-            return lostTo(*active);
+        this->ledger.trimmed(page->firstKept);
+        for (const platform::LogRecord& record : page->records)
+            this->ledger.apply(record.offset, record.value);
+        const auto verdict = this->ledger.verdictOf(publication.id);
+        if (!verdict || verdict->kind == config::VerdictKind::Undecided)
+            continue;
+        if (verdict->kind == config::VerdictKind::Ignored)
+            return fail(ErrorCode::BadInput, std::string(step), "", verdict->reason);
+        return PublishOutcome { verdict->kind == config::VerdictKind::Accepted, static_cast<std::uint64_t>(verdict->version), verdict->author };
     }
+    return fail(ErrorCode::Timeout, std::string(step), std::string(stream), "the text may still come into force; ask for the version later", retryAfter);
 }
 
 } // namespace rattan::entry
--- a/src/entry/config_publisher.h
+++ b/src/entry/config_publisher.h
@@ -6,9 +6,11 @@
 // in force at its place in the log's order; so of two operators who amend the
 // same version one wins, everywhere the same, and the other one is told so.
 
+#include "config/ledger.h"
 #include "entry/config_watch.h"
 #include "platform/log.h"
 
+#include <mutex>
 #include <string>
 
 namespace rattan::entry {
@@ -36,11 +38,13 @@
     Result<PublishOutcome> publish(const ConfigOrder&, std::chrono::milliseconds limit);
 
 private:
-    Result<PublishOutcome> awaitOutcome(const ConfigOrder&, const std::string& publication, std::chrono::milliseconds limit);
+    Result<PublishOutcome> awaitVerdict(const config::Publication&, std::chrono::milliseconds limit);
 
     platform::Log& log;
     const ConfigWatch& watch;
     TextParser parser;
+    std::mutex mutex; // Publishes wait for their verdicts one after another.
+    config::Ledger ledger;
 };
 
 } // namespace rattan::entry
--- a/src/entry/testing/program_test.cc
+++ b/src/entry/testing/program_test.cc
@@ -7,6 +7,7 @@
 #include "entry/testing/raw_server.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fstream>
 #include <future>
 
 namespace rattan::entry {
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(answerOfUnstatedLengthIsUnknown);
     CPPUNIT_TEST(crossedAnswerIsNotPassedOn);
     CPPUNIT_TEST(stopFinishesWhatIsInFlight);
+    CPPUNIT_TEST(racingOperatorsLearnWhoWon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -214,7 +216,39 @@
         stopped.get();
     }
 
+    // Two operators amend the same version at the same time. One text wins, and
+    // the other operator is told by whom, even if the reply to an append is lost;
+    // else he would believe that his own text is in force.
+    void racingOperatorsLearnWhoWon()
+    {
+        const std::string yaml = exampleText();
+        static_cast<void>(attempt([&] { return this->platform->log.append("config", { config::publishRecord({ 0, yaml, "olga", "first" }) }); }));
+        this->platform->log.loseReplies(1);
+        std::vector<std::future<http::Reply>> replies;
+        for (const std::string author : { "anna", "bert" }) {
+            const Json order { { "amends", 1 }, { "text", yaml }, { "author", author } };
+            replies.push_back(std::async(std::launch::async, [this, order] { return this->platform->call(*this->first, "POST", "/v1/config", order.dump(), testing::operatorToken); }));
+        }
+        int won = 0;
+        for (auto& pending : replies) {
+            const http::Reply reply = pending.get();
+            const Json json = Json::parse(reply.body);
+            if (reply.status == 200)
+                CPPUNIT_ASSERT_EQUAL(2, json["version"].get<int>());
+            else
+                CPPUNIT_ASSERT_EQUAL(2, json["winner"]["version"].get<int>());
+            won += reply.status == 200 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(1, won);
+    }
+
 private:
+    static std::string exampleText()
+    {
+        std::ifstream file(std::string(RATTAN_SOURCE_DIR) + "/examples/kitami.yaml");
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
     void startSecond()
     {
         this->second = this->platform->startEntry("e2");
