Survive a peer that closes its connection between two rounds

Cause: a capability is asked of a kept connection anew in each round, and throws synchronously when the peer has closed it; nothing caught that, so the planners of other instances ended when one was replaced. Change: the call is made inside kj::evalNow, so that the throw becomes a failed call and the next round connects anew.

--- a/src/peers/greeter.cc
+++ b/src/peers/greeter.cc
@@ -88,9 +88,12 @@
         auto& timer = connection.getIoProvider().getTimer();
         // A call that failed or timed out leaves its connection in doubt.
         const auto lost = [&broken, address = round.targets[i]](kj::Exception&&) { broken.insert(address); };
-        promises.add(timer.timeoutAfter(this->timeout.count() * kj::MILLISECONDS,
-                              greet(connection.getMain<rpc::Planner>(), round, answers[i]))
-                         .catch_(lost));
+        // A connection that its peer has closed since the last round throws when
+        // its capability is asked for. Thrown past here it would end this process
+        // when another instance is replaced; as a failed call it only makes the
+        // next round connect anew.
+        auto call = kj::evalNow([&] { return greet(connection.getMain<rpc::Planner>(), round, answers[i]); });
+        promises.add(timer.timeoutAfter(this->timeout.count() * kj::MILLISECONDS, kj::mv(call)).catch_(lost));
     }
     kj::joinPromises(promises.finish()).wait(this->connections->to(round.targets.front()).getWaitScope());
     for (const std::string& address : broken)
