Give no port out twice in a scenario

Cause: config_stale_peer failed once because an entry's RPC port was taken. Change: the runner remembers the ports it gave; two runners side by side can still choose the same one.

--- a/testing/scenario/primitives.cc
+++ b/testing/scenario/primitives.cc
@@ -251,7 +251,8 @@
     std::random_device device;
     for (int i = 0; i < portTries; ++i) {
         const auto port = static_cast<std::uint16_t>(lowestPort + device() % portRange);
-        if (portIsFree(port))
+        // A port that was given out but is not listened on yet looks free too.
+        if (portIsFree(port) && this->givenPorts.insert(port).second)
             return port;
     }
     throw std::runtime_error("no free port");
--- a/testing/scenario/primitives.h
+++ b/testing/scenario/primitives.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 struct lua_State;
@@ -57,6 +58,7 @@
     http::Client client;
     std::map<std::int64_t, std::future<Json>> calls;
     std::int64_t nextCall { 1 };
+    std::set<std::uint16_t> givenPorts;
 };
 
 } // namespace rattan::testing
