--- a/src/peers/greeter.cc
+++ b/src/peers/greeter.cc
@@ -11,13 +11,27 @@
 namespace rattan::peers {
 
 struct Greeter::Connections {
-    std::map<std::string, std::unique_ptr<capnp::EzRpcClient>> clients;
+    // The main capability is taken once, while the connection is new. Asked for
+    // again on a connection that the peer has closed, it throws out of the
+    // library's own clean-up, which no caller can catch: this process would end
+    // when another instance is replaced.
+    struct Connection {
+        explicit Connection(const std::string& address)
+            : client(address.c_str())
+            , planner(client.getMain<rpc::Planner>())
+        {
+        }
 
-    capnp::EzRpcClient& to(const std::string& address)
+        capnp::EzRpcClient client;
+        rpc::Planner::Client planner;
+    };
+    std::map<std::string, std::unique_ptr<Connection>> clients;
+
+    Connection& to(const std::string& address)
     {
         auto& client = this->clients[address];
         if (!client)
-            client = std::make_unique<capnp::EzRpcClient>(address.c_str());
+            client = std::make_unique<Connection>(address);
         return *client;
     }
 
@@ -85,17 +99,14 @@
     for (std::size_t i = 0; i < round.targets.size(); ++i) {
         answers[i].address = round.targets[i];
         auto& connection = this->connections->to(round.targets[i]);
-        auto& timer = connection.getIoProvider().getTimer();
+        auto& timer = connection.client.getIoProvider().getTimer();
         // A call that failed or timed out leaves its connection in doubt.
         const auto lost = [&broken, address = round.targets[i]](kj::Exception&&) { broken.insert(address); };
-        // A connection that its peer has closed since the last round throws when
-        // its capability is asked for. Thrown past here it would end this process
-        // when another instance is replaced; as a failed call it only makes the
-        // next round connect anew.
-        auto call = kj::evalNow([&] { return greet(connection.getMain<rpc::Planner>(), round, answers[i]); });
-        promises.add(timer.timeoutAfter(this->timeout.count() * kj::MILLISECONDS, kj::mv(call)).catch_(lost));
+        promises.add(kj::evalNow([&] {
+            return timer.timeoutAfter(this->timeout.count() * kj::MILLISECONDS, greet(connection.planner, round, answers[i]));
+        }).catch_(lost));
     }
-    kj::joinPromises(promises.finish()).wait(this->connections->to(round.targets.front()).getWaitScope());
+    kj::joinPromises(promises.finish()).wait(this->connections->to(round.targets.front()).client.getWaitScope());
     for (const std::string& address : broken)
         this->connections->clients.erase(address);
     this->connections->keepOnly(round.targets);
--- a/src/rpc/link.h
+++ b/src/rpc/link.h
@@ -45,13 +45,12 @@
     {
         try {
             if (!this->connection)
-                this->connection = std::make_unique<capnp::EzRpcClient>(this->peer.c_str());
-            auto client = this->connection->template getMain<Interface>();
-            auto& scope = this->connection->getWaitScope();
-            auto remote = build(client);
+                this->connection = std::make_unique<Connection>(this->peer);
+            auto& scope = this->connection->ez.getWaitScope();
+            auto remote = build(this->connection->client);
             using Response = decltype(remote.wait(scope));
             kj::Promise<Response> promise = kj::mv(remote);
-            auto& timer = this->connection->getIoProvider().getTimer();
+            auto& timer = this->connection->ez.getIoProvider().getTimer();
             Response response = timer.timeoutAfter(timeout.count() * kj::MILLISECONDS, kj::mv(promise)).wait(scope);
             return read(response);
         } catch (const kj::Exception& problem) {
@@ -63,8 +62,22 @@
     }
 
 private:
+    // The capability is taken once, while the connection is new; asked for again
+    // after the peer has closed it, it throws out of the library's own clean-up,
+    // which would end the process.
+    struct Connection {
+        explicit Connection(const std::string& address)
+            : ez(address.c_str())
+            , client(ez.getMain<Interface>())
+        {
+        }
+
+        capnp::EzRpcClient ez;
+        typename Interface::Client client;
+    };
+
     std::string peer;
-    std::unique_ptr<capnp::EzRpcClient> connection;
+    std::unique_ptr<Connection> connection;
 };
 
 } // namespace rattan::rpc
