Tell an operator's outcome from the text in force when the log has no verdict

Change: only one publish makes the version after the one it amends, so the text in force under that number tells who won.

--- a/src/entry/config_publisher.cc
+++ b/src/entry/config_publisher.cc
@@ -78,8 +78,11 @@
         for (const platform::LogRecord& record : page->records)
             this->ledger.apply(record.offset, record.value);
         const auto verdict = this->ledger.verdictOf(publication.id);
-        if (!verdict || verdict->kind == config::VerdictKind::Undecided)
+        if (!verdict || verdict->kind == config::VerdictKind::Undecided) {
+            if (const auto outcome = this->outcomeInForce(publication))
+                return *outcome;
             continue;
+        }
         if (verdict->kind == config::VerdictKind::Ignored)
             return fail(ErrorCode::BadInput, std::string(step), "", verdict->reason);
         return PublishOutcome { verdict->kind == config::VerdictKind::Accepted, static_cast<std::uint64_t>(verdict->version), verdict->author };
@@ -87,4 +90,18 @@
     return fail(ErrorCode::Timeout, std::string(step), std::string(stream), "the text may still come into force; ask for the version later", retryAfter);
 }
 
+// A reader that starts after everything was trimmed takes a restate for its
+// start, and one that comes after our publish tells the version but no verdict.
+// Its operator would be told "it may still come into force" of a text that is.
+// Only one publish makes the version after the one it amends, so the text that
+// is in force under that number tells who won.
+std::optional<PublishOutcome> ConfigPublisher::outcomeInForce(const config::Publication& publication) const
+{
+    const auto active = this->watch.active();
+    const auto made = static_cast<std::uint64_t>(publication.amends) + 1;
+    if (!active || active->version != made)
+        return std::nullopt;
+    return PublishOutcome { active->source == publication.yaml && active->author == publication.author, made, active->author };
+}
+
 } // namespace rattan::entry
--- a/src/entry/config_publisher.h
+++ b/src/entry/config_publisher.h
@@ -11,6 +11,7 @@
 #include "platform/log.h"
 
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace rattan::entry {
@@ -38,6 +39,7 @@
     Result<PublishOutcome> publish(const ConfigOrder&, std::chrono::milliseconds limit);
 
 private:
+    std::optional<PublishOutcome> outcomeInForce(const config::Publication&) const;
     Result<PublishOutcome> awaitVerdict(const config::Publication&, std::chrono::milliseconds limit);
 
     platform::Log& log;
