Say once what stood twice: minted keys, name tables, polling threads

Cause: duplicates listed minted keys in two libraries, the same name look-up in three, and the same polling thread twice.

--- /dev/null
+++ b/src/base/periodic_thread.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// A thread that runs one duty again and again, with a pause in between, until it
+// is stopped.
+//
+//     PeriodicThread thread;
+//     thread.start(500ms, [this] { this->poll(); });
+//     thread.stop();        // returns once a run in progress has ended
+//
+// start() and stop() belong to one owner; stop() may be called twice.
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace rattan {
+
+class PeriodicThread {
+public:
+    ~PeriodicThread() { this->stop(); }
+
+    void start(std::chrono::milliseconds period, std::function<void()> duty)
+    {
+        this->thread = std::thread([this, period, duty = std::move(duty)] {
+            std::unique_lock lock(this->mutex);
+            while (!this->stopping) {
+                lock.unlock();
+                duty();
+                lock.lock();
+                this->wake.wait_for(lock, period, [this] { return this->stopping; });
+            }
+        });
+    }
+
+    void stop()
+    {
+        {
+            const std::lock_guard lock(this->mutex);
+            this->stopping = true;
+        }
+        this->wake.notify_all();
+        if (this->thread.joinable())
+            this->thread.join();
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool stopping { false };
+    std::thread thread;
+};
+
+} // namespace rattan
--- a/src/ctl/key.h
+++ b/src/base/timed_key.h
@@ -8,9 +8,12 @@
 
 #include <string>
 
-namespace rattan::ctl {
+namespace rattan {
 
-// For example "20261202T231500Z-9f86d081884c7d65"; the time is UTC.
+// For example "20261202T231500Z-9f86d081884c7d65"; the time is UTC. Thread-safe.
 std::string mintKey(Millis wall);
 
-} // namespace rattan::ctl
+// The first part of a key minted at that time.
+std::string keyStamp(Millis wall);
+
+} // namespace rattan
--- a/src/ctl/job_commands.cc
+++ b/src/ctl/job_commands.cc
@@ -3,9 +3,9 @@
 #include "ctl/command.h"
 #include "ctl/job_view.h"
 #include "ctl/json_field.h"
-#include "ctl/key.h"
 #include "ctl/table.h"
 
+#include "base/timed_key.h"
 #include <fmt/format.h>
 
 namespace rattan::ctl {
--- a/src/ctl/request_commands.cc
+++ b/src/ctl/request_commands.cc
@@ -1,9 +1,9 @@
 // submit request, outcome and ticket.
 
+#include "base/timed_key.h"
 #include "base/trace.h"
 #include "ctl/command.h"
 #include "ctl/json_field.h"
-#include "ctl/key.h"
 
 #include <fmt/format.h>
 
--- a/src/entry/claim_key.cc
+++ b/src/entry/claim_key.cc
@@ -1,26 +1,13 @@
 #include "entry/claim_key.h"
 
-#include "base/random.h"
-
 #include <algorithm>
 #include <ctime>
-#include <fmt/chrono.h>
-#include <fmt/format.h>
 
 namespace rattan::entry {
 
 namespace {
 
     constexpr std::size_t stampLength = 16; // YYYYMMDDTHHMMSSZ
-    constexpr std::size_t mintedDigits = 16;
-
-    std::string stampOf(Millis wall)
-    {
-        const auto seconds = static_cast<std::time_t>(wall / 1000);
-        std::tm parts {};
-        gmtime_r(&seconds, &parts);
-        return fmt::format("{:%Y%m%dT%H%M%SZ}", parts);
-    }
 
     int numberAt(std::string_view text, std::size_t at, std::size_t digits)
     {
@@ -48,11 +35,9 @@
     parts.tm_sec = numberAt(key, 13, 2);
     const Millis time = static_cast<Millis>(timegm(&parts)) * 1000;
     // timegm carries the 31st of a short month into the next; such a stamp is refused.
-    if (stampOf(time) != key.substr(0, stampLength))
+    if (keyStamp(time) != key.substr(0, stampLength))
         return std::nullopt;
     return time;
 }
 
-std::string mintKey(Millis wall) { return fmt::format("{}-{}", stampOf(wall), randomHex(mintedDigits)); }
-
 } // namespace rattan::entry
--- a/src/entry/config_watch.cc
+++ b/src/entry/config_watch.cc
@@ -36,27 +36,10 @@
 
 void ConfigWatch::start()
 {
-    this->thread = std::thread([this] {
-        std::unique_lock lock(this->mutex);
-        while (!this->stopping) {
-            lock.unlock();
-            this->poll();
-            lock.lock();
-            this->changed.wait_for(lock, period, [this] { return this->stopping; });
-        }
-    });
+    this->thread.start(period, [this] { this->poll(); });
 }
 
-void ConfigWatch::stop()
-{
-    {
-        const std::lock_guard lock(this->mutex);
-        this->stopping = true;
-    }
-    this->changed.notify_all();
-    if (this->thread.joinable())
-        this->thread.join();
-}
+void ConfigWatch::stop() { this->thread.stop(); }
 
 void ConfigWatch::poll()
 {
--- a/src/entry/config_watch.h
+++ b/src/entry/config_watch.h
@@ -10,6 +10,7 @@
 // does not answer changes nothing: the text in hand stays in force. A version
 // never goes back. Thread-safe.
 
+#include "base/periodic_thread.h"
 #include "config/text.h"
 #include "entry/planner_client.h"
 
@@ -18,7 +19,6 @@
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 
 namespace rattan::entry {
 
@@ -62,9 +62,8 @@
     mutable std::mutex mutex;
     mutable std::condition_variable changed;
     std::shared_ptr<const ActiveConfig> current;
-    bool stopping { false };
     bool reachable { true };
-    std::thread thread;
+    PeriodicThread thread;
 };
 
 } // namespace rattan::entry
--- a/src/entry/list_watch.cc
+++ b/src/entry/list_watch.cc
@@ -24,27 +24,10 @@
 
 void ListWatch::start()
 {
-    this->thread = std::thread([this] {
-        std::unique_lock lock(this->mutex);
-        while (!this->stopping) {
-            lock.unlock();
-            this->poll();
-            lock.lock();
-            this->wake.wait_for(lock, period, [this] { return this->stopping; });
-        }
-    });
+    this->thread.start(period, [this] { this->poll(); });
 }
 
-void ListWatch::stop()
-{
-    {
-        const std::lock_guard lock(this->mutex);
-        this->stopping = true;
-    }
-    this->wake.notify_all();
-    if (this->thread.joinable())
-        this->thread.join();
-}
+void ListWatch::stop() { this->thread.stop(); }
 
 void ListWatch::poll()
 {
--- a/src/entry/list_watch.h
+++ b/src/entry/list_watch.h
@@ -5,14 +5,11 @@
 // long a leaving executor still gets new requests. While the list cannot be
 // read, the last one stays in use: executors that are gone show by themselves.
 
+#include "base/periodic_thread.h"
 #include "entry/gate.h"
 #include "platform/executor.h"
 #include "platform/instance_list.h"
 
-#include <condition_variable>
-#include <mutex>
-#include <thread>
-
 namespace rattan::entry {
 
 class ListWatch {
@@ -32,11 +29,8 @@
     platform::InstanceList& list;
     platform::Executors& executors;
     Gate& gate;
-    std::mutex mutex;
-    std::condition_variable wake;
-    bool stopping { false };
     bool reachable { true };
-    std::thread thread;
+    PeriodicThread thread;
 };
 
 } // namespace rattan::entry
--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -1,5 +1,6 @@
 #include "platform/instance_list.h"
 
+#include "base/name_lookup.h"
 #include "platform/reply.h"
 
 #include <algorithm>
@@ -34,11 +35,8 @@
 
 std::optional<InstanceKind> instanceKindNamed(std::string_view name)
 {
-    for (std::size_t i = 0; i < kindNames.size(); ++i) {
-        if (name == kindNames[i])
-            return static_cast<InstanceKind>(i);
-    }
-    return std::nullopt;
+    const auto index = indexOfName(kindNames, name);
+    return index ? std::optional(static_cast<InstanceKind>(*index)) : std::nullopt;
 }
 
 bool wants(const InstanceQuery& query, const Instance& instance)
--- a/src/platform/worker.cc
+++ b/src/platform/worker.cc
@@ -1,5 +1,6 @@
 #include "platform/worker.h"
 
+#include "base/name_lookup.h"
 #include "platform/reply.h"
 
 #include <array>
@@ -18,12 +19,10 @@
     template <std::size_t count>
     std::size_t indexOf(const std::array<std::string_view, count>& names, const std::string& name, JsonReader& reader)
     {
-        for (std::size_t i = 0; i < count; ++i) {
-            if (names[i] == name)
-                return i;
-        }
-        reader.fault("'" + name + "' is not a known name");
-        return 0;
+        const auto index = indexOfName(names, name);
+        if (!index)
+            reader.fault("'" + name + "' is not a known name");
+        return index.value_or(0);
     }
 
     double fraction(const Json& json, const char* name)
