Ask about a socket only when it has something: epoll in the client of many calls

Cause: curl_multi_perform() and curl_multi_poll() ask the kernel about the socket of every call under way, each time anything happens. Beside 400 waiting looks an answer took 0.43 ms of processor time (test waitingCallsCostNothing, 7 to 9 ms for 200 answers beside 10 calls, 86 to 112 ms beside 400). At 3,000 workers this is one of the reasons why no planner renews its term.

Change: sockets hang in epoll by libcurl's own callbacks, and only those that are ready are handed back. The client, which had no test, has nine.

--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -1,20 +1,35 @@
-// All transfers hang on one libcurl multi handle, which waits for all of their
-// sockets in one poll: a thread for each long poll would cost a stack and a
-// wake-up for each of the hundreds of peers.
+// All transfers hang on one libcurl multi handle: a thread for each long poll
+// would cost a stack and a wake-up for each of the hundreds of peers. libcurl says
+// which sockets it waits for, and epoll tells which of them have something; only
+// those are handed back to it. So an answer costs the same beside ten waiting calls
+// and beside three thousand, where curl_multi_perform() would ask the kernel about
+// every one of them: 0.4 ms of processor time for an answer beside 400 calls, by the
+// thread clock in async_client_test.cc, against 0.03 ms here.
 
 #include "http/async_client.h"
 
 #include "http/transfer.h"
 
+#include <algorithm>
+#include <array>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 #include <unordered_map>
 
 namespace rattan::http {
 
 namespace {
 
+    using SteadyClock = std::chrono::steady_clock;
+
     constexpr std::size_t idleHandles = 64; // Kept for reuse; about 6 KB each.
     constexpr long receiveBufferBytes = 8192; // libcurl's default of 16 KB is more than most answers need.
 
+    // Sockets handled before the caller has its turn again: about 4 ms of answers, so
+    // that a thousand that arrive at once do not hold up what the caller must do.
+    constexpr std::size_t eventsAtOnce = 64;
+
     struct Pending {
         detail::Transfer transfer;
         AsyncClient::Handler handler;
@@ -25,9 +40,37 @@
 
 struct AsyncClient::Native {
     CURLM* multi { nullptr };
+    int poller { -1 };
+    int waker { -1 };
+    bool timerSet { false };
+    SteadyClock::time_point timerAt; // When libcurl wants to be called although no socket is ready.
     std::unordered_map<CURL*, std::unique_ptr<Pending>> pending;
     std::vector<CURL*> idle;
 
+    static int onSocket(CURL*, curl_socket_t socket, int what, void* user, void* known)
+    {
+        auto* native = static_cast<Native*>(user);
+        if (what == CURL_POLL_REMOVE) {
+            epoll_ctl(native->poller, EPOLL_CTL_DEL, socket, nullptr);
+            return 0;
+        }
+        epoll_event event {};
+        event.data.fd = socket;
+        event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+        if (epoll_ctl(native->poller, known ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, socket, &event) != 0)
+            epoll_ctl(native->poller, known ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, socket, &event); // libcurl closed and reopened it meanwhile.
+        curl_multi_assign(native->multi, socket, native);
+        return 0;
+    }
+
+    static int onTimer(CURLM*, long millis, void* user)
+    {
+        auto* native = static_cast<Native*>(user);
+        native->timerSet = millis >= 0;
+        native->timerAt = SteadyClock::now() + std::chrono::milliseconds(std::max(millis, 0L));
+        return 0;
+    }
+
     CURL* take()
     {
         if (this->idle.empty())
@@ -54,11 +97,50 @@
         curl_easy_cleanup(handle);
     }
 
-    // Sends and receives what can be without waiting; true if an answer was handled.
-    bool advance()
+    void runTimer()
     {
+        if (!this->timerSet || SteadyClock::now() < this->timerAt)
+            return;
+        this->timerSet = false;
         int running = 0;
-        curl_multi_perform(this->multi, &running);
+        curl_multi_socket_action(this->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+
+    std::chrono::milliseconds untilTimer(std::chrono::milliseconds longest) const
+    {
+        if (!this->timerSet)
+            return longest;
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->timerAt - SteadyClock::now());
+        return std::clamp(left, std::chrono::milliseconds(0), longest);
+    }
+
+    // Waits for sockets, and lets libcurl work on those that are ready.
+    void runSockets(std::chrono::milliseconds longest)
+    {
+        std::array<epoll_event, eventsAtOnce> events {};
+        const int ready = epoll_wait(this->poller, events.data(), static_cast<int>(events.size()), static_cast<int>(longest.count()));
+        for (int i = 0; i < ready; ++i) {
+            const epoll_event& event = events[static_cast<std::size_t>(i)];
+            if (event.data.fd == this->waker) {
+                std::uint64_t count = 0;
+                static_cast<void>(read(this->waker, &count, sizeof(count))); // Only to make it wait again.
+                continue;
+            }
+            int what = 0;
+            if ((event.events & EPOLLIN) != 0)
+                what |= CURL_CSELECT_IN;
+            if ((event.events & EPOLLOUT) != 0)
+                what |= CURL_CSELECT_OUT;
+            if ((event.events & (EPOLLERR | EPOLLHUP)) != 0)
+                what |= CURL_CSELECT_ERR;
+            int running = 0;
+            curl_multi_socket_action(this->multi, event.data.fd, what, &running);
+        }
+    }
+
+    // True if an answer was handled.
+    bool deliverAll()
+    {
         int left = 0;
         bool delivered = false;
         while (CURLMsg* message = curl_multi_info_read(this->multi, &left)) {
@@ -86,10 +168,21 @@
     : native(std::make_unique<Native>())
 {
     detail::startLibrary();
-    this->native->multi = curl_multi_init();
-    curl_multi_setopt(this->native->multi, CURLMOPT_MAX_HOST_CONNECTIONS, options.connectionsPerPeer);
-    curl_multi_setopt(this->native->multi, CURLMOPT_MAXCONNECTS, options.connectionsKept);
-    curl_multi_setopt(this->native->multi, CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
+    Native& own = *this->native;
+    own.poller = epoll_create1(EPOLL_CLOEXEC);
+    own.waker = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    epoll_event event {};
+    event.data.fd = own.waker;
+    event.events = EPOLLIN;
+    epoll_ctl(own.poller, EPOLL_CTL_ADD, own.waker, &event);
+    own.multi = curl_multi_init();
+    curl_multi_setopt(own.multi, CURLMOPT_SOCKETFUNCTION, &Native::onSocket);
+    curl_multi_setopt(own.multi, CURLMOPT_SOCKETDATA, &own);
+    curl_multi_setopt(own.multi, CURLMOPT_TIMERFUNCTION, &Native::onTimer);
+    curl_multi_setopt(own.multi, CURLMOPT_TIMERDATA, &own);
+    curl_multi_setopt(own.multi, CURLMOPT_MAX_HOST_CONNECTIONS, options.connectionsPerPeer);
+    curl_multi_setopt(own.multi, CURLMOPT_MAXCONNECTS, options.connectionsKept);
+    curl_multi_setopt(own.multi, CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
 }
 
 AsyncClient::~AsyncClient()
@@ -99,6 +192,8 @@
     for (CURL* handle : this->native->idle)
         curl_easy_cleanup(handle);
     curl_multi_cleanup(this->native->multi);
+    close(this->native->waker);
+    close(this->native->poller);
 }
 
 void AsyncClient::send(Call call, Handler handler)
@@ -116,13 +211,18 @@
 
 void AsyncClient::run(std::chrono::milliseconds longest)
 {
-    if (this->native->advance())
-        return;
-    curl_multi_poll(this->native->multi, nullptr, 0, static_cast<int>(longest.count()), nullptr);
-    this->native->advance();
+    this->native->runTimer();
+    const bool delivered = this->native->deliverAll();
+    this->native->runSockets(delivered ? std::chrono::milliseconds(0) : this->native->untilTimer(longest));
+    this->native->runTimer();
+    this->native->deliverAll();
 }
 
-void AsyncClient::wake() { curl_multi_wakeup(this->native->multi); }
+void AsyncClient::wake()
+{
+    const std::uint64_t one = 1;
+    static_cast<void>(write(this->native->waker, &one, sizeof(one))); // Fails only if it has been woken already.
+}
 
 void AsyncClient::abandon(int group)
 {
--- /dev/null
+++ b/src/http/testing/async_client_test.cc
@@ -0,0 +1,224 @@
+#include "http/async_client.h"
+
+#include "http/server.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <ctime>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <optional>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace rattan::http {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Takes connections and never answers.
+    class SilentPeer {
+    public:
+        SilentPeer()
+            : socket(::socket(AF_INET, SOCK_STREAM, 0))
+        {
+            constexpr int backlog = 1000;
+            sockaddr_in name {};
+            name.sin_family = AF_INET;
+            name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            socklen_t size = sizeof(name);
+            CPPUNIT_ASSERT_EQUAL(0, bind(this->socket, reinterpret_cast<sockaddr*>(&name), size));
+            CPPUNIT_ASSERT_EQUAL(0, listen(this->socket, backlog));
+            getsockname(this->socket, reinterpret_cast<sockaddr*>(&name), &size);
+            this->port = ntohs(name.sin_port);
+        }
+        ~SilentPeer() { close(this->socket); }
+        SilentPeer(const SilentPeer&) = delete;
+        SilentPeer& operator=(const SilentPeer&) = delete;
+
+        std::string address() const { return fmt::format("127.0.0.1:{}", this->port); }
+
+    private:
+        int socket;
+        int port { 0 };
+    };
+
+    double threadSeconds()
+    {
+        timespec spent {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+        constexpr double nanosPerSecond = 1e9;
+        return static_cast<double>(spent.tv_sec) + static_cast<double>(spent.tv_nsec) / nanosPerSecond;
+    }
+
+} // namespace
+
+class AsyncClientTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(AsyncClientTest);
+    CPPUNIT_TEST(roundTrip);
+    CPPUNIT_TEST(callsToOnePeerWaitTheirTurn);
+    CPPUNIT_TEST(handlersMaySend);
+    CPPUNIT_TEST(silentPeerEndsAtTheTimeout);
+    CPPUNIT_TEST(nothingSentWhenNobodyListens);
+    CPPUNIT_TEST(deadConnectionIsReplaced);
+    CPPUNIT_TEST(abandonedCallsEndWithoutHandler);
+    CPPUNIT_TEST(wakeEndsAWait);
+    CPPUNIT_TEST(waitingCallsCostNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->startServer("127.0.0.1:0");
+        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 1000 });
+    }
+
+    void roundTrip()
+    {
+        const Reply reply = this->call({ .method = "POST", .address = this->server->address(), .path = "/echo", .body = "hello" });
+        CPPUNIT_ASSERT(reply.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("hello"), reply.body);
+    }
+
+    void callsToOnePeerWaitTheirTurn()
+    {
+        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 2 });
+        int answered = 0;
+        constexpr int calls = 20;
+        for (int i = 0; i < calls; ++i)
+            this->client->send({ .address = this->server->address(), .path = "/echo" }, [&](const Reply& reply) { answered += reply.ok() ? 1 : 0; });
+        this->runUntil([&] { return answered == calls; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->client->underWay());
+    }
+
+    void handlersMaySend()
+    {
+        std::optional<Reply> second;
+        this->client->send({ .address = this->server->address(), .path = "/echo" }, [&](const Reply&) {
+            this->client->send({ .address = this->server->address(), .path = "/echo" }, [&](const Reply& reply) { second = reply; });
+        });
+        this->runUntil([&] { return second.has_value(); });
+        CPPUNIT_ASSERT(second->ok());
+    }
+
+    // A peer takes the request and is cut off before it answers. Without an end of
+    // the wait, nobody would ever hear what became of the call.
+    void silentPeerEndsAtTheTimeout()
+    {
+        const SilentPeer silent;
+        const Reply reply = this->call({ .address = silent.address(), .timeout = 60ms });
+        CPPUNIT_ASSERT(reply.error.has_value());
+        CPPUNIT_ASSERT(reply.sent == Sent::Perhaps);
+        CPPUNIT_ASSERT(reply.error->code == ErrorCode::Timeout);
+    }
+
+    void nothingSentWhenNobodyListens()
+    {
+        const std::string gone = this->server->address();
+        this->server.reset();
+        const Reply reply = this->call({ .address = gone });
+        CPPUNIT_ASSERT(reply.sent == Sent::Nothing);
+        CPPUNIT_ASSERT(reply.error->code == ErrorCode::Unavailable);
+    }
+
+    // The peer restarts between two calls. The connection that was kept is dead, and
+    // the second call must not fail because of it.
+    void deadConnectionIsReplaced()
+    {
+        const std::string address = this->server->address();
+        CPPUNIT_ASSERT(this->call({ .address = address, .path = "/echo" }).ok());
+        this->server.reset();
+        this->startServer(address);
+        CPPUNIT_ASSERT(this->call({ .address = address, .path = "/echo" }).ok());
+    }
+
+    // A planner that lost its term drops what it still waits for; an answer that
+    // comes later must not reach what is gone.
+    void abandonedCallsEndWithoutHandler()
+    {
+        const SilentPeer silent;
+        bool heard = false;
+        constexpr int group = 7;
+        this->client->useGroup(group);
+        this->client->send({ .address = silent.address(), .timeout = 60ms }, [&](const Reply&) { heard = true; });
+        this->client->useGroup(0);
+        this->client->run(10ms);
+        this->client->abandon(group);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->client->underWay());
+        CPPUNIT_ASSERT(this->call({ .address = this->server->address(), .path = "/echo" }).ok());
+        CPPUNIT_ASSERT(!heard);
+    }
+
+    void wakeEndsAWait()
+    {
+        std::thread other([&] { this->client->wake(); });
+        constexpr auto farAway = 20s;
+        const auto begun = std::chrono::steady_clock::now();
+        this->client->run(farAway);
+        other.join();
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < farAway);
+    }
+
+    // Every busy worker has a look waiting for its next end. With 3,000 of them, a
+    // planner that asks about each socket at each answer spends all its time on that,
+    // cannot renew its term, and no job starts any more.
+    void waitingCallsCostNothing()
+    {
+        constexpr int few = 10;
+        constexpr int many = 400;
+        constexpr double most = 4; // Measured 1.2; 12 where every socket is asked about.
+        const double beside = this->costBeside(few);
+        const double besideMany = this->costBeside(many);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{:.1f} ms beside {}, {:.1f} ms beside {}", beside * 1000, few, besideMany * 1000, many), besideMany < beside * most);
+    }
+
+private:
+    void startServer(const std::string& address)
+    {
+        this->server.emplace(ServerOptions { .address = address });
+        const Handler echo = [](const Request& request) { return Answer { 200, request.body, "text/plain", {} }; };
+        this->server->route("POST", "/echo", echo);
+        this->server->route("GET", "/echo", echo);
+        CPPUNIT_ASSERT(!attemptVoid([&] { return this->server->start(); }));
+    }
+
+    void runUntil(const std::function<bool()>& done)
+    {
+        constexpr int mostRuns = 2000;
+        for (int i = 0; i < mostRuns && !done(); ++i)
+            this->client->run(10ms);
+        CPPUNIT_ASSERT(done());
+    }
+
+    Reply call(Call call)
+    {
+        std::optional<Reply> result;
+        this->client->send(std::move(call), [&](const Reply& reply) { result = reply; });
+        this->runUntil([&] { return result.has_value(); });
+        return *result;
+    }
+
+    // Processor time of calls that are answered while so many others wait.
+    double costBeside(int waiting)
+    {
+        const SilentPeer silent;
+        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 1000 });
+        for (int i = 0; i < waiting; ++i)
+            this->client->send({ .address = silent.address(), .timeout = 60s, .connectTimeout = 20s }, [](const Reply&) {});
+        constexpr int calls = 200;
+        this->call({ .address = this->server->address(), .path = "/echo" });
+        const double before = threadSeconds();
+        for (int i = 0; i < calls; ++i)
+            this->call({ .address = this->server->address(), .path = "/echo" });
+        return threadSeconds() - before;
+    }
+
+    std::optional<Server> server;
+    std::optional<AsyncClient> client;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AsyncClientTest);
+
+} // namespace rattan::http
