Ask workers a few at a time when taking over, busy ones first

Cause: a planner that took over asked all workers at once.

Change: at most 48 looks before the loop has its turn again, those of workers with runs first, since only there a lease runs out. makeLooks() is three functions now. Besides, a gang of which two members stand equally far no longer blames one of them when a third has gone on.

--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -16,6 +16,11 @@
 // look has a price and an end is told at once anyway.
 inline constexpr Millis lookWait = 2000;
 
+// Looks sent before the caller has its turn again. One costs 0.15 ms of a core, so
+// these take an eighth of a core 60 ms: a term of a second can still be renewed
+// while thousands of workers are being asked.
+inline constexpr std::size_t mostLooksAtOnce = 48;
+
 // After a look without an answer, doubling up to the longest.
 inline constexpr Millis firstLookPause = 200;
 inline constexpr Millis longestLookPause = 1600;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -154,6 +154,9 @@
     Progress progressOf(const ActiveJob&) const;
     void makeBatch(Millis now, Orders&);
     void makeLooks(Millis now, Orders&);
+    bool lookDue(const Worker&, Millis now) const;
+    void look(Worker&, Millis now, Orders&) const;
+    void lookBeside(Worker&, Orders&) const;
     void makeStops(Millis now, Orders&);
     void note(NoteKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
 
@@ -182,6 +185,7 @@
     std::vector<Note> notes;
     bool isDeposed { false };
     bool changed { true };
+    bool looksLeft { false }; // Due, and more than were sent at once.
     struct Demanded {
         double accelerators { 0 };
         Millis at { 0 };
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -149,39 +149,68 @@
     this->startsInBatch.clear();
 }
 
+// A start whose stop has been answered is settled by the next look. One that waits
+// for an end would hold up its task, so another goes beside it.
+void TaskPlanner::lookBeside(Worker& worker, Orders& orders) const
+{
+    if (!worker.lookUnderWay || worker.quickLookUnderWay)
+        return;
+    for (const auto& [run, occupant] : worker.occupants) {
+        if (occupant.phase != RunPhase::Starting || occupant.stopAnsweredAt == 0 || occupant.stopAnsweredAt < worker.lookSentAt)
+            continue;
+        worker.quickLookUnderWay = true;
+        orders.looks.push_back({ worker.seen.life, worker.seen.address, worker.acknowledged, 0, false, true });
+        return;
+    }
+}
+
+bool TaskPlanner::lookDue(const Worker& worker, Millis now) const
+{
+    if (worker.lookUnderWay || now < worker.nextLookAt)
+        return false;
+    const bool calm = worker.known && !worker.silent;
+    const bool ackDue = worker.durable > worker.acknowledged && worker.ackDueBy > 0 && now >= worker.ackDueBy;
+    if (calm && !worker.isLive() && !ackDue)
+        return false;
+    // An end that is not durable yet would come back at once.
+    return !calm || worker.handled <= worker.durable || now + this->options.longestLease / 2 >= worker.leaseOverBy;
+}
+
+void TaskPlanner::look(Worker& worker, Millis now, Orders& orders) const
+{
+    const bool renews = worker.known && !worker.silent && worker.isLive();
+    worker.lookUnderWay = true;
+    worker.lookSentAt = now;
+    worker.ackUnderWay = worker.durable;
+    worker.ackDueBy = 0;
+    if (renews)
+        this->grantLease(worker, now);
+    orders.looks.push_back({ worker.seen.life, worker.seen.address, worker.durable, renews ? lookWait : 0, renews });
+}
+
+// Where something runs a lease runs out, and a look tells of its end; those go first.
 void TaskPlanner::makeLooks(Millis now, Orders& orders)
 {
+    std::vector<Worker*> idle;
+    this->looksLeft = false;
     for (auto& [id, worker] : this->workers) {
-        if (!worker.listed && worker.occupants.empty())
-            continue;
-        if (worker.seen.address.empty())
-            continue; // Known only from a record; the list has to tell where it is.
-        bool live = false;
-        bool unsettled = false;
-        for (const auto& [run, occupant] : worker.occupants) {
-            live = live || occupant.phase != RunPhase::Recording;
-            unsettled = unsettled || (occupant.phase == RunPhase::Starting && occupant.stopAnsweredAt > 0 && occupant.stopAnsweredAt >= worker.lookSentAt);
-        }
-        if (unsettled && worker.lookUnderWay && !worker.quickLookUnderWay) {
-            worker.quickLookUnderWay = true;
-            orders.looks.push_back({ worker.seen.life, worker.seen.address, worker.acknowledged, 0, false, true });
-        }
-        if (worker.lookUnderWay || now < worker.nextLookAt)
-            continue;
-        const bool calm = worker.known && !worker.silent;
-        const bool ackDue = worker.durable > worker.acknowledged && worker.ackDueBy > 0 && now >= worker.ackDueBy;
-        if (calm && !live && !ackDue)
+        if (worker.seen.address.empty() || (!worker.listed && worker.occupants.empty()))
+            continue; // Of one known only from a record, the list has to tell where it is.
+        this->lookBeside(worker, orders);
+        if (!this->lookDue(worker, now))
             continue;
-        // An end that is not durable yet would come back at once.
-        if (calm && worker.handled > worker.durable && now + this->options.longestLease / 2 < worker.leaseOverBy)
-            continue;
-        worker.lookUnderWay = true;
-        worker.lookSentAt = now;
-        worker.ackUnderWay = worker.durable;
-        worker.ackDueBy = 0;
-        if (calm && live)
-            this->grantLease(worker, now);
-        orders.looks.push_back({ worker.seen.life, worker.seen.address, worker.durable, calm && live ? lookWait : 0, calm && live });
+        if (worker.occupants.empty())
+            idle.push_back(&worker);
+        else if (orders.looks.size() < mostLooksAtOnce)
+            this->look(worker, now, orders);
+        else
+            this->looksLeft = true;
+    }
+    for (Worker* worker : idle) {
+        if (orders.looks.size() < mostLooksAtOnce)
+            this->look(*worker, now, orders);
+        else
+            this->looksLeft = true;
     }
 }
 
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -42,6 +42,8 @@
 
 Millis TaskPlanner::nextWake(Millis now, Millis wall) const
 {
+    if (this->looksLeft)
+        return now;
     Millis next = this->changed ? std::max(now, this->nextRound) : this->nextRound + idleRound;
     if (this->roundDueBy > 0)
         next = std::min(next, this->roundDueBy);
@@ -111,7 +113,7 @@
         const auto occupant = worker ? worker->occupants.find({ unit.task(static_cast<std::int64_t>(member)), unit.run }) : std::map<RunRef, Occupant>::iterator();
         if (!worker || occupant == worker->occupants.end())
             continue;
-        shared = occupant->second.progress == least && worker != slowest;
+        shared = shared || (occupant->second.progress == least && worker != slowest);
         if (occupant->second.progress < least) {
             least = occupant->second.progress;
             slowest = worker;
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(aRestartedWorkerStartsAnew);
     CPPUNIT_TEST(aStalledWorkerLosesItsTasks);
     CPPUNIT_TEST(aGangOfUnequalMembersIsLeftAlone);
+    CPPUNIT_TEST(membersThatStandEquallyFarAreNotBlamed);
+    CPPUNIT_TEST(aTakeoverLooksAtBusyWorkersFirst);
     CPPUNIT_TEST(aWorkerThatFailsAllIsNotGivenEveryTask);
     CPPUNIT_TEST(keptWorkersAreLentWhileHalfIsIdle);
     CPPUNIT_TEST(jobsThatAreOverAreForgotten);
@@ -226,6 +228,54 @@
         assertSound(site);
     }
 
+    // Two members of a gang stand still and the third has gone on, so nobody can
+    // tell which of the two holds up the other. To blame one of them would take a
+    // sound worker out of use.
+    void membersThatStandEquallyFarAreNotBlamed()
+    {
+        VirtualSite site({ .seed = 31, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.submit(gang("g1", 3, whole, 8000));
+        site.run(1200);
+        const std::string first = site.hostOf("g1", 0);
+        CPPUNIT_ASSERT(!first.empty());
+        const std::string second = site.hostOf("g1", 1);
+        CPPUNIT_ASSERT(!second.empty());
+        site.stall(first, true);
+        site.stall(second, true);
+        constexpr Millis noticed = 14000; // The third member goes on for eight seconds.
+        site.run(noticed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 6 }, site.runsOf("g1"));
+        CPPUNIT_ASSERT_EQUAL(first, site.hostOf("g1", 0));
+        assertSound(site);
+    }
+
+    // A planner that takes over knows nothing of 1,000 workers. To ask all of them at
+    // once takes a weak machine longer than its term: it could not renew, and the next
+    // one would do the same, so that no job starts any more. Leases run out where
+    // something runs, so these come first.
+    void aTakeoverLooksAtBusyWorkersFirst()
+    {
+        constexpr int workers = 1000;
+        constexpr std::size_t mostAtOnce = 50;
+        VirtualSite site({ .seed = 32, .workers = workers, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("j1", 30, whole, 60000));
+        site.run(2500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 30 }, site.runsOf("j1"));
+        site.newPlanner();
+        site.planner->step(site.now, site.now);
+        const Orders orders = site.planner->take(site.now);
+        CPPUNIT_ASSERT(orders.looks.size() <= mostAtOnce);
+        for (std::size_t i = 0; i < 30; ++i)
+            CPPUNIT_ASSERT(site.isBusy(orders.looks.at(i).worker.id));
+        CPPUNIT_ASSERT_EQUAL(site.now, site.planner->nextWake(site.now, site.now));
+        site.newPlanner();
+        site.run(site.now + 1000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { workers }, site.planner->knownWorkers());
+        assertSound(site);
+    }
+
     void aWorkerThatFailsAllIsNotGivenEveryTask()
     {
         VirtualSite site({ .seed = 12, .workers = 8, .failures = 0 });
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -159,6 +159,20 @@
         return found == this->starts.end() ? 0 : found->second;
     }
 
+    // The worker that runs a task of a job's first step; empty: none.
+    std::string hostOf(const std::string& job, std::int64_t index) const
+    {
+        for (const auto& [id, worker] : this->workers) {
+            for (const auto& [ref, run] : worker.running) {
+                if (ref.task == TaskRef { job, 0, 0, index })
+                    return id;
+            }
+        }
+        return "";
+    }
+
+    bool isBusy(const std::string& id) const { return !this->workers.at(id).running.empty(); }
+
     std::int64_t countEnds(RunEnd end) const
     {
         const auto found = this->ends.find(end);
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -8,6 +8,7 @@
 #include "tasks/worker_speeds.h"
 #include "tasks/worker_trust.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -120,6 +121,12 @@
     Room used;
     std::map<RunRef, Occupant> occupants;
     WorkerTrust trust;
+
+    // A run may be alive there, and needs a lease.
+    bool isLive() const
+    {
+        return std::any_of(this->occupants.begin(), this->occupants.end(), [](const auto& entry) { return entry.second.phase != RunPhase::Recording; });
+    }
 };
 
 } // namespace rattan::tasks::detail
