Stop nothing for room while idle workers have not been asked yet

Cause: a planner that takes over hears of busy workers first, so an urgent unit that came then found no room on the workers known and had others stopped, although most workers were idle.

Change: workers that are listed, not heard in this term and not known to run anything are kept apart in the picture of the floor; while they could hold the unit, it waits for their answers.

--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -209,6 +209,16 @@
 
 bool Floor::couldEverFit(const Ask& ask) const { return this->find(ask, View::Empty).has_value(); }
 
+bool Floor::couldFitUnasked(const Ask& ask) const
+{
+    std::int64_t members = 0;
+    for (const FloorWorker& worker : this->unasked) {
+        if (ask.rack.empty() || worker.rack == ask.rack)
+            members += this->fits(worker, ask, View::Empty);
+    }
+    return members >= ask.members;
+}
+
 bool FailedAsks::cover(const Ask& ask) const
 {
     return std::any_of(this->asks.begin(), this->asks.end(), [&](const Ask& failed) {
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -85,6 +85,10 @@
 class Floor {
 public:
     std::vector<FloorWorker> workers;
+
+    // Workers that have not answered this planner yet and on which nothing is known to
+    // run: nothing can be placed there, but very likely soon.
+    std::vector<FloorWorker> unasked;
     Millis now { 0 };
 
     // Room that is free now.
@@ -113,6 +117,9 @@
     // True if the unit could be placed were all workers empty.
     bool couldEverFit(const Ask&) const;
 
+    // True if the workers not asked yet could take the whole unit, were they empty.
+    bool couldFitUnasked(const Ask&) const;
+
     bool suits(const FloorWorker&, const Ask&) const;
 
 private:
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -206,11 +206,15 @@
     Floor floor;
     floor.now = now;
     for (const auto& [id, worker] : this->workers) {
-        const bool usable = worker.listed && worker.known && !worker.silent && !worker.seen.leaving && worker.seen.service == service
-            && worker.trust.takesWork(now, worker.occupants.empty());
-        if (!usable)
+        const bool present = worker.listed && !worker.silent && !worker.seen.leaving && worker.seen.service == service;
+        if (!present || !worker.trust.takesWork(now, worker.occupants.empty()))
             continue;
         FloorWorker place { .id = id, .rack = worker.seen.rack, .labels = &worker.seen.labels, .capacity = worker.seen.capacity };
+        if (!worker.known) {
+            if (worker.occupants.empty())
+                floor.unasked.push_back(std::move(place));
+            continue;
+        }
         place.speed = this->speeds.of(id);
         place.free = worker.seen.capacity;
         place.free -= worker.used;
@@ -311,7 +315,10 @@
         const bool hopeless = failed.cover(ask);
         if (!hopeless && this->tryPlace(candidate, floor->second, ask, now))
             continue;
-        if (evictionSearches < mostEvictionSearches && this->mayEvict(candidate, now)) {
+        // Stopping others throws work away; the idle workers that a planner which has
+        // just taken over has not heard yet answer within a fraction of a second.
+        const bool roomIsNear = !floor->second.unasked.empty() && floor->second.couldFitUnasked(ask);
+        if (!roomIsNear && evictionSearches < mostEvictionSearches && this->mayEvict(candidate, now)) {
             ++evictionSearches;
             if (this->tryEvict(candidate, floor->second, ask, now)) {
                 failedAsks.erase(service); // It moved room from one to another.
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(membersThatStandEquallyFarAreNotBlamed);
     CPPUNIT_TEST(aTakeoverLooksAtBusyWorkersFirst);
     CPPUNIT_TEST(idleWorkersAreAskedInTheGaps);
+    CPPUNIT_TEST(nothingIsStoppedBeforeIdleWorkersAreAsked);
     CPPUNIT_TEST(aWorkerThatFailsAllIsNotGivenEveryTask);
     CPPUNIT_TEST(keptWorkersAreLentWhileHalfIsIdle);
     CPPUNIT_TEST(jobsThatAreOverAreForgotten);
@@ -298,6 +299,25 @@
         CPPUNIT_ASSERT(site.planner->take(site.now).looks.size() > fewAtOnce);
     }
 
+    // A planner that takes over hears of the busy workers first. An urgent job that
+    // comes just then would find all workers it knows taken and have patient work
+    // stopped, and its callers lose what it had done, though most workers are idle.
+    void nothingIsStoppedBeforeIdleWorkersAreAsked()
+    {
+        constexpr int workers = 200;
+        VirtualSite site({ .seed = 34, .workers = workers, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("patient", 60, whole, 20000, 2));
+        site.run(4000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 60 }, site.runsOf("patient"));
+        site.newPlanner();
+        site.submit(gang("urgent", 4, whole, 1000, 0));
+        site.run(6000);
+        CPPUNIT_ASSERT(site.stateOf("urgent") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.countEnds(RunEnd::Stopped));
+        assertSound(site);
+    }
+
     void aWorkerThatFailsAllIsNotGivenEveryTask()
     {
         VirtualSite site({ .seed = 12, .workers = 8, .failures = 0 });
