--- a/testing/relay/relay_hub.cc
+++ b/testing/relay/relay_hub.cc
@@ -154,10 +154,11 @@
                 this->watch(link.listener, POLLIN, { nullptr, nullptr, id });
         }
         for (Connection& connection : this->connections) {
-            if (this->links.at(connection.link).rule.mode != LinkMode::Open)
-                continue;
-            this->watchPump(connection, connection.up, now, wakeAt);
-            this->watchPump(connection, connection.down, now, wakeAt);
+            const LinkMode mode = this->links.at(connection.link).rule.mode;
+            if (mode == LinkMode::Open || mode == LinkMode::Mute)
+                this->watchPump(connection, connection.up, now, wakeAt);
+            if (mode == LinkMode::Open)
+                this->watchPump(connection, connection.down, now, wakeAt);
         }
         return static_cast<int>(std::max<Millis>(wakeAt - now, 0));
     }
--- a/testing/relay/relay_hub.h
+++ b/testing/relay/relay_hub.h
@@ -30,6 +30,7 @@
 enum class LinkMode {
     Open,
     Silent, // Nothing passes; nobody is told.
+    Mute, // Requests pass, and nothing comes back: a link that is cut one way.
     Closed, // Connections are reset and new ones closed at once.
 };
 
