--- a/src/decide/decider.h
+++ b/src/decide/decider.h
@@ -63,7 +63,7 @@
     double fragmentation() const;
 
     // Checks the state against the invariants; empty when all hold. For tests
-    // and the bench: its time grows with the state.
+    // and benchmarks: its time grows with the state.
     std::vector<std::string> violations() const;
 
     const detail::Engine& engine() const { return *this->inner; }
--- a/src/tasks/testing/task_planner_random_test.cc
+++ b/src/tasks/testing/task_planner_random_test.cc
@@ -65,7 +65,7 @@
     {
         Job job;
         job.id = fmt::format("{:016x}", ++this->jobs);
-        job.workspace = this->below(2) == 0 ? "a" : "b";
+        job.workspace = std::string(this->below(2) == 0 ? "a" : "b"); // GCC 12 warns wrongly where a literal of one letter is assigned.
         const std::int64_t priority = this->below(3);
         job.terms = { .queue = fmt::format("q{}", priority), .service = "s", .priority = priority, .mostAttempts = 4, .stretch = 3, .latencyTarget = 1000 };
         const std::int64_t steps = 1 + this->below(2);
