Ask the advice service where a queue's policy lets a step run

Cause: a queue may have a policy of which only a service outside knows. Starts without its ticket are refused, so jobs of such a queue would never have run; the terms were parsed and unused.

Queues without a policy go as before.

--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -27,6 +27,8 @@
     constexpr Millis longRound = 4; // Shorter ones are within what the clock shows.
     constexpr Millis roundRest = 4; // Rounds take a fourth of the processor time at most.
 
+    constexpr Millis adviceQueue = 5; // Questions that may be before one, and itself.
+
     constexpr std::size_t ordersAtOnce = 2; // To one worker; with its look, three connections.
 
     // Jobs that are over are told of for twice as long as callers were promised,
@@ -100,6 +102,7 @@
     tasks::PlannerOptions options;
     options.longestLease = this->services.settings.longestLease;
     options.stopTimeout = this->services.settings.stopTimeout;
+    options.advised = !this->services.settings.adviceAddress.empty();
     this->planner = std::make_unique<tasks::TaskPlanner>(options, this->jobs, now, wall);
     this->planner->applyCatalog(this->catalog);
     this->listChanged = true;
@@ -185,6 +188,28 @@
         this->lanes.add(order.worker.id, [this, order] { this->sendStart(order); });
     for (const tasks::LookOrder& order : orders.looks)
         this->sendLook(order, now);
+    for (const tasks::AdviceOrder& order : orders.advice)
+        this->sendAdvice(order);
+}
+
+// The service takes questions one after the other, so a question may wait for those
+// that were asked just before.
+void Leadership::sendAdvice(const tasks::AdviceOrder& order)
+{
+    http::Call call = this->services.workers.advise(order);
+    call.address = this->services.settings.adviceAddress;
+    const Millis expected = order.terms.each + order.terms.perWorker * static_cast<Millis>(order.workers.size());
+    call.timeout = std::chrono::milliseconds(expected * adviceQueue) + orderTimeout;
+    call.connectTimeout = connectTimeout;
+    this->services.client.send(std::move(call), [this, order](const http::Reply& reply) {
+        const auto allowed = this->services.workers.parseAdvice(reply);
+        const Millis now = this->services.clock.now();
+        this->services.metrics.count("rattan_orders_total", { { "order", "advice" }, { "outcome", allowed ? "answered" : "no_answer" } });
+        if (allowed)
+            return this->planner->adviceAnswered(order.step, *allowed, now);
+        logEvent(events::orderRefused, { { "order", "advice" }, { "job", order.step.job }, { "step", order.step.step }, { "workers", order.workers.size() }, { "status", reply.status } });
+        this->planner->adviceFailed(order.step, now);
+    });
 }
 
 // A batch goes out again, with the same number, until its fate is known: the
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -79,6 +79,7 @@
     void sendStop(const tasks::StopOrder&);
     void sendOrder(http::Call, std::function<void(const http::Reply&, Millis)>);
     void sendLook(const tasks::LookOrder&, Millis now);
+    void sendAdvice(const tasks::AdviceOrder&);
     void logNote(const tasks::Note&) const;
 
     const std::int64_t number;
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -15,6 +15,7 @@
     std::string callerAddress; // IP:PORT on which callers are served.
     std::string readyAddress; // IP:PORT on which the balancer asks; metrics too.
     std::string storeAddress; // IP:PORT of the platform's store.
+    std::string adviceAddress; // IP:PORT of the service that knows queues' policies; empty: none.
     Millis longestLease { 10000 }; // That a worker grants.
     Millis stopTimeout { 200 }; // Longest time that a stop takes at a worker.
     Millis keyExpiry { 5000 }; // A key that was taken away must not work for longer than this.
--- a/src/instance/worker_protocol.h
+++ b/src/instance/worker_protocol.h
@@ -40,6 +40,10 @@
     virtual http::Call look(const tasks::LookOrder&, std::optional<Millis> until, std::int64_t term) const = 0;
     virtual LookReply parseLook(const http::Reply&) const = 0;
 
+    virtual http::Call advise(const tasks::AdviceOrder&) const = 0;
+    // Empty where the service has not answered the question.
+    virtual std::optional<std::vector<tasks::AllowedWorker>> parseAdvice(const http::Reply&) const = 0;
+
     // Of an entry of the list of workers.
     virtual Result<tasks::WorkerSighting> parseSighting(const std::string& id, std::string_view entry) const = 0;
 };
--- a/src/tasks/job.h
+++ b/src/tasks/job.h
@@ -55,6 +55,15 @@
     bool operator==(const Step&) const = default;
 };
 
+// How long the advice service takes, and how long what it says holds.
+struct AdviceTerms {
+    Millis each { 0 }; // For any question,
+    Millis perWorker { 0 }; // and for each worker named in it.
+    Millis valid { 0 }; // Of a ticket; 0: the queue has no policy.
+
+    bool operator==(const AdviceTerms&) const = default;
+};
+
 // What the queue's text said when the job was accepted.
 struct QueueTerms {
     std::string queue;
@@ -63,7 +72,7 @@
     std::int64_t mostAttempts { 1 }; // Failed runs of a task before the job is given up.
     double stretch { 1.0 }; // Wanted: done within this many times its longest chain of work,
     Millis latencyTarget { 0 }; // and this much more.
-    bool advised { false }; // A policy outside decides which workers may run a step.
+    AdviceTerms advice; // Where a policy outside decides which workers may run a step.
 
     bool operator==(const QueueTerms&) const = default;
 };
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -2,6 +2,7 @@
 
 // What a TaskPlanner wants done by those who speak to workers and to the log.
 
+#include "tasks/advice.h"
 #include "tasks/job.h"
 #include "tasks/progress.h"
 
@@ -19,6 +20,7 @@
     RunRef run;
     std::shared_ptr<const std::string> text;
     std::string checkpoint; // Empty: from nothing.
+    std::string ticket; // Where the queue's policy wants one.
 };
 
 struct StopOrder {
@@ -37,6 +39,13 @@
     bool beside { false }; // Sent while another look waits at that worker.
 };
 
+// Asks the advice service which of these workers may run a step.
+struct AdviceOrder {
+    StepKey step;
+    AdviceTerms terms;
+    std::vector<std::string> workers; // Their ids.
+};
+
 // Progress records that have to be durable before the planner goes on.
 struct RecordBatch {
     std::int64_t number { 0 }; // Counts up from 1.
@@ -71,6 +80,7 @@
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
     std::vector<LookOrder> looks;
+    std::vector<AdviceOrder> advice;
     std::vector<RecordBatch> batches; // At most one.
     std::vector<Note> notes;
 };
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -77,6 +77,8 @@
 {
     if (!ask.label.empty() && !contains(worker.labels, ask.label))
         return false;
+    if (ask.allowed && !ask.allowed->contains(worker.id))
+        return false;
     return !contains(ask.avoid, worker.id);
 }
 
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -21,6 +21,7 @@
 #include "tasks/progress.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,7 @@
     std::string rack; // Where its data lies; empty: anywhere.
     bool sameRack { false };
     std::int64_t mostPerWorker { 0 };
+    const std::set<std::string>* allowed { nullptr }; // The only workers that may be used; null: any.
     const std::vector<std::string>* avoid { nullptr }; // Workers that must not be used.
     const std::vector<std::string>* siblings { nullptr }; // Workers of running tasks of the step, once for each.
     Millis expected { 0 }; // Run time.
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -85,6 +85,20 @@
 // planner that takes over loses a few runs' worth, and a record is 1.5 KB.
 inline constexpr Millis learnedEvery = 2000;
 
+// Workers named in one question to an advice service: as many as a wide step needs, and
+// few enough that the answer, which takes time for each, comes within the slack of a job.
+inline constexpr std::size_t mostWorkersAdvised = 30;
+
+// Questions without an answer: the service takes them one after the other, so more would
+// only queue there.
+inline constexpr int mostAdviceUnderWay = 4;
+
+// After a question that failed: the service was not reached, or has too many.
+inline constexpr Millis advicePause = 400;
+
+// A ticket must hold until a start that is decided now has arrived, with its record.
+inline constexpr Millis ticketSpare = 1000;
+
 // Notes kept between two takes; more are dropped rather than hold up decisions.
 inline constexpr std::size_t mostNotes = 400;
 
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -89,7 +89,7 @@
     {
         return { { "queue", terms.queue }, { "service", terms.service }, { "priority", terms.priority },
             { "attempts", terms.mostAttempts }, { "stretch", terms.stretch }, { "target", terms.latencyTarget },
-            { "advised", terms.advised } };
+            { "advice", Json::array({ terms.advice.each, terms.advice.perWorker, terms.advice.valid }) } };
     }
 
     QueueTerms termsOf(const Json& json)
@@ -101,7 +101,8 @@
         take(json, "attempts", terms.mostAttempts);
         take(json, "stretch", terms.stretch);
         take(json, "target", terms.latencyTarget);
-        take(json, "advised", terms.advised);
+        if (const auto found = json.find("advice"); found != json.end())
+            terms.advice = { found->at(0).get<Millis>(), found->at(1).get<Millis>(), found->at(2).get<Millis>() };
         return terms;
     }
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -25,6 +25,7 @@
 // must be told exactly once; looks, starts and stops have no other limit than
 // the caller's timeout. Not thread-safe.
 
+#include "tasks/advice.h"
 #include "tasks/catalog.h"
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
@@ -44,6 +45,7 @@
 struct PlannerOptions {
     Millis longestLease { 10000 }; // Granted with each look and start.
     Millis stopTimeout { 200 }; // Longest time that a stop takes at a worker.
+    bool advised { false }; // There is an advice service to ask; else no queue's policy is heeded.
 };
 
 class TaskPlanner {
@@ -62,6 +64,8 @@
     void lookFailed(const WorkerLife&, bool quick, WorkerFault, Millis now);
     void startAnswered(const WorkerLife&, const RunRef&, StartAnswer, Millis now);
     void stopAnswered(const WorkerLife&, const RunRef&, bool taken, Millis now);
+    void adviceAnswered(const StepKey&, const std::vector<AllowedWorker>&, Millis now);
+    void adviceFailed(const StepKey&, Millis now);
     void recorded(std::int64_t batch, Millis now);
 
     // Drops the records of jobs that are over and need not be told of any more.
@@ -147,6 +151,12 @@
     double lostWork(const Unit&, Millis now) const;
     double worthLosing(const Unit&) const;
 
+    // Advice on where a step may run.
+    std::set<std::string> allowedWorkers(const StepAdvice&, const Floor&, Millis now) const;
+    bool isAdvised(const Unit&, const Floor&, Ask&, Millis now);
+    const std::string* ticketFor(const UnitKey&, const WorkerLife&, Millis now) const;
+    void forgetAdvice(const std::string& job);
+
     // Records.
     void markDirty(const std::string& job) { this->dirty.insert(job); }
     void markUrgent() { this->recordBy = 0; } // Somebody waits for the next record.
@@ -183,6 +193,9 @@
     std::vector<std::pair<std::string, RunRef>> startsInBatch;
     std::map<WorkerLife, std::int64_t> endsInBatch;
     std::vector<StartOrder> startOrders;
+    std::map<StepKey, StepAdvice> advice; // Of steps whose queue has a policy.
+    std::vector<AdviceOrder> adviceOrders;
+    int adviceUnderWay { 0 };
     std::vector<Note> notes;
     bool isDeposed { false };
     bool changed { true };
--- /dev/null
+++ b/src/tasks/task_planner_advice.cc
@@ -0,0 +1,114 @@
+// Queues whose policy lies outside: which workers may run a step has to be asked, and
+// each start there carries a ticket. A question takes the service time for every worker
+// named, and it answers one at a time. So the workers that could take the step at once are
+// asked first, a few dozen at a time, and no more once the step has a place.
+
+#include "tasks/planner_limits.h"
+#include "tasks/task_planner.h"
+
+#include <algorithm>
+
+namespace rattan::tasks {
+
+using namespace detail;
+
+namespace {
+
+    StepKey stepOf(const UnitKey& unit) { return { unit.job, unit.occurrence, unit.step }; }
+
+    struct Askable {
+        const FloorWorker* worker;
+        bool near; // In the rack of the data.
+        bool free; // For a member, now.
+    };
+
+} // namespace
+
+const std::string* TaskPlanner::ticketFor(const UnitKey& unit, const WorkerLife& life, Millis now) const
+{
+    const auto found = this->advice.find(stepOf(unit));
+    return found == this->advice.end() ? nullptr : found->second.ticketFor(life, now);
+}
+
+std::set<std::string> TaskPlanner::allowedWorkers(const StepAdvice& known, const Floor& floor, Millis now) const
+{
+    std::set<std::string> allowed;
+    for (const FloorWorker& worker : floor.workers) {
+        if (known.ticketFor(this->workers.at(worker.id).seen.life, now + ticketSpare))
+            allowed.insert(worker.id);
+    }
+    return allowed;
+}
+
+// Whether the unit can be placed, or waited for, on the workers that `ask.allowed`
+// holds; else the advice service is asked about others.
+bool TaskPlanner::isAdvised(const Unit& unit, const Floor& floor, Ask& ask, Millis now)
+{
+    StepAdvice& known = this->advice[stepOf(unit.key)];
+    if (floor.findFree(ask))
+        return true;
+    std::vector<Askable> open;
+    Ask anywhere = ask;
+    anywhere.allowed = nullptr;
+    for (const FloorWorker& worker : floor.workers) {
+        const WorkerLife& life = this->workers.at(worker.id).seen.life;
+        if (!floor.suits(worker, anywhere) || !ask.each.within(worker.capacity) || !known.isOpen(life, now + ticketSpare))
+            continue;
+        open.push_back({ &worker, worker.rack == ask.rack, ask.each.within(worker.free) && ask.each.within(worker.soon) });
+    }
+    if (!ask.rack.empty() && std::none_of(open.begin(), open.end(), [](const Askable& candidate) { return candidate.near; }) && !floor.couldEverFit(ask))
+        ask.rack.clear(); // None of its rack may run it.
+    if (floor.findFree(ask))
+        return true;
+    if (open.empty())
+        return known.underWay.empty();
+    std::stable_sort(open.begin(), open.end(), [](const Askable& a, const Askable& b) { return std::pair(a.near, a.free) > std::pair(b.near, b.free); });
+    if (known.underWay.empty() && now >= known.notBefore && this->adviceUnderWay < mostAdviceUnderWay) {
+        AdviceOrder order { .step = stepOf(unit.key), .terms = unit.job->terms.advice, .workers = {} };
+        for (std::size_t i = 0; i < std::min(open.size(), mostWorkersAdvised); ++i) {
+            order.workers.push_back(open[i].worker->id);
+            known.underWay.push_back(this->workers.at(open[i].worker->id).seen.life);
+        }
+        ++this->adviceUnderWay;
+        this->adviceOrders.push_back(std::move(order));
+    }
+    return false;
+}
+
+void TaskPlanner::adviceAnswered(const StepKey& step, const std::vector<AllowedWorker>& allowed, Millis now)
+{
+    --this->adviceUnderWay;
+    this->changed = true;
+    const auto found = this->advice.find(step);
+    const auto job = this->jobs.find(step.job);
+    if (found == this->advice.end() || job == this->jobs.end())
+        return; // The job is over.
+    StepAdvice& known = found->second;
+    for (const WorkerLife& life : known.underWay) {
+        const auto row = std::find_if(allowed.begin(), allowed.end(), [&](const AllowedWorker& worker) { return worker.id == life.id; });
+        if (row == allowed.end())
+            known.deny(life);
+        else
+            known.allow(life, row->ticket, now + job->second.job->terms.advice.valid);
+    }
+    known.underWay.clear();
+}
+
+void TaskPlanner::adviceFailed(const StepKey& step, Millis now)
+{
+    --this->adviceUnderWay;
+    const auto found = this->advice.find(step);
+    if (found == this->advice.end())
+        return;
+    found->second.underWay.clear();
+    found->second.notBefore = now + advicePause;
+}
+
+void TaskPlanner::forgetAdvice(const std::string& job)
+{
+    auto next = this->advice.lower_bound({ job, 0, 0 });
+    while (next != this->advice.end() && next->first.job == job)
+        next = this->advice.erase(next);
+}
+
+} // namespace rattan::tasks
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -97,6 +97,7 @@
             if (this->finished.size() >= mostFinished)
                 this->finished.clear();
             this->finished.insert(id);
+            this->forgetAdvice(id);
             this->jobs.erase(found);
         }
     }
@@ -144,7 +145,8 @@
             continue;
         occupant->second.phase = RunPhase::Starting;
         this->grantLease(worker->second, now);
-        this->startOrders.push_back({ worker->second.seen.life, worker->second.seen.address, run, this->jobs.at(run.task.job).text, unit->checkpoint });
+        const std::string* ticket = this->ticketFor(unit->key, worker->second.seen.life, now);
+        this->startOrders.push_back({ worker->second.seen.life, worker->second.seen.address, run, this->jobs.at(run.task.job).text, unit->checkpoint, ticket ? *ticket : "" });
     }
     this->startsInBatch.clear();
 }
@@ -247,6 +249,8 @@
     this->makeBatch(now, orders);
     orders.starts = std::move(this->startOrders);
     this->startOrders.clear();
+    orders.advice = std::move(this->adviceOrders);
+    this->adviceOrders.clear();
     this->makeStops(now, orders);
     this->makeLooks(now, orders);
     orders.notes = std::move(this->notes);
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -293,6 +293,12 @@
             floor->second.keep(this->urgentDemand(service, now));
         }
         Ask ask = this->askOf(unit);
+        std::set<std::string> allowed;
+        const bool hasPolicy = this->options.advised && unit.job->terms.advice.valid > 0;
+        if (hasPolicy) {
+            allowed = this->allowedWorkers(this->advice[{ unit.key.job, unit.key.occurrence, unit.key.step }], floor->second, now);
+            ask.allowed = &allowed;
+        }
         std::vector<std::string> siblings;
         if (ask.mostPerWorker > 0) {
             for (auto other = this->units.lower_bound({ unit.key.job, unit.key.occurrence, unit.key.step, wholeGang });
@@ -302,6 +308,8 @@
             }
             ask.siblings = &siblings;
         }
+        if (hasPolicy && !this->isAdvised(unit, floor->second, ask, now))
+            continue;
         // A place that no set of workers can offer is not waited for.
         if ((!ask.rack.empty() || ask.sameRack) && !floor->second.couldEverFit(ask)) {
             ask.rack.clear();
@@ -310,7 +318,7 @@
         if (!floor->second.couldEverFit(ask)) {
             ask.avoid = nullptr; // Rather one that failed it than none.
         }
-        const bool plain = ask.mostPerWorker == 0 && unit.avoid.empty();
+        const bool plain = ask.mostPerWorker == 0 && unit.avoid.empty() && !hasPolicy;
         FailedAsks& failed = failedAsks[service];
         const bool hopeless = failed.cover(ask);
         if (!hopeless && this->tryPlace(candidate, floor->second, ask, now))
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -311,6 +311,10 @@
         worker->silent = true;
         worker->nextLookAt = now;
         break;
+    case StartAnswer::NoTicket:
+        if (const auto known = this->advice.find({ run.task.job, run.task.occurrence, run.task.step }); known != this->advice.end())
+            known->second.forget(life);
+        break;
     case StartAnswer::Unwell:
         worker->trust.failed(now);
         break;
--- a/src/tasks/testing/learning_test.cc
+++ b/src/tasks/testing/learning_test.cc
@@ -128,7 +128,7 @@
         Job job;
         job.id = "a";
         job.workspace = "w";
-        job.terms = { .queue = "q", .service = "s", .priority = 2, .mostAttempts = 4, .stretch = 1.5, .latencyTarget = 250, .advised = true };
+        job.terms = { .queue = "q", .service = "s", .priority = 2, .mostAttempts = 4, .stretch = 1.5, .latencyTarget = 250, .advice = { 20, 3, 4000 } };
         job.text = "line\n\"quoted\" \xc3\xa9";
         Step step;
         step.count = 5;
--- a/src/tasks/testing/task_planner_random_test.cc
+++ b/src/tasks/testing/task_planner_random_test.cc
@@ -19,6 +19,10 @@
 
 constexpr std::uint64_t usualSeeds = 40;
 
+// From this seed on, some queues have a policy.
+constexpr std::uint64_t firstWithPolicies = 1'000'000;
+constexpr std::uint64_t seedsWithPolicies = 10;
+
 // RATTAN_SEEDS=FIRST-LAST plays others.
 std::pair<std::uint64_t, std::uint64_t> seeds()
 {
@@ -33,8 +37,9 @@
 class Course {
 public:
     explicit Course(std::uint64_t seed)
-        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03 })
+        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1 })
         , random(seed * 7919)
+        , hasPolicies(seed >= firstWithPolicies)
     {
     }
 
@@ -68,6 +73,8 @@
         job.workspace = std::string(this->below(2) == 0 ? "a" : "b"); // GCC 12 warns wrongly where a literal of one letter is assigned.
         const std::int64_t priority = this->below(3);
         job.terms = { .queue = fmt::format("q{}", priority), .service = "s", .priority = priority, .mostAttempts = 4, .stretch = 3, .latencyTarget = 1000 };
+        if (this->hasPolicies && this->below(3) == 0)
+            job.terms.advice = { 20, 3, 2000 + this->below(8000) };
         const std::int64_t steps = 1 + this->below(2);
         for (std::int64_t i = 0; i < steps; ++i) {
             Step step;
@@ -132,6 +139,7 @@
 
     std::mt19937_64 random;
     std::uint64_t jobs { 0 };
+    bool hasPolicies;
 };
 
 // Empty if all held; else what did not, with the story of the job concerned.
@@ -153,6 +161,7 @@
 class TaskPlannerRandomTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TaskPlannerRandomTest);
     CPPUNIT_TEST(whateverHappensTheRulesHold);
+    CPPUNIT_TEST(alsoWhereQueuesHavePolicies);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,6 +173,14 @@
             CPPUNIT_ASSERT_MESSAGE(problem, problem.empty());
         }
     }
+
+    void alsoWhereQueuesHavePolicies()
+    {
+        for (std::uint64_t seed = firstWithPolicies; seed < firstWithPolicies + seedsWithPolicies; ++seed) {
+            const std::string problem = play(seed, "");
+            CPPUNIT_ASSERT_MESSAGE(problem, problem.empty());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TaskPlannerRandomTest);
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -60,6 +60,9 @@
     CPPUNIT_TEST(keptWorkersAreLentWhileHalfIsIdle);
     CPPUNIT_TEST(jobsThatAreOverAreForgotten);
     CPPUNIT_TEST(tasksThatLastAreStartedAgain);
+    CPPUNIT_TEST(stepsWithAPolicyRunWhereTheyMay);
+    CPPUNIT_TEST(ticketsThatRanOutAreAskedForAgain);
+    CPPUNIT_TEST(aPolicyOutlivesATakeover);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -376,6 +379,59 @@
         CPPUNIT_ASSERT(site.runsOf("j1") > 8);
         assertSound(site);
     }
+
+    // A queue's policy allows half of the workers, which only a service outside knows. A
+    // start elsewhere is refused, so without asking its jobs would never run.
+    void stepsWithAPolicyRunWhereTheyMay()
+    {
+        VirtualSite site({ .seed = 41, .failures = 0, .lostAdvice = 0.3 });
+        site.newPlanner();
+        Job wide = job("wide", 20, one, 2000);
+        wide.terms.advice = { 20, 3, 60000 };
+        Job together = gang("together", 4, whole, 2000);
+        together.terms.advice = { 20, 3, 60000 };
+        together.steps.front().dataRack = "r1";
+        site.submit(wide);
+        site.submit(together);
+        site.submit(job("free", 5, one, 1000));
+        CPPUNIT_ASSERT(site.runUntilOver(20000));
+        for (const char* id : { "wide", "together", "free" })
+            CPPUNIT_ASSERT(site.stateOf(id) == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.refusedTickets);
+        CPPUNIT_ASSERT(site.adviceAsked <= 24 * 3); // Each worker once for each step, but for lost answers.
+        assertSound(site);
+    }
+
+    void ticketsThatRanOutAreAskedForAgain()
+    {
+        VirtualSite site({ .seed = 42, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        Job waves = job("waves", 6, whole, 1500);
+        waves.terms.advice = { 20, 3, 2500 };
+        site.submit(waves);
+        CPPUNIT_ASSERT(site.runUntilOver(30000));
+        CPPUNIT_ASSERT(site.stateOf("waves") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.refusedTickets);
+        CPPUNIT_ASSERT(site.adviceAsked > 2);
+        assertSound(site);
+    }
+
+    // Tickets are not recorded: who takes over has to ask again, and must not start
+    // anything without.
+    void aPolicyOutlivesATakeover()
+    {
+        VirtualSite site({ .seed = 43, .failures = 0.2 });
+        site.newPlanner();
+        Job wide = job("wide", 30, half, 2500);
+        wide.terms.advice = { 20, 3, 60000 };
+        site.submit(wide);
+        site.run(2200);
+        site.newPlanner();
+        site.restart("w02");
+        CPPUNIT_ASSERT(site.runUntilOver(60000));
+        CPPUNIT_ASSERT(isFinal(site.stateOf("wide")));
+        assertSound(site);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TaskPlannerTest);
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -10,6 +10,7 @@
     PlannerOptions planning;
     planning.longestLease = this->options.lease;
     planning.stopTimeout = this->options.stopTime;
+    planning.advised = true;
     this->planner = std::make_unique<TaskPlanner>(planning, this->table, this->now, this->now);
     this->planner->applyCatalog(this->catalog);
     this->planner->workersSeen(this->sightings(), this->now);
@@ -147,6 +148,30 @@
         this->planner->workersSeen(this->sightings(), this->now);
 }
 
+std::string VirtualSite::ticketOf(const StepKey& step, const std::string& worker) const
+{
+    return fmt::format("{}.{}.{} on {} born {}", step.job, step.occurrence, step.step, worker, this->workers.at(worker).born);
+}
+
+void VirtualSite::advise(const AdviceOrder& order)
+{
+    this->adviceAsked += static_cast<std::int64_t>(order.workers.size());
+    const Millis takes = order.terms.each + order.terms.perWorker * static_cast<Millis>(order.workers.size());
+    const bool isLost = this->chance() < this->options.lostAdvice;
+    this->at(this->now + takes, [this, order, isLost, mine = this->generation] {
+        if (mine != this->generation || !this->planner)
+            return;
+        if (isLost)
+            return this->planner->adviceFailed(order.step, this->now);
+        std::vector<AllowedWorker> allowed;
+        for (const std::string& worker : order.workers) {
+            if ((worker.back() - '0') % 2 == 0)
+                allowed.push_back({ worker, this->ticketOf(order.step, worker) });
+        }
+        this->planner->adviceAnswered(order.step, allowed, this->now);
+    });
+}
+
 void VirtualSite::advance()
 {
     while (!this->events.empty() && this->events.begin()->first <= this->now) {
@@ -168,6 +193,8 @@
         this->start(order);
     for (const LookOrder& order : orders.looks)
         this->look(order);
+    for (const AdviceOrder& order : orders.advice)
+        this->advise(order);
     for (const std::string& problem : this->planner->violations())
         this->broken.push_back("planner: " + problem);
     if (this->planner->deposed())
@@ -257,6 +284,11 @@
         return StartAnswer::Started;
     if (worker.ceilings[order.run.task] >= order.run.run)
         return StartAnswer::Old;
+    const TaskRef& task = order.run.task;
+    if (this->jobs.at(task.job).terms.advice.valid > 0 && order.ticket != this->ticketOf({ task.job, task.occurrence, task.step }, order.worker.id)) {
+        ++this->refusedTickets;
+        return StartAnswer::NoTicket;
+    }
     this->judgeStart(order, worker);
     const Step& step = this->stepOf(order.run.task);
     Run run;
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -32,6 +32,7 @@
     double lostAnswers { 0 }; // Share that is carried out and not answered.
     double lateOrders { 0 }; // Share that is carried out 2 to 12 s later and not answered.
     double failures { 0.02 }; // Share of runs that fail.
+    double lostAdvice { 0 }; // Share of questions to the advice service without an answer.
     bool uneven { false }; // All tasks but the first of a step have a quarter of its work.
 };
 
@@ -92,6 +93,9 @@
 
     std::int64_t countEnds(RunEnd end) const;
 
+    std::int64_t refusedTickets { 0 }; // Starts without the ticket that they need.
+    std::int64_t adviceAsked { 0 }; // Workers named in questions.
+
     std::mt19937_64 random;
 
 private:
@@ -163,6 +167,10 @@
 
     void look(const LookOrder& order);
 
+    // The policy of every queue that has one: workers of even number may run its steps.
+    void advise(const AdviceOrder& order);
+    std::string ticketOf(const StepKey& step, const std::string& worker) const;
+
     std::optional<WorkerLook> carryLook(const LookOrder& order, std::int64_t term, Millis until);
 
     void acknowledge(Worker& worker, std::int64_t through);
--- a/src/tasks/worker.cc
+++ b/src/tasks/worker.cc
@@ -18,8 +18,8 @@
 
 std::string_view nameOf(StartAnswer answer)
 {
-    constexpr std::array<std::string_view, 10> names { "started", "no_answer", "not_sent", "no_room", "old", "late", "unwell",
-        "refused", "other_life", "deposed" };
+    constexpr std::array<std::string_view, 11> names { "started", "no_answer", "not_sent", "no_room", "old", "late", "unwell",
+        "refused", "no_ticket", "other_life", "deposed" };
     return names.at(static_cast<std::size_t>(answer));
 }
 
--- a/src/tasks/worker.h
+++ b/src/tasks/worker.h
@@ -73,6 +73,7 @@
     Late, // Its lease was over on arrival.
     Unwell, // The worker takes nothing at present.
     Refused, // It can never run there.
+    NoTicket, // The advice on it does not hold any more.
     OtherLife,
     Deposed,
 };
