--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -34,6 +34,8 @@
     // Instances that hardly ever plan need not hear of each renewal.
     constexpr Millis weakClaimsGather = 900;
 
+    constexpr Millis gaugesEvery = 500; // Whoever collects them does so every few seconds.
+
     constexpr Millis claimTimeout = 500; // Longer than a renewal takes at a slow store, and half a term.
     constexpr std::chrono::milliseconds connectTimeout { 400 };
     constexpr std::chrono::milliseconds appendTimeout { 700 }; // Callers wait three seconds; another instance must have time to try.
@@ -285,6 +287,7 @@
     this->client.useGroup(static_cast<int>(this->election.term()));
     if (!this->leadership) {
         const TermServices services { this->client, this->protocols.store, this->protocols.workers, this->clock, this->election, this->settings, this->metrics };
+        this->metrics.count("rattan_terms_total", { { "event", "taken" } });
         this->leadership = std::make_unique<Leadership>(this->election.term(), services, this->jobs);
         this->leadership->applyCatalog(this->catalog);
     }
@@ -296,6 +299,7 @@
 {
     if (!this->leadership)
         return;
+    this->metrics.count("rattan_terms_total", { { "event", "ended" } });
     logEvent(events::leadLost, { { "term", this->leadership->term() }, { "why", why } });
     this->leadership.reset();
 }
@@ -387,10 +391,15 @@
 
 void ControlLoop::publishGauges(Millis now)
 {
+    if (now < this->gaugesAt)
+        return;
+    this->gaugesAt = now + gaugesEvery;
     this->metrics.set("rattan_text_version", {}, static_cast<double>(this->catalog->version));
     this->metrics.set("rattan_leads", {}, this->leadership ? 1 : 0);
     this->metrics.set("rattan_requests_waiting", {}, static_cast<double>(this->gateway.waiting()));
-    static_cast<void>(now);
+    constexpr double millisPerSecond = 1000;
+    for (const auto& [stream, reader] : { std::pair("text", &this->textReader), std::pair("jobs", &this->jobsReader), std::pair("claims", &this->claimsReader) })
+        this->metrics.set("rattan_picture_age_seconds", { { "stream", stream } }, static_cast<double>(now - reader->confirmedAt()) / millisPerSecond);
 }
 
 } // namespace rattan::instance
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -114,6 +114,7 @@
     bool appendUnderWay { false };
     bool claimUnderWay { false };
     Millis nextAppendAt { 0 };
+    Millis gaugesAt { 0 };
 
     std::mutex freshMutex;
     std::optional<InstanceSettings> fresh; // Read again, and not taken yet.
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -260,7 +260,7 @@
     http::Call call = this->services.workers.start(order, until, this->number);
     call.timeout = orderTimeout;
     call.connectTimeout = connectTimeout;
-    this->sendOrder(std::move(call), [this, order](const http::Reply& reply, Millis now) {
+    this->sendOrder("start", std::move(call), [this, order](const http::Reply& reply, Millis now) {
         const StartReply answer = this->services.workers.parseStart(reply);
         if (answer.clock)
             this->clocks.heard(order.worker, *answer.clock, now);
@@ -277,7 +277,7 @@
     http::Call call = this->services.workers.stop(order, this->number);
     call.timeout = orderTimeout;
     call.connectTimeout = connectTimeout;
-    this->sendOrder(std::move(call), [this, order](const http::Reply& reply, Millis now) {
+    this->sendOrder("stop", std::move(call), [this, order](const http::Reply& reply, Millis now) {
         const StopReply answer = this->services.workers.parseStop(reply);
         if (answer.clock)
             this->clocks.heard(order.worker, *answer.clock, now);
@@ -293,7 +293,7 @@
 
 // Orders may leave their lane while an answer is handled, so the group of the
 // calls is set here and not by the loop.
-void Leadership::sendOrder(http::Call call, std::function<void(const http::Reply&, Millis)> handler)
+void Leadership::sendOrder(const char* kind, http::Call call, std::function<void(const http::Reply&, Millis)> handler)
 {
     // The machine may have stood still since the order was decided. Sent now, it
     // could reach a worker after the orders of a planner that took over.
@@ -302,7 +302,13 @@
         return;
     }
     this->services.client.useGroup(static_cast<int>(this->number));
-    this->services.client.send(std::move(call), [this, handler = std::move(handler)](const http::Reply& reply) { handler(reply, this->services.clock.now()); });
+    const Millis sentAt = this->services.clock.now();
+    this->services.client.send(std::move(call), [this, kind, sentAt, handler = std::move(handler)](const http::Reply& reply) {
+        constexpr double millisPerSecond = 1000;
+        const Millis now = this->services.clock.now();
+        this->services.metrics.observe("rattan_order_seconds", { { "order", kind } }, static_cast<double>(now - sentAt) / millisPerSecond);
+        handler(reply, now);
+    });
 }
 
 void Leadership::sendLook(const tasks::LookOrder& order, Millis now)
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -77,7 +77,7 @@
     void forgetOldJobs(Millis now);
     void sendStart(const tasks::StartOrder&);
     void sendStop(const tasks::StopOrder&);
-    void sendOrder(http::Call, std::function<void(const http::Reply&, Millis)>);
+    void sendOrder(const char* kind, http::Call, std::function<void(const http::Reply&, Millis)>);
     void sendLook(const tasks::LookOrder&, Millis now);
     void sendAdvice(const tasks::AdviceOrder&);
     void logNote(const tasks::Note&) const;
