Pass requests on while cut off from the store

Cause: while the store turned a third of the instances away, their callers were told to come back in a second (accepting took 1.05 to 1.15 s, 33 of 302 late urgent jobs) or heard states from before the cut. Change: an instance without the store offers such a request once to the instance that plans, which surely reached the store within the last second; an unknown outcome is never turned into a refusal.

--- a/src/instance/caller_protocol.h
+++ b/src/instance/caller_protocol.h
@@ -4,6 +4,7 @@
 // known; the gateway decides on what is asked in the types of this file.
 
 #include "http/answer.h"
+#include "http/client.h"
 #include "tasks/catalog.h"
 #include "tasks/job.h"
 #include "tasks/progress.h"
@@ -27,6 +28,7 @@
     std::string key; // Empty: none was sent.
     Millis patience { 0 }; // How long the caller waits; 0: not told.
     std::string body;
+    bool relayed { false }; // Another instance passed it on.
 };
 
 enum class Outcome {
@@ -52,6 +54,7 @@
     std::int64_t pending { 0 };
     Millis retryAfter { 0 };
     std::string message; // For people.
+    bool wantsStore { false }; // Given for want of the store: an instance that reaches it may know better.
 };
 
 class CallerProtocol {
@@ -66,6 +69,11 @@
     virtual bool isJobId(std::string_view) const = 0;
 
     virtual http::Answer encode(const CallerAnswer&) const = 0;
+
+    // The request as another instance understands it, and its answer; nothing if that
+    // is no answer of an instance.
+    virtual http::Call encodeRequest(const CallerRequest&) const = 0;
+    virtual std::optional<CallerAnswer> parseAnswer(AskKind, const http::Reply&) const = 0;
 };
 
 // The operators' text.
--- a/src/instance/claim_record.cc
+++ b/src/instance/claim_record.cc
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 
+#include <fmt/format.h>
 #include <limits>
 
 namespace rattan::instance {
@@ -12,6 +13,20 @@
 
 } // namespace
 
+std::string holderText(const std::string& instance, const std::string& callerAddress, const std::string& process)
+{
+    return fmt::format("{}@{}/{}", instance, callerAddress, process);
+}
+
+std::string addressOfHolder(const std::string& holder)
+{
+    const std::size_t at = holder.find('@');
+    const std::size_t slash = holder.find('/', at == std::string::npos ? 0 : at);
+    if (at == std::string::npos || slash == std::string::npos)
+        return {};
+    return holder.substr(at + 1, slash - at - 1);
+}
+
 std::string encodeClaim(const tasks::Claim& claim)
 {
     return Json { { "term", claim.term }, { "holder", claim.holder }, { "renewal", claim.renewal } }.dump();
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -68,7 +68,7 @@
         constexpr std::size_t processDigits = 8;
         tasks::ElectionOptions options;
         options.machine = fmt::format("{}@{}", settings.name, settings.callerAddress);
-        options.holder = fmt::format("{}/{}", options.machine, randomHex(processDigits));
+        options.holder = holderText(settings.name, settings.callerAddress, randomHex(processDigits));
         const double weakness = 1 - std::min(settings.processorShare / enoughToPlan, 1.0);
         options.jitter = static_cast<Millis>(randomBelow(electionJitter)) + static_cast<Millis>(weakness * static_cast<double>(weakestWaits));
         return options;
@@ -91,6 +91,7 @@
     , metrics(metrics)
     , client({ .connectionsPerPeer = connectionsPerPeer })
     , gateway(gatewayOptions(this->settings), protocols.callers, this->jobs)
+    , relay(this->client, protocols.callers, clock, this->settings.callerAddress)
     , textReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Text), *this)
     , jobsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Jobs), *this)
     , claimsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Claims), *this)
@@ -182,8 +183,8 @@
         if (!command)
             return;
         const std::uint64_t ticket = ++this->lastTicket;
-        this->asked.emplace(ticket, Asked { std::move(command->answer), command->request.kind });
         this->gateway.ask(ticket, command->request, now, wall);
+        this->asked.emplace(ticket, Asked { std::move(command->answer), std::move(command->request) });
     }
 }
 
@@ -207,19 +208,37 @@
         const auto found = this->asked.find(answered.ticket);
         if (found == this->asked.end())
             continue;
-        const Outcome outcome = answered.answer.outcome;
-        const AskKind kind = found->second.kind;
-        constexpr double millisPerSecond = 1000;
-        this->metrics.count("rattan_requests_total", { { "outcome", std::string(nameOf(outcome)) } });
-        this->metrics.observe("rattan_request_seconds", {}, static_cast<double>(answered.waited) / millisPerSecond);
-        const bool plain = kind == AskKind::State && (outcome == Outcome::State || outcome == Outcome::Pending);
-        if (!plain)
-            logEvent(events::answered, { { "outcome", nameOf(outcome) }, { "job", answered.job }, { "waited_ms", answered.waited }, { "text", this->catalog->version }, { "why", answered.answer.message } });
-        found->second.answer.set_value(std::move(answered.answer));
-        this->asked.erase(found);
+        if (!this->relay.wants(found->second.request, answered.answer, answered.waited)) {
+            this->answerCaller(answered);
+            continue;
+        }
+        this->metrics.count("rattan_relayed_total", { { "for_want_of", std::string(nameOf(answered.answer.outcome)) } });
+        const Millis passedAt = this->clock.now();
+        this->relay.pass(found->second.request, answered.answer, answered.waited, [this, answered, passedAt](const CallerAnswer& answer) {
+            GatewayAnswer relayed = answered;
+            relayed.answer = answer;
+            relayed.waited += this->clock.now() - passedAt;
+            this->answerCaller(relayed);
+        });
     }
 }
 
+void ControlLoop::answerCaller(const GatewayAnswer& answered)
+{
+    const auto found = this->asked.find(answered.ticket);
+    if (found == this->asked.end())
+        return;
+    const Outcome outcome = answered.answer.outcome;
+    constexpr double millisPerSecond = 1000;
+    this->metrics.count("rattan_requests_total", { { "outcome", std::string(nameOf(outcome)) } });
+    this->metrics.observe("rattan_request_seconds", {}, static_cast<double>(answered.waited) / millisPerSecond);
+    const bool plain = found->second.request.kind == AskKind::State && (outcome == Outcome::State || outcome == Outcome::Pending);
+    if (!plain)
+        logEvent(events::answered, { { "outcome", nameOf(outcome) }, { "job", answered.job }, { "waited_ms", answered.waited }, { "text", this->catalog->version }, { "why", answered.answer.message } });
+    found->second.answer.set_value(answered.answer);
+    this->asked.erase(found);
+}
+
 void ControlLoop::appendRecords(Millis now)
 {
     if (this->appendUnderWay || now < this->nextAppendAt)
@@ -362,6 +381,7 @@
     if (claim.value->holder != this->election.newestClaim().holder)
         logEvent(events::leadSeen, { { "term", claim.value->term }, { "holder", claim.value->holder } });
     this->election.recordRead(*claim.value, record.offset, now);
+    this->relay.planned(addressOfHolder(claim.value->holder));
 }
 
 void ControlLoop::streamConfirmed(Stream stream, std::int64_t end, Millis confirmedAt, Millis now)
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -18,6 +18,7 @@
 #include "http/async_client.h"
 #include "instance/gateway.h"
 #include "instance/leadership.h"
+#include "instance/relay.h"
 #include "instance/settings.h"
 #include "instance/stream_reader.h"
 #include "tasks/election.h"
@@ -75,7 +76,7 @@
     // One waiter of the two sides: the caller's thread and the loop.
     struct Asked {
         std::promise<CallerAnswer> answer;
-        AskKind kind { AskKind::Other };
+        CallerRequest request;
     };
 
     void run();
@@ -83,6 +84,7 @@
     void takeSettings();
     void takeCommands(Millis now, Millis wall);
     void answerCallers();
+    void answerCaller(const GatewayAnswer&);
     void appendRecords(Millis now);
     void runElection(Millis now);
     void lead(Millis now, Millis wall);
@@ -100,6 +102,7 @@
     http::AsyncClient client;
     tasks::JobTable jobs;
     Gateway gateway;
+    Relay relay;
     StreamReader textReader;
     StreamReader jobsReader;
     StreamReader claimsReader;
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -137,7 +137,7 @@
         return;
     }
     if (entry)
-        return this->answer(ticket, question, { .outcome = Outcome::State, .state = entry->shown() }, now);
+        return this->answer(ticket, question, { .outcome = Outcome::State, .state = entry->shown(), .wantsStore = !isFinal(entry->shown()) && !this->storeInReach(now) }, now);
     if (!this->storeInReach(now))
         return this->refuse(ticket, question, "the store is out of reach", now);
     question.awaits = Awaits::Reading;
@@ -292,7 +292,7 @@
     const std::string job = tasks::keyText({ RecordKind::Job, question.job });
     const bool perhaps = this->underWay.contains(question.record) || this->uncertain.contains(question.record)
         || (question.request.kind == AskKind::Submit && (this->underWay.contains(job) || this->uncertain.contains(job)));
-    this->answer(ticket, question, { .outcome = perhaps ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryElsewhere, .message = std::move(why) }, now);
+    this->answer(ticket, question, { .outcome = perhaps ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryElsewhere, .message = std::move(why), .wantsStore = true }, now);
 }
 
 void Gateway::answer(std::uint64_t ticket, const Question& question, CallerAnswer answer, Millis now)
--- /dev/null
+++ b/src/instance/relay_peers.cc
@@ -0,0 +1,42 @@
+#include "instance/relay_peers.h"
+
+#include <algorithm>
+
+namespace rattan::instance {
+
+void RelayPeers::planned(const std::string& address)
+{
+    if (address.empty() || (!this->peers.empty() && this->peers.front().address == address))
+        return;
+    std::erase_if(this->peers, [&](const Peer& peer) { return peer.address == address; });
+    this->peers.push_front({ address });
+    if (this->peers.size() > mostPeers)
+        this->peers.pop_back();
+}
+
+std::optional<std::string> RelayPeers::choose(Millis now) const
+{
+    for (const Peer& peer : this->peers) {
+        if (peer.address != this->own && now >= peer.avoidedUntil)
+            return peer.address;
+    }
+    return std::nullopt;
+}
+
+void RelayPeers::failed(const std::string& address, Millis now)
+{
+    for (Peer& peer : this->peers) {
+        if (peer.address == address)
+            peer.avoidedUntil = now + failurePause;
+    }
+}
+
+void RelayPeers::answered(const std::string& address)
+{
+    for (Peer& peer : this->peers) {
+        if (peer.address == address)
+            peer.avoidedUntil = 0;
+    }
+}
+
+} // namespace rattan::instance
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -31,6 +31,8 @@
     }
     bool isJobId(std::string_view text) const override { return text.size() == 16; }
     http::Answer encode(const CallerAnswer&) const override { return {}; }
+    http::Call encodeRequest(const CallerRequest&) const override { return {}; }
+    std::optional<CallerAnswer> parseAnswer(AskKind, const http::Reply&) const override { return std::nullopt; }
 };
 
 class GatewayTest : public CppUnit::TestFixture {
--- a/src/tasks/progress.h
+++ b/src/tasks/progress.h
@@ -25,6 +25,7 @@
 };
 
 std::string_view nameOf(JobState);
+std::optional<JobState> jobStateNamed(std::string_view);
 inline bool isFinal(JobState state) { return state >= JobState::Completed; }
 
 enum class UnitState {
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -157,6 +157,12 @@
 
 std::string_view nameOf(JobState state) { return stateNames.at(static_cast<std::size_t>(state)); }
 
+std::optional<JobState> jobStateNamed(std::string_view name)
+{
+    const auto state = indexOfName(stateNames, name);
+    return state ? std::optional(static_cast<JobState>(*state)) : std::nullopt;
+}
+
 std::string keyText(const RecordKey& key)
 {
     for (const KindName& row : kinds) {
