Confirm at once after a failed read; keep unknown outcomes unknown when relayed

Change: the first read after a failure does not wait. Change: where the own outcome is unknown, only success of the other instance counts. Test: anUnknownOutcomeStaysUnknown.

--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -21,10 +21,13 @@
     {
         if (other.textVersion < own.textVersion)
             return own;
+        // An append of this instance may still be carried out: whatever the other turns
+        // the request away for, a key that was withdrawn meanwhile too, the job may run.
+        const bool otherServed = other.outcome == Outcome::Accepted || other.outcome == Outcome::Cancelled || other.outcome == Outcome::State;
+        if (own.outcome == Outcome::Unknown)
+            return otherServed ? other : own;
         const bool otherKnowsNothing = other.outcome == Outcome::NotNow || other.outcome == Outcome::Unknown;
-        if (otherKnowsNothing && own.outcome != Outcome::NotNow)
-            return own;
-        return other;
+        return otherKnowsNothing && own.outcome != Outcome::NotNow ? own : other;
     }
 
 } // namespace
--- a/src/instance/stream_reader.cc
+++ b/src/instance/stream_reader.cc
@@ -35,9 +35,15 @@
     if (this->next < 0 || this->loading)
         this->load();
     else
-        this->read(this->options.pause > 0 ? 0 : this->options.wait, false);
+        this->read(this->waitsNow() ? this->options.wait : 0, false);
 }
 
+// The first read after a failure does not wait: it would confirm only when its wait is
+// over that nothing has changed. Where the store comes back after an outage of four
+// seconds, the operators' text counted as unknown, and every caller with a key was
+// turned away, for 1.6 s more.
+bool StreamReader::waitsNow() const { return this->options.pause == 0 && this->failurePause == 0; }
+
 void StreamReader::probe()
 {
     if (!this->probeUnderWay && this->loaded())
--- a/src/instance/stream_reader.h
+++ b/src/instance/stream_reader.h
@@ -59,6 +59,7 @@
     bool loaded() const { return this->next >= 0 && !this->loading; }
 
 private:
+    bool waitsNow() const;
     void load();
     void read(Millis wait, bool isProbe);
     void pageRead(const http::Reply&, Millis sentAt);
--- a/src/instance/testing/relay_test.cc
+++ b/src/instance/testing/relay_test.cc
@@ -25,7 +25,7 @@
     }
     std::optional<CallerAnswer> parseAnswer(AskKind, const http::Reply& reply) const override
     {
-        for (const Outcome outcome : { Outcome::Accepted, Outcome::NotNow, Outcome::State }) {
+        for (const Outcome outcome : { Outcome::Accepted, Outcome::NotNow, Outcome::State, Outcome::UnknownKey }) {
             if (reply.body == nameOf(outcome))
                 return CallerAnswer { .outcome = outcome, .message = "from the other" };
         }
@@ -79,11 +79,14 @@
         CPPUNIT_ASSERT(!this->relay->wants(request, wanting(Outcome::NotNow), 0));
     }
 
-    // This instance's own append may still be carried out. A refusal by the other one
-    // would tell the caller that the job never runs, and then it does.
+    // This instance's own append may still be carried out. A refusal by the other one,
+    // also for a key that was withdrawn meanwhile, would tell the caller that the job
+    // never runs, and then it does.
     void anUnknownOutcomeStaysUnknown()
     {
         CPPUNIT_ASSERT(this->pass(Outcome::NotNow, wanting(Outcome::Unknown)).outcome == Outcome::Unknown);
+        CPPUNIT_ASSERT(this->pass(Outcome::UnknownKey, wanting(Outcome::Unknown)).outcome == Outcome::Unknown);
+        CPPUNIT_ASSERT(this->pass(Outcome::UnknownKey, wanting(Outcome::NotNow)).outcome == Outcome::UnknownKey);
         CPPUNIT_ASSERT(this->pass(Outcome::Accepted, wanting(Outcome::Unknown)).outcome == Outcome::Accepted);
         CPPUNIT_ASSERT(this->pass(Outcome::NotNow, wanting(Outcome::State)).outcome == Outcome::State);
     }
