Heartbeats of the planner: who misses them claims before the term is over

Change: the planner sends a datagram every 100 ms to up to 12 instances that ask for it, and says so when a renewal of its claim fails; who misses four, or hears that, claims at once. Safety rests on the term at workers and on the epoch at the store, as before; what waited for the term was only time.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -105,6 +105,7 @@
 
 void ControlLoop::start()
 {
+    this->openPeerSocket();
     this->thread = std::thread([this] { this->run(); });
 }
 
@@ -165,6 +166,7 @@
     this->gateway.step(now);
     this->appendRecords(now);
     this->answerCallers();
+    this->watchPlanner(now);
     this->runElection(now);
     this->lead(now, wall);
     this->isReady = this->gateway.ready(now);
@@ -298,6 +300,40 @@
     });
 }
 
+// Without the socket this instance waits for terms to run out, as it does where its
+// datagrams do not get through.
+void ControlLoop::openPeerSocket()
+{
+    if (this->settings.peerAddress.empty())
+        return;
+    if (const auto error = attemptVoid([&] { return this->peerSocket.open(this->settings.peerAddress); }))
+        logEvent(events::watchImpossible, { { "address", this->settings.peerAddress }, { "why", error->message } });
+}
+
+void ControlLoop::watchPlanner(Millis now)
+{
+    while (const auto datagram = this->peerSocket.receive())
+        this->plannerWatch.received(datagram->from, datagram->text, now);
+    const std::int64_t ownTerm = this->election.leads(now) ? this->election.term() : 0;
+    const bool asks = this->settings.processorShare >= enoughToPlan;
+    for (const WatchMessage& message : this->plannerWatch.step(ownTerm, this->election.renewalFailed(), now)) {
+        if (ownTerm > 0 || asks)
+            this->peerSocket.send(message.peer, message.text);
+    }
+    if (ownTerm == 0 && this->plannerWatch.plannerGone(now))
+        this->election.suspect(now);
+}
+
+// Where the holder of a claim takes datagrams: all instances use the same port.
+std::string ControlLoop::peerOf(const std::string& holder) const
+{
+    const std::string& own = this->settings.peerAddress;
+    const std::string address = addressOfHolder(holder);
+    if (own.empty() || address.empty() || address == this->settings.callerAddress)
+        return {};
+    return address.substr(0, address.rfind(':')) + own.substr(own.rfind(':'));
+}
+
 void ControlLoop::lead(Millis now, Millis wall)
 {
     const bool leads = this->election.leads(now);
@@ -386,6 +422,7 @@
         logEvent(events::leadSeen, { { "term", claim.value->term }, { "holder", claim.value->holder } });
     this->election.recordRead(*claim.value, record.offset, now);
     this->relay.planned(addressOfHolder(claim.value->holder));
+    this->plannerWatch.claimed({ claim.value->term, this->peerOf(claim.value->holder) }, now);
 }
 
 void ControlLoop::streamConfirmed(Stream stream, std::int64_t end, Millis confirmedAt, Millis now)
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -13,11 +13,13 @@
 // Callers' threads reach it through a bounded ring; when that is full, a request
 // is refused at once.
 
+#include "base/datagram_socket.h"
 #include "base/metrics.h"
 #include "base/ring.h"
 #include "http/async_client.h"
 #include "instance/gateway.h"
 #include "instance/leadership.h"
+#include "instance/planner_watch.h"
 #include "instance/relay.h"
 #include "instance/settings.h"
 #include "instance/stream_reader.h"
@@ -87,6 +89,9 @@
     void answerCaller(const GatewayAnswer&);
     void appendRecords(Millis now);
     void runElection(Millis now);
+    void openPeerSocket();
+    void watchPlanner(Millis now);
+    std::string peerOf(const std::string& holder) const;
     void lead(Millis now, Millis wall);
     void endTerm(const char* why);
     void jobRecordRead(const StoreRecord&, Millis now);
@@ -108,6 +113,8 @@
     StreamReader claimsReader;
     std::map<Stream, bool> reachable;
     tasks::Election election;
+    PlannerWatch plannerWatch;
+    DatagramSocket peerSocket;
     std::unique_ptr<Leadership> leadership;
     std::shared_ptr<const tasks::Catalog> catalog;
 
--- a/src/instance/events.h
+++ b/src/instance/events.h
@@ -24,11 +24,12 @@
 inline constexpr Event leading { 6030, "lead.taken", Level::Info, "This instance plans; its term." };
 inline constexpr Event leadLost { 6031, "lead.lost", Level::Warning, "This instance does not plan any more, and why." };
 inline constexpr Event leadSeen { 6032, "lead.seen", Level::Info, "Another instance plans." };
+inline constexpr Event watchImpossible { 6033, "lead.watch_impossible", Level::Warning, "No heartbeats are exchanged with the planner; its term is waited for." };
 inline constexpr Event answered { 6040, "caller.answered", Level::Info, "A caller was given the outcome of a request that changes something, or a refusal." };
 inline constexpr Event relayFailed { 6041, "caller.relay_failed", Level::Warning, "A request was passed on to another instance, which gave no answer." };
 inline constexpr Event decided { 6050, "plan.decided", Level::Info, "A decision on a task, a job or a worker, and what it was based on." };
 inline constexpr Event orderRefused { 6051, "plan.order_refused", Level::Warning, "A worker did not take an order as wanted." };
 
-inline constexpr std::array instanceEvents { started, stopping, stopped, reloaded, reloadRefused, startFailed, textInForce, textUnreadable, storeLost, storeRegained, streamLoaded, recordUnreadable, appendFailed, leading, leadLost, leadSeen, answered, relayFailed, decided, orderRefused };
+inline constexpr std::array instanceEvents { started, stopping, stopped, reloaded, reloadRefused, startFailed, textInForce, textUnreadable, storeLost, storeRegained, streamLoaded, recordUnreadable, appendFailed, leading, leadLost, leadSeen, watchImpossible, answered, relayFailed, decided, orderRefused };
 
 } // namespace rattan::instance::events
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -14,6 +14,7 @@
     std::string domain; // Failure domain.
     std::string callerAddress; // IP:PORT on which callers are served.
     std::string readyAddress; // IP:PORT on which the balancer asks; metrics too.
+    std::string peerAddress; // IP:PORT for datagrams of other instances; empty: none are exchanged.
     std::string storeAddress; // IP:PORT of the platform's store.
     std::string adviceAddress; // IP:PORT of the service that knows queues' policies; empty: none.
     Millis longestLease { 10000 }; // That a worker grants.
--- a/src/tasks/election.cc
+++ b/src/tasks/election.cc
@@ -25,6 +25,7 @@
     const bool sent = this->underWay && own && claim.term == this->underWay->claim.term && claim.renewal == this->underWay->claim.renewal;
     this->newest = claim;
     this->newestReadAt = now;
+    this->suspectedAt = 0;
     // A claim of ours that was appended although its answer never came counts
     // only once a renewal of it is confirmed: nobody knows how long it lay there.
     this->holds = own;
@@ -39,6 +40,7 @@
 // meanwhile was told that it is over.
 void Election::confirm(std::int64_t term, Millis now)
 {
+    this->failedInTerm = 0;
     if (this->confirmedTerm == term && now >= this->leadsUntil)
         return;
     this->leadsUntil = this->sentAt + this->options.term;
@@ -65,6 +67,8 @@
         return true;
     if (this->newest.term > 0 && this->newest.holder.empty())
         return now >= this->newestReadAt + this->options.jitter / 2;
+    if (this->suspectedAt > 0 && now >= this->suspectedAt + this->options.jitter)
+        return true;
     return now >= this->newestReadAt + this->options.takeover + this->options.jitter;
 }
 
@@ -104,6 +108,8 @@
         return;
     }
     if (outcome != AppendOutcome::Appended) {
+        if (done.claim.term == this->newest.term)
+            this->failedInTerm = done.claim.term;
         this->nextRenewal = now + this->options.renewEvery / 2;
         return;
     }
@@ -112,6 +118,7 @@
     this->end = done.at + 1;
     this->newest = done.claim;
     this->newestReadAt = now;
+    this->suspectedAt = 0;
     this->holds = done.claim.holder == this->options.holder;
     this->resigning = this->resigning && this->holds;
     if (this->holds)
--- a/src/tasks/election.h
+++ b/src/tasks/election.h
@@ -10,7 +10,7 @@
 //     election.appended(outcome, now);
 //     if (election.leads(now)) ...                 // asked before every order
 //
-// Why two never lead at once: a claim is appended only at the end of the log
+// Why two that wait never lead at once: a claim is appended only at the end of the log
 // that its writer has read, so each claim follows one that its writer knew. A
 // holder counts its term from before it sent its last acknowledged renewal, and
 // for `term`. Another waits `takeover`, which is longer, from when it read that
@@ -67,6 +67,18 @@
     std::optional<Append> step(Millis now);
     void appended(AppendOutcome, Millis now);
 
+    // The holder is taken as gone: its term need not be waited for. Until the next claim
+    // is read. Two may then lead for a moment, the earlier one without effect: workers
+    // that the later one has asked, and the store, refuse its lower term.
+    void suspect(Millis now)
+    {
+        if (this->suspectedAt == 0)
+            this->suspectedAt = now;
+    }
+
+    // The last try to renew the term had no effect, as far as is known.
+    bool renewalFailed() const { return this->holds && this->failedInTerm == this->newest.term; }
+
     // Gives the term up: the next append is a claim without holder.
     void resign() { this->resigning = this->holds; }
 
@@ -98,6 +110,8 @@
     bool holds { false }; // The newest claim is ours and of this process.
     bool resigning { false }; // Until the log shows that the term is given up.
     bool retired { false };
+    Millis suspectedAt { 0 }; // Since when the present holder is taken as gone; 0: it is not.
+    std::int64_t failedInTerm { 0 }; // In which the last try to renew failed.
     Millis leadsUntil { 0 }; // Of confirmedTerm.
     std::int64_t confirmedTerm { 0 }; // The last term in which this process led.
     std::optional<Append> underWay;
--- a/src/tasks/testing/election_test.cc
+++ b/src/tasks/testing/election_test.cc
@@ -27,9 +27,42 @@
     CPPUNIT_TEST(whoRetiresNeverClaimsAgain);
     CPPUNIT_TEST(aRestartedHolderFollowsItself);
     CPPUNIT_TEST(aFrozenHolderFindsItsTermOver);
+    CPPUNIT_TEST(aHolderThatIsTakenAsGoneIsFollowedAtOnce);
+    CPPUNIT_TEST(aFailedRenewalIsToldUntilOneSucceeds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Heartbeats of the planner have stopped. Its term would be waited for in vain.
+    void aHolderThatIsTakenAsGoneIsFollowedAtOnce()
+    {
+        Election election = candidate("b");
+        election.recordRead({ 4, "a", 9 }, 17, begin);
+        election.caughtUp(18);
+        election.suspect(begin + 300);
+        const auto append = election.step(begin + 300);
+        CPPUNIT_ASSERT(append);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 5 }, append->claim.term);
+        election.appended(AppendOutcome::Elsewhere, begin + 305);
+        election.recordRead({ 4, "a", 10 }, 18, begin + 310); // It lives.
+        CPPUNIT_ASSERT(!election.step(begin + 1500));
+    }
+
+    void aFailedRenewalIsToldUntilOneSucceeds()
+    {
+        Election election = candidate("a");
+        election.caughtUp(0);
+        election.step(begin + 2400);
+        election.appended(AppendOutcome::Appended, begin + 2410);
+        CPPUNIT_ASSERT(!election.renewalFailed());
+        CPPUNIT_ASSERT(election.step(begin + 2900));
+        election.appended(AppendOutcome::NotDone, begin + 2910);
+        CPPUNIT_ASSERT(election.renewalFailed());
+        CPPUNIT_ASSERT(election.leads(begin + 2910));
+        CPPUNIT_ASSERT(election.step(begin + 3200));
+        election.appended(AppendOutcome::Appended, begin + 3210);
+        CPPUNIT_ASSERT(!election.renewalFailed());
+    }
+
     void nobodyClaimsBeforeTheLogWasRead()
     {
         Election election = candidate("a");
