--- a/src/bin/rattan_instance.cc
+++ b/src/bin/rattan_instance.cc
@@ -6,7 +6,7 @@
 #include "platform/caller_format.h"
 #include "platform/instance_settings.h"
 #include "platform/store_format.h"
-#include "platform/text_format.h"
+#include "platform/configuration_format.h"
 #include "platform/worker_format.h"
 
 #include <fmt/format.h>
@@ -46,6 +46,6 @@
     const rattan::platform::StoreFormat store;
     const rattan::platform::WorkerFormat workers;
     const rattan::platform::CallerFormat callers;
-    const rattan::platform::TextFormat text;
+    const rattan::platform::ConfigurationFormat text;
     return rattan::instance::runInstance([&] { return rattan::platform::readSettings(path); }, { store, workers, callers, text });
 }
--- a/src/instance/caller_protocol.h
+++ b/src/instance/caller_protocol.h
@@ -14,7 +14,7 @@
 
 namespace rattan::instance {
 
-enum class AskKind {
+enum class RequestKind {
     Submit,
     State,
     Cancel,
@@ -22,7 +22,7 @@
 };
 
 struct CallerRequest {
-    AskKind kind { AskKind::Other };
+    RequestKind kind { RequestKind::Other };
     std::string host;
     std::string path;
     std::string key; // Empty: none was sent.
@@ -54,7 +54,7 @@
     std::int64_t pending { 0 };
     Millis retryAfter { 0 };
     std::string message; // For people.
-    std::int64_t textVersion { 0 }; // Of the text it rests on, for the instance that passed the request on; 0: not told.
+    std::int64_t configurationVersion { 0 }; // Of the text it rests on, for the instance that passed the request on; 0: not told.
     bool wantsStore { false }; // Given for want of the store: an instance that reaches it may know better.
 };
 
@@ -74,17 +74,17 @@
     // The request as another instance understands it, and its answer; nothing if that
     // is no answer of an instance.
     virtual http::Call encodeRequest(const CallerRequest&) const = 0;
-    virtual std::optional<CallerAnswer> parseAnswer(AskKind, const http::Reply&) const = 0;
+    virtual std::optional<CallerAnswer> parseAnswer(RequestKind, const http::Reply&) const = 0;
 };
 
-// The operators' text.
-class TextProtocol {
+// The operators' configuration.
+class ConfigurationProtocol {
 public:
-    virtual ~TextProtocol() = default;
+    virtual ~ConfigurationProtocol() = default;
 
     // Whether the record under this key is the text itself.
-    virtual bool isText(std::string_view key) const = 0;
-    virtual Result<tasks::Catalog> parseText(std::string_view value) const = 0;
+    virtual bool isConfiguration(std::string_view key) const = 0;
+    virtual Result<tasks::Catalog> parseConfiguration(std::string_view value) const = 0;
 };
 
 } // namespace rattan::instance
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -22,7 +22,7 @@
     // soon where work hangs on it, and well before keys are not believed any more
     // for the text, which rarely changes.
     constexpr Millis usualWait = 1000;
-    constexpr Millis textWait = 1500;
+    constexpr Millis configurationWait = 1500;
     // Weak instances leave planning to stronger ones, by claiming this much later.
     // An eighth of a core cannot keep up with 350 workers; a quarter can.
     constexpr double enoughToPlan = 0.25; // Cores.
@@ -55,7 +55,7 @@
 
     StreamReaderOptions readerOptions(const InstanceSettings& settings, Stream stream)
     {
-        StreamReaderOptions options { .stream = stream, .address = settings.storeAddress, .wait = stream == Stream::Text ? textWait : usualWait };
+        StreamReaderOptions options { .stream = stream, .address = settings.storeAddress, .wait = stream == Stream::Configuration ? configurationWait : usualWait };
         if (stream == Stream::Jobs)
             options.gather = jobsGather;
         if (stream == Stream::Claims && settings.processorShare < enoughToPlan)
@@ -78,7 +78,7 @@
     {
         constexpr double trustedShare = 0.8; // Of the time after which a withdrawn key must not work.
         GatewayOptions options;
-        options.textTrusted = static_cast<Millis>(static_cast<double>(settings.keyExpiry) * trustedShare);
+        options.configurationTrusted = static_cast<Millis>(static_cast<double>(settings.keyExpiry) * trustedShare);
         return options;
     }
 
@@ -92,7 +92,7 @@
     , client({ .connectionsPerPeer = connectionsPerPeer })
     , gateway(gatewayOptions(this->settings), protocols.callers, this->jobs)
     , relay(this->client, protocols.callers, clock, this->settings.callerAddress)
-    , textReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Text), *this)
+    , configurationReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Configuration), *this)
     , jobsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Jobs), *this)
     , claimsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Claims), *this)
     , election(electionOptions(this->settings), clock.now())
@@ -157,7 +157,7 @@
     this->client.useGroup(0);
     this->takeSettings();
     this->takeCommands(now, wall);
-    this->textReader.step(now);
+    this->configurationReader.step(now);
     this->jobsReader.hurry(this->leadership || this->gateway.awaitsEnd());
     this->jobsReader.step(now);
     this->claimsReader.step(now);
@@ -215,10 +215,10 @@
             continue;
         }
         this->metrics.count("rattan_relayed_total", { { "for_want_of", std::string(nameOf(answered.answer.outcome)) } });
-        answered.answer.textVersion = this->catalog->version;
+        answered.answer.configurationVersion = this->catalog->version;
         const Millis passedAt = this->clock.now();
         this->relay.pass(found->second.request, answered.answer, answered.waited, [this, answered, passedAt](const CallerAnswer& answer) {
-            this->gateway.textUsedElsewhere(answer.textVersion);
+            this->gateway.configurationUsedElsewhere(answer.configurationVersion);
             GatewayAnswer relayed = answered;
             relayed.answer = answer;
             relayed.waited += this->clock.now() - passedAt;
@@ -236,11 +236,11 @@
     constexpr double millisPerSecond = 1000;
     this->metrics.count("rattan_requests_total", { { "outcome", std::string(nameOf(outcome)) } });
     this->metrics.observe("rattan_request_seconds", {}, static_cast<double>(answered.waited) / millisPerSecond);
-    const bool plain = found->second.request.kind == AskKind::State && (outcome == Outcome::State || outcome == Outcome::Pending);
+    const bool plain = found->second.request.kind == RequestKind::State && (outcome == Outcome::State || outcome == Outcome::Pending);
     if (!plain)
-        logEvent(events::answered, { { "outcome", nameOf(outcome) }, { "job", answered.job }, { "waited_ms", answered.waited }, { "text", this->catalog->version }, { "why", answered.answer.message } });
+        logEvent(events::answered, { { "outcome", nameOf(outcome) }, { "job", answered.job }, { "waited_ms", answered.waited }, { "configuration", this->catalog->version }, { "why", answered.answer.message } });
     CallerAnswer answer = answered.answer;
-    answer.textVersion = found->second.request.relayed ? this->catalog->version : 0;
+    answer.configurationVersion = found->second.request.relayed ? this->catalog->version : 0;
     found->second.answer.set_value(std::move(answer));
     this->asked.erase(found);
 }
@@ -370,8 +370,8 @@
     switch (stream) {
     case Stream::Jobs:
         return this->jobRecordRead(record, now);
-    case Stream::Text:
-        return this->textRecordRead(record);
+    case Stream::Configuration:
+        return this->configurationRecordRead(record);
     case Stream::Claims:
         return this->claimRecordRead(record, now);
     case Stream::Workers:
@@ -389,24 +389,24 @@
         this->leadership->jobChanged(*change, now, this->clock.wall());
 }
 
-void ControlLoop::textRecordRead(const StoreRecord& record)
+void ControlLoop::configurationRecordRead(const StoreRecord& record)
 {
-    if (!this->protocols.text.isText(record.key) || record.value.empty())
+    if (!this->protocols.text.isConfiguration(record.key) || record.value.empty())
         return;
-    Attempt<tasks::Catalog> text = attempt([&] { return this->protocols.text.parseText(record.value); });
+    Attempt<tasks::Catalog> text = attempt([&] { return this->protocols.text.parseConfiguration(record.value); });
     if (!text.value) {
-        logEvent(events::textUnreadable, { { "key", record.key }, { "offset", record.offset }, { "why", text.error.message } });
+        logEvent(events::configurationUnreadable, { { "key", record.key }, { "offset", record.offset }, { "why", text.error.message } });
         return;
     }
     if (text.value->version < this->catalog->version)
         return;
     const bool newer = text.value->version > this->catalog->version;
     this->catalog = std::make_shared<const tasks::Catalog>(std::move(*text.value));
-    this->gateway.textRead(this->catalog);
+    this->gateway.configurationRead(this->catalog);
     if (this->leadership)
         this->leadership->applyCatalog(this->catalog);
     if (newer)
-        logEvent(events::textInForce, { { "version", this->catalog->version }, { "queues", this->catalog->queues.size() }, { "offset", record.offset } });
+        logEvent(events::configurationInForce, { { "version", this->catalog->version }, { "queues", this->catalog->queues.size() }, { "offset", record.offset } });
 }
 
 void ControlLoop::claimRecordRead(const StoreRecord& record, Millis now)
@@ -431,8 +431,8 @@
     if (!known)
         logEvent(events::storeRegained, { { "stream", nameOf(stream) }, { "end", end } });
     known = true;
-    if (stream == Stream::Text)
-        this->gateway.textConfirmed(confirmedAt);
+    if (stream == Stream::Configuration)
+        this->gateway.configurationConfirmed(confirmedAt);
     if (stream == Stream::Claims)
         this->election.caughtUp(end);
     if (stream != Stream::Jobs)
@@ -457,11 +457,11 @@
     if (now < this->gaugesAt)
         return;
     this->gaugesAt = now + gaugesEvery;
-    this->metrics.set("rattan_text_version", {}, static_cast<double>(this->catalog->version));
+    this->metrics.set("rattan_configuration_version", {}, static_cast<double>(this->catalog->version));
     this->metrics.set("rattan_leads", {}, this->leadership ? 1 : 0);
     this->metrics.set("rattan_requests_waiting", {}, static_cast<double>(this->gateway.waiting()));
     constexpr double millisPerSecond = 1000;
-    for (const auto& [stream, reader] : { std::pair("text", &this->textReader), std::pair("jobs", &this->jobsReader), std::pair("claims", &this->claimsReader) })
+    for (const auto& [stream, reader] : { std::pair("configuration", &this->configurationReader), std::pair("jobs", &this->jobsReader), std::pair("claims", &this->claimsReader) })
         this->metrics.set("rattan_picture_age_seconds", { { "stream", stream } }, static_cast<double>(now - reader->confirmedAt()) / millisPerSecond);
 }
 
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -40,7 +40,7 @@
     const StoreProtocol& store;
     const WorkerProtocol& workers;
     const CallerProtocol& callers;
-    const TextProtocol& text;
+    const ConfigurationProtocol& text;
 };
 
 class ControlLoop final : public StreamHandler {
@@ -95,7 +95,7 @@
     void lead(Millis now, Millis wall);
     void endTerm(const char* why);
     void jobRecordRead(const StoreRecord&, Millis now);
-    void textRecordRead(const StoreRecord&);
+    void configurationRecordRead(const StoreRecord&);
     void claimRecordRead(const StoreRecord&, Millis now);
     void publishGauges(Millis now);
     Millis nextWake(Millis now, Millis wall) const;
@@ -108,7 +108,7 @@
     tasks::JobTable jobs;
     Gateway gateway;
     Relay relay;
-    StreamReader textReader;
+    StreamReader configurationReader;
     StreamReader jobsReader;
     StreamReader claimsReader;
     std::map<Stream, bool> reachable;
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -32,22 +32,22 @@
 {
 }
 
-void Gateway::textRead(std::shared_ptr<const tasks::Catalog> newest)
+void Gateway::configurationRead(std::shared_ptr<const tasks::Catalog> newest)
 {
-    if (this->hasText && newest->version < this->catalog->version)
+    if (this->hasConfiguration && newest->version < this->catalog->version)
         return; // A version never goes back.
     this->catalog = std::move(newest);
-    this->hasText = true;
+    this->hasConfiguration = true;
 }
 
 bool Gateway::storeInReach(Millis now) const
 {
-    return now - std::max(this->jobsConfirmedAt, this->textConfirmedAt) <= this->options.storeTrusted;
+    return now - std::max(this->jobsConfirmedAt, this->configurationConfirmedAt) <= this->options.storeTrusted;
 }
 
 bool Gateway::ready(Millis now) const
 {
-    return this->hasText && this->jobsLoaded && now - this->textConfirmedAt < this->options.textTrusted;
+    return this->hasConfiguration && this->jobsLoaded && now - this->configurationConfirmedAt < this->options.configurationTrusted;
 }
 
 void Gateway::ask(std::uint64_t ticket, const CallerRequest& request, Millis now, Millis wall)
@@ -55,7 +55,7 @@
     Question question { .request = request, .askedAt = now };
     const Millis patience = request.patience > 0 ? std::max<Millis>(request.patience - this->options.answerMargin, 0) : this->options.longestAnswer;
     question.answerBy = now + std::min(patience, this->options.longestAnswer);
-    if (!this->hasText || !this->jobsLoaded)
+    if (!this->hasConfiguration || !this->jobsLoaded)
         return this->refuse(ticket, question, "this instance has just started", now);
     if (this->catalog->version < this->versionElsewhere)
         return this->refuse(ticket, question, "a newer text is in force elsewhere", now);
@@ -66,8 +66,8 @@
     if (!queue->open) {
         // A key that was taken away would go on working here for as long as this
         // instance does not hear of it.
-        if (now - this->textConfirmedAt > this->options.textTrusted)
-            return this->refuse(ticket, question, "the operators' text cannot be read at present", now);
+        if (now - this->configurationConfirmedAt > this->options.configurationTrusted)
+            return this->refuse(ticket, question, "the operators' configuration cannot be read at present", now);
         const std::string* holder = this->catalog->workspaceFor(request.key);
         if (!holder)
             return this->answer(ticket, question, { .outcome = Outcome::UnknownKey }, now);
@@ -77,22 +77,22 @@
     }
     question.job = request.path.substr(queue->pathPrefix.size());
     // A count from long ago would be told as the present one.
-    if (question.job.empty() && request.kind == AskKind::State && now - this->jobsConfirmedAt > this->options.countTrusted)
+    if (question.job.empty() && request.kind == RequestKind::State && now - this->jobsConfirmedAt > this->options.countTrusted)
         return this->refuse(ticket, question, "the store is out of reach", now);
-    if (question.job.empty() && request.kind == AskKind::State)
+    if (question.job.empty() && request.kind == RequestKind::State)
         return this->answer(ticket, question, { .outcome = Outcome::Pending, .pending = this->jobs.pending(queue->terms.queue) }, now);
     if (!this->protocol.isJobId(question.job))
         return this->answer(ticket, question, { .outcome = Outcome::Malformed, .message = "not the id of a job" }, now);
     if (this->questions.size() >= this->options.mostWaiting)
         return this->refuse(ticket, question, "too many requests wait", now);
     switch (request.kind) {
-    case AskKind::Submit:
+    case RequestKind::Submit:
         return this->submit(ticket, std::move(question), *queue, std::move(workspace), now, wall);
-    case AskKind::Cancel:
+    case RequestKind::Cancel:
         return this->cancel(ticket, std::move(question), now);
-    case AskKind::State:
+    case RequestKind::State:
         return this->tellState(ticket, std::move(question), now);
-    case AskKind::Other:
+    case RequestKind::Other:
         return this->answer(ticket, question, { .outcome = Outcome::NoSuchMethod }, now);
     }
 }
@@ -192,7 +192,7 @@
         const std::uint64_t ticket = current->first;
         if (status == AppendStatus::Appended) {
             this->questions.erase(current);
-            const bool submit = copy.request.kind == AskKind::Submit;
+            const bool submit = copy.request.kind == RequestKind::Submit;
             this->answer(ticket, copy, { .outcome = submit ? Outcome::Accepted : Outcome::Cancelled }, now);
         } else {
             this->questions.erase(current);
@@ -206,9 +206,9 @@
 {
     if (question.awaits == Awaits::End)
         return isFinal(entry.shown());
-    if (question.request.kind == AskKind::Cancel)
+    if (question.request.kind == RequestKind::Cancel)
         return entry.cancelled || isFinal(entry.shown());
-    return question.request.kind != AskKind::Other;
+    return question.request.kind != RequestKind::Other;
 }
 
 void Gateway::jobChanged(const std::string& id, Millis now)
@@ -222,14 +222,14 @@
             continue;
         const Question copy = current->second;
         const std::uint64_t ticket = current->first;
-        const AskKind kind = copy.request.kind;
+        const RequestKind kind = copy.request.kind;
         if (!this->knowsEnough(copy, *entry))
             continue;
         this->questions.erase(current);
-        if (kind == AskKind::State)
+        if (kind == RequestKind::State)
             this->answer(ticket, copy, { .outcome = Outcome::State, .state = entry->shown() }, now);
         else
-            this->answer(ticket, copy, { .outcome = kind == AskKind::Submit ? Outcome::Accepted : Outcome::Cancelled }, now);
+            this->answer(ticket, copy, { .outcome = kind == RequestKind::Submit ? Outcome::Accepted : Outcome::Cancelled }, now);
     }
 }
 
@@ -247,7 +247,7 @@
         const JobEntry* entry = this->jobs.find(copy.job);
         if (!entry)
             this->answer(ticket, copy, { .outcome = Outcome::NoSuchJob }, now);
-        else if (copy.request.kind == AskKind::Cancel)
+        else if (copy.request.kind == RequestKind::Cancel)
             this->cancel(ticket, copy, now);
         else
             this->answer(ticket, copy, { .outcome = Outcome::State, .state = entry->shown() }, now);
@@ -293,7 +293,7 @@
 {
     const std::string job = tasks::keyText({ RecordKind::Job, question.job });
     const bool perhaps = this->underWay.contains(question.record) || this->uncertain.contains(question.record)
-        || (question.request.kind == AskKind::Submit && (this->underWay.contains(job) || this->uncertain.contains(job)));
+        || (question.request.kind == RequestKind::Submit && (this->underWay.contains(job) || this->uncertain.contains(job)));
     this->answer(ticket, question, { .outcome = perhaps ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryElsewhere, .message = std::move(why), .wantsStore = true }, now);
 }
 
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -3,7 +3,7 @@
 // What callers are told, decided without clock, I/O or threads.
 //
 //     Gateway gateway({}, protocol, jobs);
-//     gateway.textRead(catalog, confirmedAt);
+//     gateway.configurationRead(catalog, confirmedAt);
 //     gateway.ask(ticket, request, now);
 //     for (const StoreRecord& record : gateway.takeRecords(200, 1 << 20)) append(record);
 //     gateway.appended(keys, AppendStatus::Appended, now);      // what became of them
@@ -36,7 +36,7 @@
     std::size_t mostWaiting { 2000 }; // Questions; about 5 KB each with their job.
     Millis longestAnswer { 2500 }; // Callers wait three seconds, and answers take time to arrive.
     Millis answerMargin { 300 }; // Kept of a caller's patience for the way back.
-    Millis textTrusted { 4000 }; // Without a newer reading of the text no key is believed for longer.
+    Millis configurationTrusted { 4000 }; // Without a newer reading of the text no key is believed for longer.
     Millis countTrusted { 1800 }; // The number of waiting jobs may be two seconds old.
     // Who asks for the state of a running job hears this much later that it still
     // runs, or hears of its end as soon as it is known here. Callers ask when they expect
@@ -59,13 +59,13 @@
 public:
     Gateway(GatewayOptions, const CallerProtocol&, const tasks::JobTable&);
 
-    void textRead(std::shared_ptr<const tasks::Catalog>);
-    void textConfirmed(Millis at) { this->textConfirmedAt = at; }
+    void configurationRead(std::shared_ptr<const tasks::Catalog>);
+    void configurationConfirmed(Millis at) { this->configurationConfirmedAt = at; }
 
     // Callers here were answered by another instance from this version of the text.
     // Until it is read here nothing is decided by an older one: a caller whose queue was
     // served a moment ago would be told that there is none.
-    void textUsedElsewhere(std::int64_t version) { this->versionElsewhere = std::max(this->versionElsewhere, version); }
+    void configurationUsedElsewhere(std::int64_t version) { this->versionElsewhere = std::max(this->versionElsewhere, version); }
 
     // Everything appended before `confirmedAt` is in the table.
     void jobsRead(Millis confirmedAt, Millis now);
@@ -121,10 +121,10 @@
     const CallerProtocol& protocol;
     const tasks::JobTable& jobs;
     std::shared_ptr<const tasks::Catalog> catalog;
-    bool hasText { false };
+    bool hasConfiguration { false };
     std::int64_t versionElsewhere { 0 };
     bool jobsLoaded { false };
-    Millis textConfirmedAt { 0 };
+    Millis configurationConfirmedAt { 0 };
     Millis jobsConfirmedAt { 0 };
     std::map<std::uint64_t, Question> questions;
     std::vector<StoreRecord> records; // To be appended.
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -6,8 +6,8 @@
 
 namespace rattan::instance {
 
-using tasks::NoteKind;
 using tasks::Orders;
+using tasks::PlanEventKind;
 using tasks::RunRef;
 using tasks::StartAnswer;
 using tasks::WorkerFault;
@@ -25,7 +25,7 @@
     // A start or stop without an answer is sent again after this. Workers answer within
     // 20 ms, 99 of 100; three tries find within 0.7 s that a worker is out of reach.
     constexpr std::chrono::milliseconds retriedOrderTimeout { 230 };
-    constexpr std::chrono::milliseconds lookTimeout { 800 }; // Beyond what the look may wait.
+    constexpr std::chrono::milliseconds pollTimeout { 800 }; // Beyond what the poll may wait.
     constexpr std::chrono::milliseconds connectTimeout { 500 };
 
     constexpr Millis longRound = 4; // Shorter ones are within what the clock shows.
@@ -33,7 +33,7 @@
 
     constexpr Millis adviceQueue = 5; // Questions that may be before one, and itself.
 
-    constexpr std::size_t ordersAtOnce = 2; // To one worker; with its look, three connections.
+    constexpr std::size_t ordersAtOnce = 2; // To one worker; with its poll, three connections.
 
     // Jobs that are over are told of for twice as long as callers were promised,
     // since an instance counts from when it first heard of the end.
@@ -58,7 +58,7 @@
         return fmt::format("{}.{}.{}.{}/{}", run.task.job, run.task.occurrence, run.task.step, run.task.index, run.run);
     }
 
-    std::string_view nameOf(NoteKind kind)
+    std::string_view nameOf(PlanEventKind kind)
     {
         constexpr std::array<std::string_view, 11> names { "unit_placed", "unit_evicted", "unit_done", "unit_retried", "unit_stalled",
             "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted" };
@@ -182,16 +182,16 @@
 
 void Leadership::carryOut(Orders orders, Millis now)
 {
-    for (const tasks::Note& note : orders.notes)
-        this->logNote(note);
+    for (const tasks::PlanEvent& event : orders.events)
+        this->logPlanEvent(event);
     if (!orders.batches.empty())
         this->batch = std::move(orders.batches.front());
     for (tasks::StopOrder& order : orders.stops)
         this->lanes.add(order.worker.id, [this, order] { this->sendStop(order); });
     for (tasks::StartOrder& order : orders.starts)
         this->lanes.add(order.worker.id, [this, order] { this->sendStart(order); });
-    for (const tasks::LookOrder& order : orders.looks)
-        this->sendLook(order, now);
+    for (const tasks::PollOrder& order : orders.polls)
+        this->sendPoll(order, now);
     for (const tasks::AdviceOrder& order : orders.advice)
         this->sendAdvice(order);
 }
@@ -315,29 +315,29 @@
     });
 }
 
-void Leadership::sendLook(const tasks::LookOrder& order, Millis now)
+void Leadership::sendPoll(const tasks::PollOrder& order, Millis now)
 {
     std::optional<Millis> until;
     if (const auto shown = this->clocks.show(order.worker, now); shown && order.renews)
         until = *shown + this->services.settings.longestLease;
-    http::Call call = this->services.workers.look(order, until, this->number);
-    call.timeout = std::chrono::milliseconds(order.wait) + lookTimeout;
+    http::Call call = this->services.workers.poll(order, until, this->number);
+    call.timeout = std::chrono::milliseconds(order.wait) + pollTimeout;
     call.connectTimeout = connectTimeout;
     this->services.client.send(std::move(call), [this, order, now](const http::Reply& reply) {
-        const LookReply answer = this->services.workers.parseLook(reply);
+        const PollReply answer = this->services.workers.parsePoll(reply);
         const Millis heardAt = this->services.clock.now();
-        this->services.metrics.count("rattan_orders_total", { { "order", "look" }, { "outcome", answer.look ? "answered" : std::string(tasks::nameOf(answer.fault)) } });
-        if (!answer.look)
-            return this->planner->lookFailed(order.worker, order.beside, answer.fault, heardAt);
-        this->clocks.heard(order.worker, answer.look->clock, heardAt);
-        this->planner->lookAnswered(order.worker, now, order.beside, *answer.look, heardAt);
+        this->services.metrics.count("rattan_orders_total", { { "order", "poll" }, { "outcome", answer.report ? "answered" : std::string(tasks::nameOf(answer.fault)) } });
+        if (!answer.report)
+            return this->planner->pollFailed(order.worker, order.beside, answer.fault, heardAt);
+        this->clocks.heard(order.worker, answer.report->clock, heardAt);
+        this->planner->pollAnswered(order.worker, now, order.beside, *answer.report, heardAt);
     });
 }
 
-void Leadership::logNote(const tasks::Note& note) const
+void Leadership::logPlanEvent(const tasks::PlanEvent& event) const
 {
-    this->services.metrics.count("rattan_decisions_total", { { "kind", std::string(nameOf(note.kind)) } });
-    logEvent(events::decided, { { "kind", nameOf(note.kind) }, { "job", note.job }, { "unit", note.unit }, { "run", note.run }, { "worker", note.worker }, { "why", note.detail }, { "term", this->number } });
+    this->services.metrics.count("rattan_decisions_total", { { "kind", std::string(nameOf(event.kind)) } });
+    logEvent(events::decided, { { "kind", nameOf(event.kind) }, { "job", event.job }, { "unit", event.unit }, { "run", event.run }, { "worker", event.worker }, { "why", event.detail }, { "term", this->number } });
 }
 
 void Leadership::recordRead(Stream, const StoreRecord& record, Millis)
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -78,9 +78,9 @@
     void sendStart(const tasks::StartOrder&);
     void sendStop(const tasks::StopOrder&);
     void sendOrder(const char* kind, http::Call, std::function<void(const http::Reply&, Millis)>);
-    void sendLook(const tasks::LookOrder&, Millis now);
+    void sendPoll(const tasks::PollOrder&, Millis now);
     void sendAdvice(const tasks::AdviceOrder&);
-    void logNote(const tasks::Note&) const;
+    void logPlanEvent(const tasks::PlanEvent&) const;
 
     const std::int64_t number;
     TermServices services;
--- a/src/instance/program.cc
+++ b/src/instance/program.cc
@@ -17,10 +17,10 @@
     constexpr int badSettings = 2;
     constexpr int cannotServe = 1;
 
-    constexpr std::int64_t mostBody = 512 * 1024; // Bytes; the operators' text allows less, and is checked first.
+    constexpr std::int64_t mostBody = 512 * 1024; // Bytes; the operators' configuration allows less, and is checked first.
     constexpr std::int64_t mostCallers = 400; // Connections, each with a thread of about 60 KB: 24 MB.
     constexpr std::int64_t mostProbes = 16; // Connections of the balancer and of who reads metrics.
-    constexpr std::int64_t callerIdleSeconds = 20; // Longer than the operators' text lets a caller be idle.
+    constexpr std::int64_t callerIdleSeconds = 20; // Longer than the operators' configuration lets a caller be idle.
 
     // From the signal to stop until no new connection comes: the balancer asks once
     // a second and acts on the second miss.
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -19,7 +19,7 @@
     // The other may be cut off as well and go by a text that is older than the one here.
     CallerAnswer reconcile(const CallerAnswer& own, const CallerAnswer& other)
     {
-        if (other.textVersion < own.textVersion)
+        if (other.configurationVersion < own.configurationVersion)
             return own;
         // An append of this instance may still be carried out: whatever the other turns
         // the request away for, a key that was withdrawn meanwhile too, the job may run.
@@ -61,7 +61,7 @@
     call.address = peer;
     call.timeout = std::chrono::milliseconds(passed.patience);
     call.connectTimeout = connectTimeout;
-    const AskKind kind = request.kind;
+    const RequestKind kind = request.kind;
     this->client.send(std::move(call), [this, peer, kind, own, handler = std::move(handler)](const http::Reply& reply) {
         const std::optional<CallerAnswer> other = reply.error ? std::nullopt : this->protocol.parseAnswer(kind, reply);
         if (other) {
@@ -71,7 +71,7 @@
         this->peers.failed(peer, this->clock.now());
         logEvent(events::relayFailed, { { "peer", peer }, { "status", reply.status }, { "why", reply.error ? reply.error->message : "an answer that cannot be read" } });
         CallerAnswer answer = own;
-        if (reply.sent != http::Sent::Nothing && kind != AskKind::State)
+        if (reply.sent != http::Sent::Nothing && kind != RequestKind::State)
             answer.outcome = Outcome::Unknown; // The other instance may have stored it.
         handler(answer);
     });
--- a/src/instance/store_protocol.h
+++ b/src/instance/store_protocol.h
@@ -17,7 +17,7 @@
 namespace rattan::instance {
 
 enum class Stream {
-    Text, // The operators' text; read only.
+    Configuration, // The operators' configuration; read only.
     Workers, // What workers say of themselves; read only.
     Jobs, // Jobs, their cancelling and their progress.
     Claims, // Which instance plans.
--- a/src/instance/stream_reader.cc
+++ b/src/instance/stream_reader.cc
@@ -40,7 +40,7 @@
 
 // The first read after a failure does not wait: it would confirm only when its wait is
 // over that nothing has changed. Where the store comes back after an outage of four
-// seconds, the operators' text counted as unknown, and every caller with a key was
+// seconds, the operators' configuration counted as unknown, and every caller with a key was
 // turned away, for 1.6 s more.
 bool StreamReader::waitsNow() const { return this->options.pause == 0 && this->failurePause == 0; }
 
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -32,7 +32,7 @@
     bool isJobId(std::string_view text) const override { return text.size() == 16; }
     http::Answer encode(const CallerAnswer&) const override { return {}; }
     http::Call encodeRequest(const CallerRequest&) const override { return {}; }
-    std::optional<CallerAnswer> parseAnswer(AskKind, const http::Reply&) const override { return std::nullopt; }
+    std::optional<CallerAnswer> parseAnswer(RequestKind, const http::Reply&) const override { return std::nullopt; }
 };
 
 class GatewayTest : public CppUnit::TestFixture {
@@ -43,14 +43,14 @@
     CPPUNIT_TEST(aRecordReadBackCountsAsDurable);
     CPPUNIT_TEST(noRefusalWhileAnEarlierTryMayStillArrive);
     CPPUNIT_TEST(aStoreOutOfReachIsToldAtOnce);
-    CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheTextIsNotHeardOf);
+    CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf);
     CPPUNIT_TEST(unknownJobsAreLookedForBeforeTheyAreDenied);
     CPPUNIT_TEST(cancelsAreDurable);
     CPPUNIT_TEST(strangeRequestsAreTurnedAway);
     CPPUNIT_TEST(waitingRequestsAreBounded);
     CPPUNIT_TEST(appendsAreBounded);
-    CPPUNIT_TEST(aVersionOfTheTextNeverGoesBack);
-    CPPUNIT_TEST(nothingIsDecidedByAnOlderTextThanAnotherInstanceUsed);
+    CPPUNIT_TEST(aVersionOfTheConfigurationNeverGoesBack);
+    CPPUNIT_TEST(nothingIsDecidedByAnOlderConfigurationThanAnotherInstanceUsed);
     CPPUNIT_TEST(theEndOfARunningJobIsAwaited);
     CPPUNIT_TEST(aJobThatGoesOnIsToldSoSoon);
     CPPUNIT_TEST(noEndIsAwaitedWithoutTheStore);
@@ -62,13 +62,13 @@
         this->table = JobTable();
         this->offset = 0;
         this->gateway.emplace(GatewayOptions { .mostWaiting = 3 }, this->protocol, this->table);
-        this->gateway->textRead(this->text(1, "key"));
+        this->gateway->configurationRead(this->text(1, "key"));
         this->hear(begin);
     }
 
     void aJobIsAcceptedOnceItIsDurable()
     {
-        this->ask(1, AskKind::Submit, begin);
+        this->ask(1, RequestKind::Submit, begin);
         const auto records = this->gateway->takeRecords(100, 1 << 20);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, records.size());
         CPPUNIT_ASSERT_EQUAL(jobKey, records[0].key);
@@ -79,14 +79,14 @@
 
     void aRepeatChangesNothing()
     {
-        this->ask(1, AskKind::Submit, begin);
+        this->ask(1, RequestKind::Submit, begin);
         this->gateway->takeRecords(100, 1 << 20);
-        this->ask(2, AskKind::Submit, begin + 1); // While the first is under way.
+        this->ask(2, RequestKind::Submit, begin + 1); // While the first is under way.
         CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
         this->gateway->appended({ jobKey }, AppendStatus::Appended, begin + 5);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->gateway->takeAnswers().size());
         this->readBack();
-        this->ask(3, AskKind::Submit, begin + 10); // Seconds after.
+        this->ask(3, RequestKind::Submit, begin + 10); // Seconds after.
         this->expect(3, Outcome::Accepted);
         CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
     }
@@ -95,7 +95,7 @@
     // run" books elsewhere, and pays for two carriages.
     void aLostAnswerOfTheStoreIsNoRefusal()
     {
-        this->ask(1, AskKind::Submit, begin);
+        this->ask(1, RequestKind::Submit, begin);
         this->gateway->takeRecords(100, 1 << 20);
         this->gateway->appended({ jobKey }, AppendStatus::Unknown, begin + 700);
         this->expect(1, Outcome::Unknown);
@@ -103,7 +103,7 @@
 
     void aRecordReadBackCountsAsDurable()
     {
-        this->ask(1, AskKind::Submit, begin);
+        this->ask(1, RequestKind::Submit, begin);
         this->gateway->takeRecords(100, 1 << 20);
         this->readBack();
         this->gateway->jobChanged(id, begin + 20);
@@ -114,16 +114,16 @@
     // that is refused must not be told that the job never runs.
     void noRefusalWhileAnEarlierTryMayStillArrive()
     {
-        this->ask(1, AskKind::Submit, begin);
+        this->ask(1, RequestKind::Submit, begin);
         this->gateway->takeRecords(100, 1 << 20);
         this->gateway->appended({ jobKey }, AppendStatus::Unknown, begin + 700);
         this->expect(1, Outcome::Unknown);
-        this->ask(2, AskKind::Submit, begin + 1000);
+        this->ask(2, RequestKind::Submit, begin + 1000);
         this->gateway->takeRecords(100, 1 << 20);
         this->gateway->appended({ jobKey }, AppendStatus::NotDone, begin + 1010);
         this->expect(2, Outcome::Unknown);
         // Another job was never tried, and is refused in so many words.
-        this->ask(3, AskKind::Submit, begin + 1100, "/p/0000000000000001");
+        this->ask(3, RequestKind::Submit, begin + 1100, "/p/0000000000000001");
         this->gateway->takeRecords(100, 1 << 20);
         this->gateway->appended({ "job/0000000000000001" }, AppendStatus::NotDone, begin + 1110);
         this->expect(3, Outcome::NotNow);
@@ -131,30 +131,30 @@
 
     void aStoreOutOfReachIsToldAtOnce()
     {
-        this->ask(1, AskKind::Submit, begin + 1500);
+        this->ask(1, RequestKind::Submit, begin + 1500);
         this->expect(1, Outcome::NotNow);
         CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
     }
 
     // An instance is cut off from the store while an operator takes a key away. Its
     // callers would go on with that key for as long as the cut lasts.
-    void withdrawnKeysStopWorkingWhenTheTextIsNotHeardOf()
+    void withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf()
     {
         this->readBack();
-        this->ask(1, AskKind::State, begin + 3900);
+        this->ask(1, RequestKind::State, begin + 3900);
         this->expect(1, Outcome::State);
-        this->ask(2, AskKind::State, begin + 4001);
+        this->ask(2, RequestKind::State, begin + 4001);
         this->expect(2, Outcome::NotNow);
         CPPUNIT_ASSERT(!this->gateway->ready(begin + 4001));
-        this->gateway->textRead(this->text(2, "other"));
+        this->gateway->configurationRead(this->text(2, "other"));
         this->hear(begin + 5000);
-        this->ask(3, AskKind::State, begin + 5000);
+        this->ask(3, RequestKind::State, begin + 5000);
         this->expect(3, Outcome::UnknownKey);
     }
 
     void unknownJobsAreLookedForBeforeTheyAreDenied()
     {
-        this->ask(1, AskKind::State, begin + 10);
+        this->ask(1, RequestKind::State, begin + 10);
         CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
         CPPUNIT_ASSERT(this->gateway->wantsRead());
         this->gateway->jobsRead(begin + 9, begin + 12); // Read before the question came.
@@ -166,51 +166,51 @@
     void cancelsAreDurable()
     {
         this->readBack();
-        this->ask(1, AskKind::Cancel, begin + 10);
+        this->ask(1, RequestKind::Cancel, begin + 10);
         const auto records = this->gateway->takeRecords(100, 1 << 20);
         CPPUNIT_ASSERT_EQUAL(std::string("cancel/" + id), records.at(0).key);
         CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
         this->gateway->appended({ records.at(0).key }, AppendStatus::Appended, begin + 20);
         this->expect(1, Outcome::Cancelled);
         this->table.apply("cancel/" + id, tasks::encodeCancel(), this->offset++, begin + 21);
-        this->ask(2, AskKind::State, begin + 30);
+        this->ask(2, RequestKind::State, begin + 30);
         const auto answers = this->gateway->takeAnswers();
         CPPUNIT_ASSERT(answers.at(0).answer.state == JobState::Cancelled);
     }
 
     void strangeRequestsAreTurnedAway()
     {
-        this->ask(1, AskKind::Submit, begin, "/nowhere/" + id);
+        this->ask(1, RequestKind::Submit, begin, "/nowhere/" + id);
         this->expect(1, Outcome::NoSuchQueue);
-        this->ask(2, AskKind::Submit, begin, "/p/short");
+        this->ask(2, RequestKind::Submit, begin, "/p/short");
         this->expect(2, Outcome::Malformed);
-        this->ask(3, AskKind::Submit, begin, "/p/" + id, "wrong");
+        this->ask(3, RequestKind::Submit, begin, "/p/" + id, "wrong");
         this->expect(3, Outcome::UnknownKey);
-        this->ask(4, AskKind::Submit, begin, "/p/" + id, "key", "bad");
+        this->ask(4, RequestKind::Submit, begin, "/p/" + id, "key", "bad");
         this->expect(4, Outcome::Malformed);
-        this->ask(5, AskKind::Other, begin);
+        this->ask(5, RequestKind::Other, begin);
         this->expect(5, Outcome::NoSuchMethod);
-        this->ask(6, AskKind::State, begin, "/p/");
+        this->ask(6, RequestKind::State, begin, "/p/");
         this->expect(6, Outcome::Pending);
-        this->ask(8, AskKind::State, begin + 1900, "/p/"); // Jobs may have come meanwhile.
+        this->ask(8, RequestKind::State, begin + 1900, "/p/"); // Jobs may have come meanwhile.
         this->expect(8, Outcome::NotNow);
-        this->ask(7, AskKind::Submit, begin, "/p/" + id, "key", std::string(2000, 'x'));
+        this->ask(7, RequestKind::Submit, begin, "/p/" + id, "key", std::string(2000, 'x'));
         this->expect(7, Outcome::TooLarge);
     }
 
     void waitingRequestsAreBounded()
     {
         for (int i = 0; i < 3; ++i)
-            this->ask(static_cast<std::uint64_t>(i), AskKind::Submit, begin, fmt::format("/p/000000000000000{}", i));
+            this->ask(static_cast<std::uint64_t>(i), RequestKind::Submit, begin, fmt::format("/p/000000000000000{}", i));
         CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
-        this->ask(9, AskKind::Submit, begin);
+        this->ask(9, RequestKind::Submit, begin);
         this->expect(9, Outcome::NotNow);
     }
 
     void appendsAreBounded()
     {
         for (int i = 0; i < 3; ++i)
-            this->ask(static_cast<std::uint64_t>(i), AskKind::Submit, begin, fmt::format("/p/000000000000000{}", i));
+            this->ask(static_cast<std::uint64_t>(i), RequestKind::Submit, begin, fmt::format("/p/000000000000000{}", i));
         CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, this->gateway->takeRecords(2, 1 << 20).size());
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(2, 1).size());
         CPPUNIT_ASSERT(this->gateway->takeRecords(2, 1).empty());
@@ -219,13 +219,13 @@
     // The instance is cut off, and another one that has heard of a new version of the
     // text has just answered for it. From its own, older text it would tell the next
     // caller that there is no such queue.
-    void nothingIsDecidedByAnOlderTextThanAnotherInstanceUsed()
+    void nothingIsDecidedByAnOlderConfigurationThanAnotherInstanceUsed()
     {
-        this->gateway->textUsedElsewhere(2);
-        this->ask(1, AskKind::State, begin, "/nowhere/");
+        this->gateway->configurationUsedElsewhere(2);
+        this->ask(1, RequestKind::State, begin, "/nowhere/");
         this->expect(1, Outcome::NotNow);
-        this->gateway->textRead(this->text(2, "key"));
-        this->ask(2, AskKind::State, begin, "/nowhere/");
+        this->gateway->configurationRead(this->text(2, "key"));
+        this->ask(2, RequestKind::State, begin, "/nowhere/");
         this->expect(2, Outcome::NoSuchQueue);
     }
 
@@ -235,7 +235,7 @@
     void theEndOfARunningJobIsAwaited()
     {
         this->progress(JobState::Running);
-        this->ask(1, AskKind::State, begin);
+        this->ask(1, RequestKind::State, begin);
         CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
         this->progress(JobState::Completed);
         this->gateway->jobChanged(id, begin + 40);
@@ -248,7 +248,7 @@
     void aJobThatGoesOnIsToldSoSoon()
     {
         this->progress(JobState::Running);
-        this->ask(1, AskKind::State, begin);
+        this->ask(1, RequestKind::State, begin);
         this->gateway->jobChanged(id, begin + 40); // A task of it ended.
         this->gateway->step(begin + 199);
         CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
@@ -261,14 +261,14 @@
     void noEndIsAwaitedWithoutTheStore()
     {
         this->progress(JobState::Running);
-        this->ask(1, AskKind::State, begin + 1500);
+        this->ask(1, RequestKind::State, begin + 1500);
         this->expect(1, Outcome::State);
     }
 
-    void aVersionOfTheTextNeverGoesBack()
+    void aVersionOfTheConfigurationNeverGoesBack()
     {
-        this->gateway->textRead(this->text(3, "newer"));
-        this->gateway->textRead(this->text(2, "key"));
+        this->gateway->configurationRead(this->text(3, "newer"));
+        this->gateway->configurationRead(this->text(2, "key"));
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, this->gateway->text().version);
     }
 
@@ -289,11 +289,11 @@
 
     void hear(Millis at)
     {
-        this->gateway->textConfirmed(at);
+        this->gateway->configurationConfirmed(at);
         this->gateway->jobsRead(at, at);
     }
 
-    void ask(std::uint64_t ticket, AskKind kind, Millis now, const std::string& path = "/p/" + id, const std::string& key = "key", const std::string& body = "job")
+    void ask(std::uint64_t ticket, RequestKind kind, Millis now, const std::string& path = "/p/" + id, const std::string& key = "key", const std::string& body = "job")
     {
         this->gateway->ask(ticket, { .kind = kind, .host = "h", .path = path, .key = key, .patience = 3000, .body = body }, now, now);
     }
--- a/src/instance/testing/relay_test.cc
+++ b/src/instance/testing/relay_test.cc
@@ -23,7 +23,7 @@
     {
         return { .method = "POST", .path = request.path, .body = request.relayed ? "relayed" : "" };
     }
-    std::optional<CallerAnswer> parseAnswer(AskKind, const http::Reply& reply) const override
+    std::optional<CallerAnswer> parseAnswer(RequestKind, const http::Reply& reply) const override
     {
         for (const Outcome outcome : { Outcome::Accepted, Outcome::NotNow, Outcome::State, Outcome::UnknownKey }) {
             if (reply.body == nameOf(outcome))
@@ -40,7 +40,7 @@
     CPPUNIT_TEST(aRequestIsServedByTheInstanceThatPlans);
     CPPUNIT_TEST(requestsArePassedOnOnlyWhereItHelps);
     CPPUNIT_TEST(anUnknownOutcomeStaysUnknown);
-    CPPUNIT_TEST(aPeerWithAnOlderTextIsNotBelieved);
+    CPPUNIT_TEST(aPeerWithAnOlderConfigurationIsNotBelieved);
     CPPUNIT_TEST(aPeerThatIsGoneIsAvoided);
     CPPUNIT_TEST(anAnswerThatNeverComesMayHaveStoredIt);
     CPPUNIT_TEST(thePlannerBeforeIsAskedNext);
@@ -93,10 +93,10 @@
 
     // Both are cut off, the other one for longer. Its answer that there is no such queue
     // comes from a text that was replaced, which this instance knows.
-    void aPeerWithAnOlderTextIsNotBelieved()
+    void aPeerWithAnOlderConfigurationIsNotBelieved()
     {
         CallerAnswer own = wanting(Outcome::NotNow);
-        own.textVersion = 8;
+        own.configurationVersion = 8;
         CPPUNIT_ASSERT(this->pass(Outcome::Accepted, own).outcome == Outcome::NotNow);
     }
 
@@ -112,7 +112,7 @@
     void anAnswerThatNeverComesMayHaveStoredIt()
     {
         CallerRequest request;
-        request.kind = AskKind::Submit;
+        request.kind = RequestKind::Submit;
         request.path = "/nonsense";
         CPPUNIT_ASSERT(this->pass(request, wanting(Outcome::NotNow)).outcome == Outcome::Unknown);
     }
@@ -136,7 +136,7 @@
     CallerAnswer pass(Outcome others, const CallerAnswer& own)
     {
         CallerRequest request;
-        request.kind = AskKind::State;
+        request.kind = RequestKind::State;
         request.path = "/" + std::string(nameOf(others));
         return this->pass(request, own);
     }
--- a/src/instance/testing/stream_reader_test.cc
+++ b/src/instance/testing/stream_reader_test.cc
@@ -50,7 +50,7 @@
         });
         CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
         http::AsyncClient client;
-        StreamReader reader(client, this->store, this->clock, { .stream = Stream::Text, .address = server.address() }, *this);
+        StreamReader reader(client, this->store, this->clock, { .stream = Stream::Configuration, .address = server.address() }, *this);
         this->runUntil(reader, client, [&] { return this->waiting > 0; });
         CPPUNIT_ASSERT_EQUAL(0, this->immediate.load());
         this->away = true;
--- a/src/instance/worker_clocks.h
+++ b/src/instance/worker_clocks.h
@@ -13,19 +13,19 @@
 
 class WorkerClocks {
 public:
-    void heard(const tasks::WorkerLife& life, Millis clock, Millis now) { this->readings[life] = { clock, now }; }
+    void heard(const tasks::Incarnation& incarnation, Millis clock, Millis now) { this->readings[incarnation] = { clock, now }; }
 
     // At least what the worker's clock shows now, but for the time its last answer
     // took to arrive; empty if it never answered.
-    std::optional<Millis> show(const tasks::WorkerLife& life, Millis now) const
+    std::optional<Millis> show(const tasks::Incarnation& incarnation, Millis now) const
     {
-        const auto found = this->readings.find(life);
+        const auto found = this->readings.find(incarnation);
         if (found == this->readings.end())
             return std::nullopt;
         return found->second.clock + (now - found->second.at);
     }
 
-    void forget(const tasks::WorkerLife& life) { this->readings.erase(life); }
+    void forget(const tasks::Incarnation& incarnation) { this->readings.erase(incarnation); }
 
 private:
     struct Reading {
@@ -33,7 +33,7 @@
         Millis at { 0 };
     };
 
-    std::map<tasks::WorkerLife, Reading> readings;
+    std::map<tasks::Incarnation, Reading> readings;
 };
 
 } // namespace rattan::instance
--- a/src/instance/worker_protocol.h
+++ b/src/instance/worker_protocol.h
@@ -21,9 +21,9 @@
     std::optional<Millis> clock;
 };
 
-struct LookReply {
-    std::optional<tasks::WorkerLook> look;
-    tasks::WorkerFault fault { tasks::WorkerFault::NoAnswer }; // Where there is no look.
+struct PollReply {
+    std::optional<tasks::WorkerReport> report;
+    tasks::WorkerFault fault { tasks::WorkerFault::NoAnswer }; // Where there is no poll.
 };
 
 class WorkerProtocol {
@@ -37,8 +37,8 @@
     virtual http::Call stop(const tasks::StopOrder&, std::int64_t term) const = 0;
     virtual StopReply parseStop(const http::Reply&) const = 0;
 
-    virtual http::Call look(const tasks::LookOrder&, std::optional<Millis> until, std::int64_t term) const = 0;
-    virtual LookReply parseLook(const http::Reply&) const = 0;
+    virtual http::Call poll(const tasks::PollOrder&, std::optional<Millis> until, std::int64_t term) const = 0;
+    virtual PollReply parsePoll(const http::Reply&) const = 0;
 
     virtual http::Call advise(const tasks::AdviceOrder&) const = 0;
     // Empty where the service has not answered the question.
--- a/src/tasks/advice.cc
+++ b/src/tasks/advice.cc
@@ -2,17 +2,17 @@
 
 namespace rattan::tasks {
 
-const std::string* StepAdvice::ticketFor(const WorkerLife& life, Millis until) const
+const std::string* StepAdvice::ticketFor(const Incarnation& incarnation, Millis until) const
 {
-    const auto found = this->verdicts.find(life);
+    const auto found = this->verdicts.find(incarnation);
     if (found == this->verdicts.end() || !found->second.allowed || found->second.until < until)
         return nullptr;
     return &found->second.ticket;
 }
 
-bool StepAdvice::isOpen(const WorkerLife& life, Millis until) const
+bool StepAdvice::isOpen(const Incarnation& incarnation, Millis until) const
 {
-    const auto found = this->verdicts.find(life);
+    const auto found = this->verdicts.find(incarnation);
     return found == this->verdicts.end() || (found->second.allowed && found->second.until < until);
 }
 
--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -3,11 +3,11 @@
 // What a policy outside says of which workers may run a step, where a queue has one.
 //
 //     StepAdvice known;
-//     known.allow(life, "ticket", now + 5000);
+//     known.allow(incarnation, "ticket", now + 5000);
 //     known.deny(other);
-//     if (const std::string* ticket = known.ticketFor(life, now)) ... // goes with the start
+//     if (const std::string* ticket = known.ticketFor(incarnation, now)) ... // goes with the start
 //
-// A verdict on a worker's life stands for good; the ticket that proves it runs out and
+// A verdict on a worker's incarnation stands for good; the ticket that proves it runs out and
 // is asked for again when it is needed. Verdicts are not recorded: a planner that takes
 // over asks anew.
 
@@ -37,19 +37,19 @@
 
 class StepAdvice {
 public:
-    void allow(const WorkerLife& life, std::string ticket, Millis until) { this->verdicts[life] = { true, std::move(ticket), until }; }
-    void deny(const WorkerLife& life) { this->verdicts[life] = { false, {}, 0 }; }
+    void allow(const Incarnation& incarnation, std::string ticket, Millis until) { this->verdicts[incarnation] = { true, std::move(ticket), until }; }
+    void deny(const Incarnation& incarnation) { this->verdicts[incarnation] = { false, {}, 0 }; }
 
     // A ticket that did not hold is asked for again.
-    void forget(const WorkerLife& life) { this->verdicts.erase(life); }
+    void forget(const Incarnation& incarnation) { this->verdicts.erase(incarnation); }
 
     // Null unless the worker may run the step and the ticket holds until then.
-    const std::string* ticketFor(const WorkerLife& life, Millis until) const;
+    const std::string* ticketFor(const Incarnation& incarnation, Millis until) const;
 
     // True unless a verdict is known that holds until then.
-    bool isOpen(const WorkerLife& life, Millis until) const;
+    bool isOpen(const Incarnation& incarnation, Millis until) const;
 
-    std::vector<WorkerLife> underWay; // Named in the question that has no answer yet.
+    std::vector<Incarnation> underWay; // Named in the question that has no answer yet.
     Millis notBefore { 0 }; // No question before then.
 
 private:
@@ -59,7 +59,7 @@
         Millis until { 0 };
     };
 
-    std::map<WorkerLife, Verdict> verdicts;
+    std::map<Incarnation, Verdict> verdicts;
 };
 
 } // namespace rattan::tasks
--- a/src/tasks/catalog.h
+++ b/src/tasks/catalog.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The operators' text in force, as far as jobs need it: which queues there are,
+// The operators' configuration in force, as far as jobs need it: which queues there are,
 // who may use them, and what each workspace is guaranteed.
 
 #include "tasks/job.h"
--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -11,21 +11,21 @@
     // What each worker offers while the plan grows.
     class Draft {
     public:
-        Draft(const Floor& floor, const Ask& ask, const LostWork& lostWork)
-            : floor(floor)
-            , ask(ask)
+        Draft(const Snapshot& snapshot, const PlacementRequest& request, const LostWork& lostWork)
+            : snapshot(snapshot)
+            , request(request)
             , lostWork(lostWork)
-            , room(floor.workers.size())
-            , placed(floor.workers.size(), 0)
+            , room(snapshot.workers.size())
+            , placed(snapshot.workers.size(), 0)
         {
-            for (std::size_t i = 0; i < floor.workers.size(); ++i)
-                this->room[i] = floor.workers[i].soon;
+            for (std::size_t i = 0; i < snapshot.workers.size(); ++i)
+                this->room[i] = snapshot.workers[i].afterStops;
         }
 
         // Places every member on workers that `allowed` admits, cheapest first.
         std::optional<EvictionPlan> fill(const std::string* rack)
         {
-            for (std::int64_t member = 0; member < this->ask.members; ++member) {
+            for (std::int64_t member = 0; member < this->request.members; ++member) {
                 if (!this->placeOne(rack))
                     return std::nullopt;
             }
@@ -42,9 +42,9 @@
         bool placeOne(const std::string* rack)
         {
             std::optional<Option> best;
-            for (std::size_t i = 0; i < this->floor.workers.size(); ++i) {
-                const FloorWorker& worker = this->floor.workers[i];
-                if ((rack && worker.rack != *rack) || worker.oneMore || !this->floor.suits(worker, this->ask) || !this->belowLimit(i))
+            for (std::size_t i = 0; i < this->snapshot.workers.size(); ++i) {
+                const SnapshotWorker& worker = this->snapshot.workers[i];
+                if ((rack && worker.rack != *rack) || worker.oneMore || !this->snapshot.suits(worker, this->request) || !this->belowLimit(i))
                     continue;
                 std::optional<Option> option = this->optionOn(i);
                 if (option && (!best || option->cost < best->cost))
@@ -56,51 +56,51 @@
                 this->stop(victim);
             this->plan.lostWork += best->cost;
             this->plan.places.push_back(best->index);
-            this->room[best->index] -= this->ask.each;
+            this->room[best->index] -= this->request.each;
             ++this->placed[best->index];
             return true;
         }
 
         bool belowLimit(std::size_t i) const
         {
-            if (this->ask.mostPerWorker <= 0)
+            if (this->request.mostPerWorker <= 0)
                 return true;
             std::int64_t already = this->placed[i];
-            if (this->ask.siblings)
-                already += std::count(this->ask.siblings->begin(), this->ask.siblings->end(), this->floor.workers[i].id);
-            return already < this->ask.mostPerWorker;
+            if (this->request.siblings)
+                already += std::count(this->request.siblings->begin(), this->request.siblings->end(), this->snapshot.workers[i].id);
+            return already < this->request.mostPerWorker;
         }
 
         std::optional<Option> optionOn(std::size_t i) const
         {
             Option option { i, 0, {} };
             Room room = this->room[i];
-            if (this->ask.each.within(room))
+            if (this->request.each.within(room))
                 return option;
             struct Candidate {
-                const Holder* holder;
+                const Allocation* allocation;
                 double cost;
             };
             std::vector<Candidate> candidates;
-            for (const Holder& holder : this->floor.workers[i].holders) {
-                if (holder.ending || this->stopped.contains(holder.unit))
+            for (const Allocation& allocation : this->snapshot.workers[i].allocations) {
+                if (allocation.ending || this->stopped.contains(allocation.unit))
                     continue;
-                const double cost = this->lostWork(holder.unit);
+                const double cost = this->lostWork(allocation.unit);
                 if (cost >= 0)
-                    candidates.push_back({ &holder, cost });
+                    candidates.push_back({ &allocation, cost });
             }
             std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
             std::set<UnitKey> chosen;
             for (const Candidate& candidate : candidates) {
-                if (this->ask.each.within(room))
+                if (this->request.each.within(room))
                     break;
-                room += candidate.holder->room;
-                if (chosen.insert(candidate.holder->unit).second) {
+                room += candidate.allocation->room;
+                if (chosen.insert(candidate.allocation->unit).second) {
                     option.cost += candidate.cost;
-                    option.victims.push_back(candidate.holder->unit);
+                    option.victims.push_back(candidate.allocation->unit);
                 }
             }
-            if (!this->ask.each.within(room))
+            if (!this->request.each.within(room))
                 return std::nullopt;
             return option;
         }
@@ -109,16 +109,16 @@
         {
             this->stopped.insert(victim);
             this->plan.victims.push_back(victim);
-            for (std::size_t i = 0; i < this->floor.workers.size(); ++i) {
-                for (const Holder& holder : this->floor.workers[i].holders) {
-                    if (holder.unit == victim && !holder.ending)
-                        this->room[i] += holder.room;
+            for (std::size_t i = 0; i < this->snapshot.workers.size(); ++i) {
+                for (const Allocation& allocation : this->snapshot.workers[i].allocations) {
+                    if (allocation.unit == victim && !allocation.ending)
+                        this->room[i] += allocation.room;
                 }
             }
         }
 
-        const Floor& floor;
-        const Ask& ask;
+        const Snapshot& snapshot;
+        const PlacementRequest& request;
         const LostWork& lostWork;
         std::vector<Room> room;
         std::vector<std::int64_t> placed;
@@ -128,18 +128,18 @@
 
 } // namespace
 
-std::optional<EvictionPlan> planEviction(const Floor& floor, const Ask& ask, const LostWork& lostWork, double mostLost)
+std::optional<EvictionPlan> planEviction(const Snapshot& snapshot, const PlacementRequest& request, const LostWork& lostWork, double mostLost)
 {
     std::set<std::string> racks;
-    if (!ask.rack.empty()) {
-        racks.insert(ask.rack);
-    } else if (ask.sameRack && ask.members > 1) {
-        for (const FloorWorker& worker : floor.workers)
+    if (!request.rack.empty()) {
+        racks.insert(request.rack);
+    } else if (request.sameRack && request.members > 1) {
+        for (const SnapshotWorker& worker : snapshot.workers)
             racks.insert(worker.rack);
     }
     std::optional<EvictionPlan> best;
     const auto consider = [&](const std::string* rack) {
-        std::optional<EvictionPlan> plan = Draft(floor, ask, lostWork).fill(rack);
+        std::optional<EvictionPlan> plan = Draft(snapshot, request, lostWork).fill(rack);
         if (plan && plan->lostWork <= mostLost && (!best || plan->lostWork < best->lostWork))
             best = std::move(plan);
     };
--- a/src/tasks/eviction.h
+++ b/src/tasks/eviction.h
@@ -26,6 +26,6 @@
 
 // Empty when no choice of victims makes room, or every one loses more than
 // `mostLost` core-seconds.
-std::optional<EvictionPlan> planEviction(const Floor&, const Ask&, const LostWork&, double mostLost);
+std::optional<EvictionPlan> planEviction(const Snapshot&, const PlacementRequest&, const LostWork&, double mostLost);
 
 } // namespace rattan::tasks
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -15,7 +15,7 @@
 namespace rattan::tasks {
 
 struct StartOrder {
-    WorkerLife worker;
+    Incarnation worker;
     std::string address;
     RunRef run;
     std::shared_ptr<const std::string> text;
@@ -24,19 +24,19 @@
 };
 
 struct StopOrder {
-    WorkerLife worker;
+    Incarnation worker;
     std::string address;
     RunRef run;
 };
 
 // Asks a worker what runs and has ended there, and renews its lease.
-struct LookOrder {
-    WorkerLife worker;
+struct PollOrder {
+    Incarnation worker;
     std::string address;
     std::int64_t acknowledged { 0 }; // Ends up to this number are durable.
     Millis wait { 0 }; // The answer may wait this long for an end; 0: at once.
     bool renews { true }; // False: its lease is left as it is.
-    bool beside { false }; // Sent while another look waits at that worker.
+    bool beside { false }; // Sent while another poll waits at that worker.
 };
 
 // Asks the advice service which of these workers may run a step.
@@ -52,7 +52,7 @@
     std::vector<std::pair<std::string, std::string>> records; // Key and value; an empty value drops the key.
 };
 
-enum class NoteKind {
+enum class PlanEventKind {
     UnitPlaced,
     UnitEvicted,
     UnitDone,
@@ -67,8 +67,8 @@
 };
 
 // A decision or a change of what the planner believes, for the log.
-struct Note {
-    NoteKind kind { NoteKind::UnitPlaced };
+struct PlanEvent {
+    PlanEventKind kind { PlanEventKind::UnitPlaced };
     std::string job;
     std::string unit; // OCCURRENCE.STEP.INDEX
     std::int64_t run { 0 };
@@ -79,10 +79,10 @@
 struct Orders {
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
-    std::vector<LookOrder> looks;
+    std::vector<PollOrder> polls;
     std::vector<AdviceOrder> advice;
     std::vector<RecordBatch> batches; // At most one.
-    std::vector<Note> notes;
+    std::vector<PlanEvent> events;
 };
 
 } // namespace rattan::tasks
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -54,7 +54,7 @@
         Fast,
     };
 
-    Pace paceOf(const FloorWorker& worker)
+    Pace paceOf(const SnapshotWorker& worker)
     {
         if (worker.speed < usualFrom)
             return Pace::Slow;
@@ -73,50 +73,50 @@
 
 } // namespace
 
-bool Floor::suits(const FloorWorker& worker, const Ask& ask) const
+bool Snapshot::suits(const SnapshotWorker& worker, const PlacementRequest& request) const
 {
-    if (!ask.label.empty() && !contains(worker.labels, ask.label))
+    if (!request.label.empty() && !contains(worker.labels, request.label))
         return false;
-    if (ask.allowed && !ask.allowed->contains(worker.id))
+    if (request.allowed && !request.allowed->contains(worker.id))
         return false;
-    return !contains(ask.avoid, worker.id);
+    return !contains(request.avoid, worker.id);
 }
 
-bool Floor::respectsPromise(const FloorWorker& worker, const Ask& ask, std::int64_t count) const
+bool Snapshot::respectsPromise(const SnapshotWorker& worker, const PlacementRequest& request, std::int64_t count) const
 {
-    if (!worker.promisedFrom || this->now + ask.expected <= *worker.promisedFrom)
+    if (!worker.promisedFrom || this->now + request.expected <= *worker.promisedFrom)
         return true;
-    return ask.each.times(count).within(worker.leftThen);
+    return request.each.times(count).within(worker.leftThen);
 }
 
-std::int64_t Floor::fits(const FloorWorker& worker, const Ask& ask, View view) const
+std::int64_t Snapshot::fits(const SnapshotWorker& worker, const PlacementRequest& request, View view) const
 {
-    if (!this->suits(worker, ask))
+    if (!this->suits(worker, request))
         return 0;
-    if (view != View::Empty && (worker.speed < ask.leastSpeed || worker.speed > ask.mostSpeed))
+    if (view != View::Empty && (worker.speed < request.leastSpeed || worker.speed > request.mostSpeed))
         return 0;
-    const bool closed = worker.closed && !ask.urgent && worker.rack != ask.rack;
+    const bool closed = worker.closed && !request.urgent && worker.rack != request.rack;
     if (closed && view != View::Empty)
         return 0;
-    const Room have = view == View::Empty ? worker.capacity : view == View::Soon ? worker.soon
-                                                                                 : smaller(worker.free, worker.soon);
-    std::int64_t count = std::min(timesIn(have, ask.each), ask.members);
-    if (ask.mostPerWorker > 0) {
+    const Room have = view == View::Empty ? worker.capacity : view == View::AfterStops ? worker.afterStops
+                                                                                       : smaller(worker.free, worker.afterStops);
+    std::int64_t count = std::min(timesIn(have, request.each), request.members);
+    if (request.mostPerWorker > 0) {
         std::int64_t already = 0;
-        if (ask.siblings && view != View::Empty)
-            already = std::count(ask.siblings->begin(), ask.siblings->end(), worker.id);
-        count = std::min(count, std::max<std::int64_t>(ask.mostPerWorker - already, 0));
+        if (request.siblings && view != View::Empty)
+            already = std::count(request.siblings->begin(), request.siblings->end(), worker.id);
+        count = std::min(count, std::max<std::int64_t>(request.mostPerWorker - already, 0));
     }
     if (worker.oneMore && view != View::Empty)
         count = std::min<std::int64_t>(count, 1);
     if (view == View::Free) {
-        while (count > 0 && !this->respectsPromise(worker, ask, count))
+        while (count > 0 && !this->respectsPromise(worker, request, count))
             --count;
     }
     return count;
 }
 
-std::optional<Places> Floor::findWithin(const Ask& ask, View view, const std::string* rack) const
+std::optional<Places> Snapshot::findWithin(const PlacementRequest& request, View view, const std::string* rack) const
 {
     struct Choice {
         std::size_t index;
@@ -126,60 +126,60 @@
     std::vector<Choice> choices;
     std::int64_t total = 0;
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
-        const FloorWorker& worker = this->workers[i];
+        const SnapshotWorker& worker = this->workers[i];
         if (rack && worker.rack != *rack)
             continue;
-        const std::int64_t count = this->fits(worker, ask, view);
+        const std::int64_t count = this->fits(worker, request, view);
         if (count <= 0)
             continue;
-        const Room& have = view == View::Soon ? worker.soon : worker.free;
-        choices.push_back({ i, count, { worker.kept != ask.urgent, have.accelerators - count * ask.each.accelerators, have.memoryMb - count * ask.each.memoryMb } });
+        const Room& have = view == View::AfterStops ? worker.afterStops : worker.free;
+        choices.push_back({ i, count, { worker.kept != request.urgent, have.accelerators - count * request.each.accelerators, have.memoryMb - count * request.each.memoryMb } });
         total += count;
     }
-    if (total < ask.members)
+    if (total < request.members)
         return std::nullopt;
     std::stable_sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.leftover < b.leftover; });
     Places places;
     for (const Choice& choice : choices) {
-        for (std::int64_t i = 0; i < choice.count && static_cast<std::int64_t>(places.size()) < ask.members; ++i)
+        for (std::int64_t i = 0; i < choice.count && static_cast<std::int64_t>(places.size()) < request.members; ++i)
             places.push_back(choice.index);
     }
     return places;
 }
 
-std::optional<Places> Floor::find(const Ask& ask, View view) const
+std::optional<Places> Snapshot::find(const PlacementRequest& request, View view) const
 {
-    if (!ask.rack.empty())
-        return this->findWithin(ask, view, &ask.rack);
-    if (!ask.sameRack || ask.members == 1)
-        return this->findWithin(ask, view, nullptr);
+    if (!request.rack.empty())
+        return this->findWithin(request, view, &request.rack);
+    if (!request.sameRack || request.members == 1)
+        return this->findWithin(request, view, nullptr);
     struct RackRoom {
         std::int64_t members { 0 };
         std::int64_t kept { 0 }; // Workers.
         std::int64_t workers { 0 };
     };
     std::map<std::string, RackRoom> racks;
-    for (const FloorWorker& worker : this->workers) {
+    for (const SnapshotWorker& worker : this->workers) {
         RackRoom& room = racks[worker.rack];
-        room.members += this->fits(worker, ask, view);
+        room.members += this->fits(worker, request, view);
         room.kept += worker.kept ? 1 : 0;
         ++room.workers;
     }
     const std::string* best = nullptr;
     std::pair<bool, std::int64_t> least { true, noLimit };
     for (const auto& [rack, room] : racks) {
-        const std::pair<bool, std::int64_t> rank { (room.kept * 2 > room.workers) != ask.urgent, room.members };
-        if (room.members >= ask.members && rank < least) {
+        const std::pair<bool, std::int64_t> rank { (room.kept * 2 > room.workers) != request.urgent, room.members };
+        if (room.members >= request.members && rank < least) {
             best = &rack;
             least = rank;
         }
     }
-    return best ? this->findWithin(ask, view, best) : std::nullopt;
+    return best ? this->findWithin(request, view, best) : std::nullopt;
 }
 
-std::optional<Places> Floor::findFree(const Ask& ask) const { return this->find(ask, View::Free); }
+std::optional<Places> Snapshot::findFree(const PlacementRequest& request) const { return this->find(request, View::Free); }
 
-std::optional<Places> Floor::findFreeAtPace(const Ask& ask) const
+std::optional<Places> Snapshot::findFreeAtPace(const PlacementRequest& request) const
 {
     struct Range {
         double least;
@@ -190,7 +190,7 @@
     const auto search = [&](const auto& paces) {
         std::optional<Places> found;
         for (const Range& pace : paces) {
-            Ask paced = ask;
+            PlacementRequest paced = request;
             paced.leastSpeed = pace.least;
             paced.mostSpeed = pace.most;
             found = this->findFree(paced);
@@ -200,42 +200,42 @@
         return found;
     };
     std::optional<Places> found;
-    if (ask.urgent)
+    if (request.urgent)
         found = search(urgentPaces);
-    else if (ask.members > 1)
+    else if (request.members > 1)
         found = search(patientPaces);
-    return found ? found : this->findFree(ask);
+    return found ? found : this->findFree(request);
 }
 
-std::optional<Places> Floor::findSoon(const Ask& ask) const { return this->find(ask, View::Soon); }
+std::optional<Places> Snapshot::findAfterStops(const PlacementRequest& request) const { return this->find(request, View::AfterStops); }
 
-bool Floor::couldEverFit(const Ask& ask) const { return this->find(ask, View::Empty).has_value(); }
+bool Snapshot::couldEverFit(const PlacementRequest& request) const { return this->find(request, View::Empty).has_value(); }
 
-bool Floor::couldFitUnasked(const Ask& ask) const
+bool Snapshot::couldFitUnpolled(const PlacementRequest& request) const
 {
     std::int64_t members = 0;
-    for (const FloorWorker& worker : this->unasked) {
-        if (ask.rack.empty() || worker.rack == ask.rack)
-            members += this->fits(worker, ask, View::Empty);
+    for (const SnapshotWorker& worker : this->unpolled) {
+        if (request.rack.empty() || worker.rack == request.rack)
+            members += this->fits(worker, request, View::Empty);
     }
-    return members >= ask.members;
+    return members >= request.members;
 }
 
-bool FailedAsks::cover(const Ask& ask) const
+bool FailedRequests::cover(const PlacementRequest& request) const
 {
-    return std::any_of(this->asks.begin(), this->asks.end(), [&](const Ask& failed) {
-        const bool looser = (failed.rack.empty() || failed.rack == ask.rack) && (!failed.sameRack || ask.sameRack || !ask.rack.empty());
-        return failed.urgent == ask.urgent && failed.members <= ask.members && failed.each.within(ask.each) && looser
-            && (failed.label.empty() || failed.label == ask.label) && failed.expected <= ask.expected;
+    return std::any_of(this->asks.begin(), this->asks.end(), [&](const PlacementRequest& failed) {
+        const bool looser = (failed.rack.empty() || failed.rack == request.rack) && (!failed.sameRack || request.sameRack || !request.rack.empty());
+        return failed.urgent == request.urgent && failed.members <= request.members && failed.each.within(request.each) && looser
+            && (failed.label.empty() || failed.label == request.label) && failed.expected <= request.expected;
     });
 }
 
-void Floor::keep(std::int64_t accelerators)
+void Snapshot::keep(std::int64_t accelerators)
 {
     std::int64_t total = 0;
     std::int64_t free = 0;
-    std::vector<FloorWorker*> byPace;
-    for (FloorWorker& worker : this->workers) {
+    std::vector<SnapshotWorker*> byPace;
+    for (SnapshotWorker& worker : this->workers) {
         total += worker.capacity.accelerators;
         free += worker.free.accelerators;
         byPace.push_back(&worker);
@@ -246,11 +246,11 @@
     const std::int64_t most = std::min(accelerators, total / 2);
     // Among workers of one pace by rack and name, so that whole racks are kept, and
     // the same ones from one round to the next.
-    std::sort(byPace.begin(), byPace.end(), [](const FloorWorker* a, const FloorWorker* b) {
+    std::sort(byPace.begin(), byPace.end(), [](const SnapshotWorker* a, const SnapshotWorker* b) {
         return std::tuple(paceOf(*b), b->rack, b->id) < std::tuple(paceOf(*a), a->rack, a->id);
     });
     std::int64_t kept = 0;
-    for (FloorWorker* worker : byPace) {
+    for (SnapshotWorker* worker : byPace) {
         if (kept >= most)
             break;
         worker->kept = true;
@@ -259,26 +259,26 @@
     }
 }
 
-void Floor::take(const Ask& ask, const Places& places)
+void Snapshot::take(const PlacementRequest& request, const Places& places)
 {
     for (const std::size_t index : places) {
-        FloorWorker& worker = this->workers[index];
-        worker.free -= ask.each;
-        worker.soon -= ask.each;
-        if (worker.promisedFrom && this->now + ask.expected > *worker.promisedFrom)
-            worker.leftThen -= ask.each;
+        SnapshotWorker& worker = this->workers[index];
+        worker.free -= request.each;
+        worker.afterStops -= request.each;
+        if (worker.promisedFrom && this->now + request.expected > *worker.promisedFrom)
+            worker.leftThen -= request.each;
         if (worker.oneMore)
-            worker.soon = {};
+            worker.afterStops = {};
     }
 }
 
-void Floor::promise(const Ask& ask, const Places& places)
+void Snapshot::promise(const PlacementRequest& request, const Places& places)
 {
     for (const std::size_t index : places)
-        this->workers[index].soon -= ask.each;
+        this->workers[index].afterStops -= request.each;
 }
 
-void Floor::reserve(const Ask& ask)
+void Snapshot::reserve(const PlacementRequest& request)
 {
     // When would each worker have room for one member, if nothing new started?
     struct Opening {
@@ -286,37 +286,37 @@
         std::size_t index;
     };
     std::map<std::string, std::vector<Opening>> byRack;
-    const bool oneRack = !ask.rack.empty() || (ask.sameRack && ask.members > 1);
+    const bool oneRack = !request.rack.empty() || (request.sameRack && request.members > 1);
     for (std::size_t i = 0; i < this->workers.size(); ++i) {
-        const FloorWorker& worker = this->workers[i];
-        if (!this->suits(worker, ask) || worker.promisedFrom || (!ask.rack.empty() && worker.rack != ask.rack))
+        const SnapshotWorker& worker = this->workers[i];
+        if (!this->suits(worker, request) || worker.promisedFrom || (!request.rack.empty() && worker.rack != request.rack))
             continue;
-        std::vector<Holder> holders = worker.holders;
-        std::sort(holders.begin(), holders.end(), [](const Holder& a, const Holder& b) { return a.endsAt < b.endsAt; });
-        Room room = smaller(worker.free, worker.soon);
+        std::vector<Allocation> allocations = worker.allocations;
+        std::sort(allocations.begin(), allocations.end(), [](const Allocation& a, const Allocation& b) { return a.endsAt < b.endsAt; });
+        Room room = smaller(worker.free, worker.afterStops);
         std::int64_t counted = 0;
         std::vector<Opening>& openings = byRack[oneRack ? worker.rack : std::string()];
         const auto open = [&](Millis at) {
-            std::int64_t count = std::min(timesIn(room, ask.each), ask.members);
-            if (ask.mostPerWorker > 0)
-                count = std::min(count, ask.mostPerWorker);
+            std::int64_t count = std::min(timesIn(room, request.each), request.members);
+            if (request.mostPerWorker > 0)
+                count = std::min(count, request.mostPerWorker);
             for (; counted < count; ++counted)
                 openings.push_back({ at, i });
         };
         open(this->now);
-        for (const Holder& holder : holders) {
-            room += holder.room;
-            open(std::max(holder.endsAt, this->now));
+        for (const Allocation& allocation : allocations) {
+            room += allocation.room;
+            open(std::max(allocation.endsAt, this->now));
         }
     }
     // The rack in which all members can begin first.
     const std::vector<Opening>* best = nullptr;
     Millis bestAt = std::numeric_limits<Millis>::max();
     for (auto& [rack, openings] : byRack) {
-        if (static_cast<std::int64_t>(openings.size()) < ask.members)
+        if (static_cast<std::int64_t>(openings.size()) < request.members)
             continue;
         std::stable_sort(openings.begin(), openings.end(), [](const Opening& a, const Opening& b) { return a.at < b.at; });
-        const Millis at = openings[static_cast<std::size_t>(ask.members - 1)].at;
+        const Millis at = openings[static_cast<std::size_t>(request.members - 1)].at;
         if (at < bestAt) {
             best = &openings;
             bestAt = at;
@@ -324,17 +324,17 @@
     }
     if (!best)
         return;
-    for (std::int64_t i = 0; i < ask.members; ++i) {
-        FloorWorker& worker = this->workers[(*best)[static_cast<std::size_t>(i)].index];
+    for (std::int64_t i = 0; i < request.members; ++i) {
+        SnapshotWorker& worker = this->workers[(*best)[static_cast<std::size_t>(i)].index];
         if (!worker.promisedFrom) {
             worker.promisedFrom = bestAt;
-            worker.leftThen = smaller(worker.free, worker.soon);
-            for (const Holder& holder : worker.holders) {
-                if (holder.endsAt <= bestAt)
-                    worker.leftThen += holder.room;
+            worker.leftThen = smaller(worker.free, worker.afterStops);
+            for (const Allocation& allocation : worker.allocations) {
+                if (allocation.endsAt <= bestAt)
+                    worker.leftThen += allocation.room;
             }
         }
-        worker.leftThen -= ask.each;
+        worker.leftThen -= request.each;
     }
 }
 
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -1,11 +1,11 @@
 #pragma once
 
 // Where a unit goes: the search for room, apart from everything that happens to
-// jobs. A Floor is a picture of all workers for one round of decisions; what is
+// jobs. A Snapshot is a picture of all workers for one round of decisions; what is
 // placed or promised is taken out of it at once, so that later units of the
 // round see what is left.
 //
-// Each worker has two rooms. `free` is there now. `soon` is what will be free
+// Each worker has two rooms. `free` is there now. `afterStops` is what will be free
 // once all runs that are being stopped have ended, less what units that wait for
 // those ends were promised. A unit starts only in room that is in both, so
 // nobody takes what a more urgent unit had others stopped for.
@@ -28,25 +28,25 @@
 namespace rattan::tasks {
 
 // A run that takes room, as far as choosing whom to stop needs it.
-struct Holder {
+struct Allocation {
     UnitKey unit;
     Room room;
     Millis endsAt { 0 }; // Expected.
     bool ending { false }; // Already being stopped.
 };
 
-struct FloorWorker {
+struct SnapshotWorker {
     std::string id;
     std::string rack;
     const std::vector<std::string>* labels { nullptr };
     double speed { 1 }; // Against the usual one.
     Room capacity;
     Room free;
-    Room soon;
+    Room afterStops;
     bool oneMore { false }; // On trial: takes one unit and no more.
     bool kept { false }; // For urgent units; others go there last,
     bool closed { false }; // or not at all.
-    std::vector<Holder> holders;
+    std::vector<Allocation> allocations;
 
     // Room promised to a unit that waits for running ones to end, from then on.
     std::optional<Millis> promisedFrom;
@@ -54,7 +54,7 @@
 };
 
 // What a unit asks for.
-struct Ask {
+struct PlacementRequest {
     std::int64_t members { 1 };
     Room each;
     std::string label;
@@ -70,71 +70,71 @@
     double mostSpeed { 100 }; // and faster ones, are passed over.
 };
 
-// Members' workers, as indices into Floor::workers, in the order of the members.
+// Members' workers, as indices into Snapshot::workers, in the order of the members.
 using Places = std::vector<std::size_t>;
 
 // Asks that found no place in a round. What asks for as much or more, under the
 // same conditions or stricter ones, is not searched for again.
-class FailedAsks {
+class FailedRequests {
 public:
-    void add(const Ask& ask) { this->asks.push_back(ask); }
-    bool cover(const Ask&) const;
+    void add(const PlacementRequest& request) { this->asks.push_back(request); }
+    bool cover(const PlacementRequest&) const;
 
 private:
-    std::vector<Ask> asks;
+    std::vector<PlacementRequest> asks;
 };
 
-class Floor {
+class Snapshot {
 public:
-    std::vector<FloorWorker> workers;
+    std::vector<SnapshotWorker> workers;
 
     // Workers that have not answered this planner yet and on which nothing is known to
     // run: nothing can be placed there, but very likely soon.
-    std::vector<FloorWorker> unasked;
+    std::vector<SnapshotWorker> unpolled;
     Millis now { 0 };
 
     // Room that is free now.
-    std::optional<Places> findFree(const Ask&) const;
+    std::optional<Places> findFree(const PlacementRequest&) const;
 
     // The same, of workers whose pace suits the unit, if there are. An urgent unit
     // goes where it ends first. A gang goes at the pace of its slowest member, so
     // its members should be of one pace; one that can wait leaves fast workers to
     // others.
-    std::optional<Places> findFreeAtPace(const Ask&) const;
+    std::optional<Places> findFreeAtPace(const PlacementRequest&) const;
 
     // Room that will be free once runs that are being stopped have ended.
-    std::optional<Places> findSoon(const Ask&) const;
+    std::optional<Places> findAfterStops(const PlacementRequest&) const;
 
-    void take(const Ask&, const Places&); // Starts now.
-    void promise(const Ask&, const Places&); // Starts when runs being stopped have ended.
+    void take(const PlacementRequest&, const Places&); // Starts now.
+    void promise(const PlacementRequest&, const Places&); // Starts when runs being stopped have ended.
 
     // Keeps room for a unit that has to wait until running ones end by themselves:
     // whatever starts there must end before, or leave that room.
-    void reserve(const Ask&);
+    void reserve(const PlacementRequest&);
 
     // Keeps the fastest workers for urgent units, for this many accelerators and at
     // most half of all. While over half of all is in use they are closed to others.
     void keep(std::int64_t accelerators);
 
     // True if the unit could be placed were all workers empty.
-    bool couldEverFit(const Ask&) const;
+    bool couldEverFit(const PlacementRequest&) const;
 
     // True if the workers not asked yet could take the whole unit, were they empty.
-    bool couldFitUnasked(const Ask&) const;
+    bool couldFitUnpolled(const PlacementRequest&) const;
 
-    bool suits(const FloorWorker&, const Ask&) const;
+    bool suits(const SnapshotWorker&, const PlacementRequest&) const;
 
 private:
     enum class View {
         Free,
-        Soon,
+        AfterStops,
         Empty,
     };
 
-    std::optional<Places> find(const Ask&, View) const;
-    std::optional<Places> findWithin(const Ask&, View, const std::string* rack) const;
-    std::int64_t fits(const FloorWorker&, const Ask&, View) const;
-    bool respectsPromise(const FloorWorker&, const Ask&, std::int64_t count) const;
+    std::optional<Places> find(const PlacementRequest&, View) const;
+    std::optional<Places> findWithin(const PlacementRequest&, View, const std::string* rack) const;
+    std::int64_t fits(const SnapshotWorker&, const PlacementRequest&, View) const;
+    bool respectsPromise(const SnapshotWorker&, const PlacementRequest&, std::int64_t count) const;
 };
 
 } // namespace rattan::tasks
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -12,26 +12,26 @@
 // be handed the same task in a tight loop before its trust is gone.
 inline constexpr Millis retryPause = 100;
 
-// How long a look waits for an end: the longest that workers allow, since every
-// look has a price and an end is told at once anyway.
-inline constexpr Millis lookWait = 2000;
+// How long a poll waits for an end: the longest that workers allow, since every
+// poll has a price and an end is told at once anyway.
+inline constexpr Millis pollWait = 2000;
 
-// Looks sent before the caller has its turn again. One costs 0.15 ms of a core, so
+// Polls sent before the caller has its turn again. One costs 0.15 ms of a core, so
 // these take an eighth of a core 60 ms: a term of a second can still be renewed
 // while thousands of workers are being asked.
-inline constexpr std::size_t mostLooksAtOnce = 48;
+inline constexpr std::size_t mostPollsAtOnce = 48;
 
 // Of workers that nothing waits for, after a takeover: 800 a second with their answers
 // take 40% of a half core, and the rest is left for what runs.
-inline constexpr std::size_t mostIdleLooksAtOnce = 8;
-inline constexpr Millis idleLooksPause = 10;
+inline constexpr std::size_t mostIdlePollsAtOnce = 8;
+inline constexpr Millis idlePollsPause = 10;
 
-// After a look without an answer, doubling up to the longest.
-inline constexpr Millis firstLookPause = 200;
-inline constexpr Millis longestLookPause = 1600;
+// After a poll without an answer, doubling up to the longest.
+inline constexpr Millis firstPollPause = 200;
+inline constexpr Millis longestPollPause = 1600;
 
-// A call without an answer may be carried out this much later. A look that acknowledged
-// ends of a worker's earlier life could until then acknowledge, unread, ends of the
+// A call without an answer may be carried out this much later. A poll that acknowledged
+// ends of a worker's earlier incarnation could until then acknowledge, unread, ends of the
 // present one: tasks would run again after their end. So nothing is placed there.
 inline constexpr Millis longestLateCall = 13000;
 
@@ -40,8 +40,8 @@
 inline constexpr double slowestClock = 1.02;
 inline constexpr Millis clockSlack = 300;
 
-// An idle worker's ends may wait this long for a look that goes there anyway;
-// users see nothing of it, and a look less is saved nearly every time.
+// An idle worker's ends may wait this long for a poll that goes there anyway;
+// users see nothing of it, and a poll less is saved nearly every time.
 inline constexpr Millis longestAckDelay = 1200;
 
 // A stop without effect is sent again after this, and one without an answer after the
@@ -90,7 +90,7 @@
 inline constexpr Room unknownRoom { 1'000'000'000, 1'000'000'000, 1'000'000 };
 
 // An end that nobody waits for may be recorded this much later. Its worker is not
-// looked at meanwhile, which delays about one end in twenty by half of this.
+// polled meanwhile, which delays about one end in twenty by half of this.
 inline constexpr Millis longestRecordDelay = 250;
 
 // What was learned is written down with other records, at most this often: a
@@ -112,7 +112,7 @@
 inline constexpr Millis ticketSpare = 1000;
 
 // Notes kept between two takes; more are dropped rather than hold up decisions.
-inline constexpr std::size_t mostNotes = 400;
+inline constexpr std::size_t mostPlanEvents = 400;
 
 // Names of jobs that ended in this term, against late repeats of their records.
 inline constexpr std::size_t mostFinished = 100'000;
--- a/src/tasks/progress.h
+++ b/src/tasks/progress.h
@@ -47,13 +47,13 @@
     auto operator<=>(const UnitKey&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
-// A worker's life: after a restart it is another worker, also under the same id.
-struct WorkerLife {
+// A worker's incarnation: after a restart it is another worker, also under the same id.
+struct Incarnation {
     std::string id;
     Millis born { 0 };
 
     // clang-tidy 14 takes the zero that a defaulted comparison is held against for a pointer.
-    auto operator<=>(const WorkerLife&) const = default; // NOLINT(modernize-use-nullptr)
+    auto operator<=>(const Incarnation&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct UnitProgress {
@@ -64,7 +64,7 @@
     std::vector<std::int64_t> failedRuns; // Runs that failed by their own fault.
     UnitState state { UnitState::Waiting };
     std::string checkpoint; // The newest one; empty: none.
-    std::vector<WorkerLife> workers; // While Running: one a member, in the order of their index.
+    std::vector<Incarnation> workers; // While Running: one a member, in the order of their index.
 
     bool operator==(const UnitProgress&) const = default;
 };
--- a/src/tasks/queue_order.cc
+++ b/src/tasks/queue_order.cc
@@ -4,10 +4,10 @@
 
 namespace rattan::tasks {
 
-std::strong_ordering Turn::operator<=>(const Turn& other) const
+std::strong_ordering QueueKey::operator<=>(const QueueKey& other) const
 {
-    if (this->sure != other.sure)
-        return this->sure ? std::strong_ordering::less : std::strong_ordering::greater;
+    if (this->guaranteed != other.guaranteed)
+        return this->guaranteed ? std::strong_ordering::less : std::strong_ordering::greater;
     if (this->useless != other.useless)
         return this->useless ? std::strong_ordering::greater : std::strong_ordering::less;
     if (const auto order = this->priority <=> other.priority; order != std::strong_ordering::equal)
@@ -15,16 +15,16 @@
     return this->latestStart <=> other.latestStart;
 }
 
-Turn turnOf(const Demand& demand, Millis now)
+QueueKey queueKeyOf(const Demand& demand, Millis now)
 {
     const auto objective = static_cast<Millis>(demand.stretch * static_cast<double>(demand.chain)) + demand.target;
-    Turn turn;
-    turn.sure = demand.sure;
-    turn.priority = demand.priority;
-    turn.latestStart = demand.waitedSince + objective - demand.expected;
+    QueueKey queueKey;
+    queueKey.guaranteed = demand.guaranteed;
+    queueKey.priority = demand.priority;
+    queueKey.latestStart = demand.waitedSince + objective - demand.expected;
     const auto usefulUntil = demand.waitedSince + static_cast<Millis>(usefulTimes * static_cast<double>(objective));
-    turn.useless = now + demand.expected > usefulUntil;
-    return turn;
+    queueKey.useless = now + demand.expected > usefulUntil;
+    return queueKey;
 }
 
 std::int64_t acceleratorsOf(const Job& job)
--- a/src/tasks/queue_order.h
+++ b/src/tasks/queue_order.h
@@ -18,7 +18,7 @@
 namespace rattan::tasks {
 
 struct Demand {
-    bool sure { false }; // Within its workspace's guarantee.
+    bool guaranteed { false }; // Within its workspace's guarantee.
     std::int64_t priority { 0 };
     Millis waitedSince { 0 }; // When its caller began to wait.
     Millis expected { 0 }; // What is left of its run.
@@ -32,17 +32,17 @@
 inline constexpr double usefulTimes = 3;
 
 // Smaller goes first.
-struct Turn {
-    bool sure { false };
+struct QueueKey {
+    bool guaranteed { false };
     bool useless { false };
     std::int64_t priority { 0 };
     Millis latestStart { 0 };
 
-    std::strong_ordering operator<=>(const Turn&) const;
-    bool operator==(const Turn&) const = default;
+    std::strong_ordering operator<=>(const QueueKey&) const;
+    bool operator==(const QueueKey&) const = default;
 };
 
-Turn turnOf(const Demand&, Millis now);
+QueueKey queueKeyOf(const Demand&, Millis now);
 
 // Accelerators that a job holds at most at once, if its steps follow each other.
 std::int64_t acceleratorsOf(const Job&);
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -114,8 +114,8 @@
             return row;
         row.push_back(unit.checkpoint);
         Json workers = Json::array();
-        for (const WorkerLife& life : unit.workers)
-            workers.push_back(Json::array({ life.id, life.born }));
+        for (const Incarnation& incarnation : unit.workers)
+            workers.push_back(Json::array({ incarnation.id, incarnation.born }));
         row.push_back(std::move(workers));
         return row;
     }
@@ -132,8 +132,8 @@
         if (row.size() > 6)
             unit.checkpoint = row.at(6).get<std::string>();
         if (row.size() > 7) {
-            for (const Json& life : row.at(7))
-                unit.workers.push_back({ life.at(0).get<std::string>(), life.at(1).get<Millis>() });
+            for (const Json& incarnation : row.at(7))
+                unit.workers.push_back({ incarnation.at(0).get<std::string>(), incarnation.at(1).get<Millis>() });
         }
         return unit;
     }
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -72,23 +72,23 @@
     unit.adopted = true;
     this->waitingUnits.erase(unit.key);
     for (std::size_t member = 0; member < progress.workers.size(); ++member) {
-        const WorkerLife& life = progress.workers[member];
-        auto [found, isNew] = this->workers.try_emplace(life.id);
+        const Incarnation& incarnation = progress.workers[member];
+        auto [found, isNew] = this->workers.try_emplace(incarnation.id);
         Worker& worker = found->second;
         if (isNew) {
-            worker.seen.life = life;
+            worker.seen.incarnation = incarnation;
             worker.listed = false;
         }
-        // Where records tell of two lives, runs of both are kept until a look shows
+        // Where records tell of two incarnations, runs of both are kept until a poll shows
         // which are there: a start for the earlier may have reached the later.
-        worker.seen.life.born = std::max(worker.seen.life.born, life.born);
+        worker.seen.incarnation.born = std::max(worker.seen.incarnation.born, incarnation.born);
         this->grantLease(worker, now); // At most what the earlier planner granted.
-        Occupant occupant { .run = { unit.task(static_cast<std::int64_t>(member)), unit.run }, .unit = unit.key };
-        occupant.inherited = true;
-        occupant.phase = RunPhase::Starting;
-        occupant.room = this->roomOf(occupant.run.task);
-        worker.used += occupant.room;
-        worker.occupants.emplace(occupant.run, occupant);
+        PlacedRun placedRun { .run = { unit.task(static_cast<std::int64_t>(member)), unit.run }, .unit = unit.key };
+        placedRun.inherited = true;
+        placedRun.phase = RunPhase::Starting;
+        placedRun.room = this->roomOf(placedRun.run.task);
+        worker.used += placedRun.room;
+        worker.placedRuns.emplace(placedRun.run, placedRun);
     }
 }
 
@@ -168,14 +168,14 @@
     const auto found = this->units.find(key);
     Unit& unit = found->second;
     this->learn(unit, now);
-    this->note(NoteKind::UnitDone, key, unit.run, unit.workers.empty() ? "" : unit.workers.front().id, "");
+    this->emit(PlanEventKind::UnitDone, key, unit.run, unit.workers.empty() ? "" : unit.workers.front().id, "");
     for (std::size_t member = 0; member < unit.workers.size(); ++member) {
         Worker* worker = this->find(unit.workers[member]);
         if (!worker)
             continue;
-        const auto occupant = worker->occupants.find({ unit.task(static_cast<std::int64_t>(member)), unit.run });
-        if (occupant != worker->occupants.end())
-            occupant->second.stray = true;
+        const auto placedRun = worker->placedRuns.find({ unit.task(static_cast<std::int64_t>(member)), unit.run });
+        if (placedRun != worker->placedRuns.end())
+            placedRun->second.stray = true;
     }
     this->waitingUnits.erase(key);
     this->units.erase(found);
@@ -212,8 +212,8 @@
         return;
     const Millis took = now - unit.startedAt;
     std::vector<std::string> ids;
-    for (const WorkerLife& life : unit.workers)
-        ids.push_back(life.id);
+    for (const Incarnation& incarnation : unit.workers)
+        ids.push_back(incarnation.id);
     const std::string& queue = unit.job->terms.queue;
     const RunTimes::Forecast forecast = this->runTimes.expect(queue, unit.step().estimate);
     this->runTimes.learn(queue, unit.step().estimate, static_cast<double>(took) * this->speeds.slowestOf(ids));
@@ -236,7 +236,7 @@
     this->waitingUnits.insert(unit.key);
     this->markDirty(unit.key.job);
     this->changed = true;
-    this->note(NoteKind::UnitRetried, unit.key, unit.run, "", failed ? "failed" : "ended early");
+    this->emit(PlanEventKind::UnitRetried, unit.key, unit.run, "", failed ? "failed" : "ended early");
 }
 
 // Counted by the number of the run, whether or not anybody still waits for it: an
@@ -261,7 +261,7 @@
     active.state = state;
     active.reason = std::move(reason);
     this->markUrgent();
-    this->note(NoteKind::JobFinished, { id, 0, 0, 0 }, 0, "", fmt::format("{} {}", nameOf(state), active.reason));
+    this->emit(PlanEventKind::JobFinished, { id, 0, 0, 0 }, 0, "", fmt::format("{} {}", nameOf(state), active.reason));
     this->dropUnits(active.job->id, now);
     this->markDirty(active.job->id);
     this->changed = true;
@@ -285,12 +285,12 @@
     for (std::size_t member = 0; member < unit.workers.size(); ++member) {
         Worker* worker = this->find(unit.workers[member]);
         const RunRef run { unit.task(static_cast<std::int64_t>(member)), unit.run };
-        if (!worker || !worker->occupants.contains(run))
+        if (!worker || !worker->placedRuns.contains(run))
             continue;
-        Occupant& occupant = worker->occupants.at(run);
-        occupant.stray = true;
-        occupant.stopWanted = true;
-        if (occupant.phase == RunPhase::Recording)
+        PlacedRun& placedRun = worker->placedRuns.at(run);
+        placedRun.stray = true;
+        placedRun.stopWanted = true;
+        if (placedRun.phase == RunPhase::Recording)
             this->memberGone(*worker, run, std::nullopt, "", now);
     }
 }
@@ -326,17 +326,17 @@
     return room;
 }
 
-void TaskPlanner::note(NoteKind kind, const UnitKey& key, std::int64_t run, std::string worker, std::string detail)
+void TaskPlanner::emit(PlanEventKind kind, const UnitKey& key, std::int64_t run, std::string worker, std::string detail)
 {
-    if (this->notes.size() < mostNotes)
-        this->notes.push_back({ kind, key.job, fmt::format("{}.{}.{}", key.occurrence, key.step, key.index), run, std::move(worker), std::move(detail) });
+    if (this->events.size() < mostPlanEvents)
+        this->events.push_back({ kind, key.job, fmt::format("{}.{}.{}", key.occurrence, key.step, key.index), run, std::move(worker), std::move(detail) });
 }
 
 std::size_t TaskPlanner::runs() const
 {
     std::size_t count = 0;
     for (const auto& [id, worker] : this->workers)
-        count += worker.occupants.size();
+        count += worker.placedRuns.size();
     return count;
 }
 
@@ -354,12 +354,12 @@
     std::map<TaskRef, int> live;
     for (const auto& [id, worker] : this->workers) {
         Room used;
-        for (const auto& [run, occupant] : worker.occupants) {
-            used += occupant.room;
-            const auto unit = this->units.find(occupant.unit);
-            if (!occupant.stray && (unit == this->units.end() || unit->second.run != run.run || unit->second.state != UnitState::Running))
+        for (const auto& [run, placedRun] : worker.placedRuns) {
+            used += placedRun.room;
+            const auto unit = this->units.find(placedRun.unit);
+            if (!placedRun.stray && (unit == this->units.end() || unit->second.run != run.run || unit->second.state != UnitState::Running))
                 found.push_back("a run without its unit: " + run.task.job);
-            if (!occupant.stray && ++live[run.task] > 1)
+            if (!placedRun.stray && ++live[run.task] > 1)
                 found.push_back("a task twice: " + run.task.job);
         }
         if (!(used == worker.used))
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -7,22 +7,22 @@
 //     planner.applyCatalog(catalog);
 //     planner.workersSeen(sightings, now);             // the list of workers, whenever read
 //     planner.jobAccepted(job, now);                   // from the log, as are cancels
-//     planner.lookAnswered(worker, sentAt, look, now); // and other answers
+//     planner.pollAnswered(worker, sentAt, poll, now); // and other answers
 //     planner.step(now, wall);
 //     Orders orders = planner.take(now);               // to be carried out in any order
 //
 // What makes it safe:
 //  * A run is recorded, with its workers, before its first start is sent. So
 //    whoever takes over knows of every run that can exist.
-//  * Nothing is believed of a worker before it has answered a look with this
+//  * Nothing is believed of a worker before it has answered a poll with this
 //    term: from then on it refuses orders of earlier terms.
-//  * A start without an answer keeps its room and its task until a look shows the
+//  * A start without an answer keeps its room and its task until a poll shows the
 //    run, or shows that a stop came first, or every lease there is over.
 //  * Ends are acknowledged to workers, and jobs shown as over, only when the
 //    record that says so is durable.
 //
 // The caller must stop carrying out orders when its term is over. Every answer
-// must be told exactly once; looks, starts and stops have no other limit than
+// must be told exactly once; polls, starts and stops have no other limit than
 // the caller's timeout. Not thread-safe.
 
 #include "tasks/advice.h"
@@ -43,9 +43,9 @@
 namespace rattan::tasks {
 
 struct PlannerOptions {
-    Millis longestLease { 10000 }; // Granted with each look and start.
+    Millis longestLease { 10000 }; // Granted with each poll and start.
     Millis stopTimeout { 200 }; // Longest time that a stop takes at a worker.
-    bool advised { false }; // There is an advice service to ask; else no queue's policy is heeded.
+    bool advised { false }; // There is an advice service to request; else no queue's policy is heeded.
 };
 
 class TaskPlanner {
@@ -60,10 +60,10 @@
     // All workers that the list holds at present.
     void workersSeen(const std::vector<WorkerSighting>&, Millis now);
 
-    void lookAnswered(const WorkerLife&, Millis sentAt, bool quick, const WorkerLook&, Millis now);
-    void lookFailed(const WorkerLife&, bool quick, WorkerFault, Millis now);
-    void startAnswered(const WorkerLife&, const RunRef&, StartAnswer, Millis now);
-    void stopAnswered(const WorkerLife&, const RunRef&, bool taken, Millis now);
+    void pollAnswered(const Incarnation&, Millis sentAt, bool quick, const WorkerReport&, Millis now);
+    void pollFailed(const Incarnation&, bool quick, WorkerFault, Millis now);
+    void startAnswered(const Incarnation&, const RunRef&, StartAnswer, Millis now);
+    void stopAnswered(const Incarnation&, const RunRef&, bool taken, Millis now);
     void adviceAnswered(const StepKey&, const std::vector<AllowedWorker>&, Millis now);
     void adviceFailed(const StepKey&, Millis now);
     void recorded(std::int64_t batch, Millis now);
@@ -95,7 +95,7 @@
 private:
     using Unit = detail::Unit;
     using Worker = detail::WorkerState;
-    using Occupant = detail::Occupant;
+    using PlacedRun = detail::PlacedRun;
     using ActiveJob = detail::ActiveJob;
 
     // Jobs and their units.
@@ -122,11 +122,11 @@
     void acceptLateDone(const RunRef&, Millis now);
     void applyRunning(Worker&, const RunningTask&, Millis now);
     double leastProgress(const Unit&);
-    void settleUnlisted(Worker&, const WorkerLook&, Millis sentAt, Millis now);
-    void loseLife(Worker&, Millis now, const char* why);
-    void changeLife(Worker&, const WorkerLook&, Millis sentAt, Millis now);
+    void settleUnlisted(Worker&, const WorkerReport&, Millis sentAt, Millis now);
+    void loseIncarnation(Worker&, Millis now, const char* why);
+    void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, Millis now);
     void grantLease(Worker&, Millis now) const;
-    Worker* find(const WorkerLife&); // By its id: a run that is looked for may be in a later life.
+    Worker* find(const Incarnation&); // By its id: a run that is looked for may be in a later incarnation.
     Unit* find(const UnitKey&);
     Room roomOf(const TaskRef&) const;
     UnitKey unitOf(const TaskRef&) const;
@@ -136,25 +136,25 @@
     void noticeStalls(Millis now);
     Worker* slowestMember(const Unit&);
     void clearLeaving(Millis now);
-    void markSure();
+    void markGuaranteed();
     struct Candidate;
     std::vector<Candidate> rank(Millis now, Millis wall);
-    Ask askOf(const Unit&) const;
-    bool tryPlace(Candidate&, Floor&, const Ask&, Millis now);
+    PlacementRequest requestOf(const Unit&) const;
+    bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     bool mayEvict(const Candidate&, Millis now);
-    bool tryEvict(Candidate&, Floor&, const Ask&, Millis now);
+    bool tryEvict(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void decide(Millis now, Millis wall);
     std::int64_t urgentDemand(const std::string& service, Millis now);
-    Floor makeFloor(const std::string& service, Millis now) const;
+    Snapshot makeSnapshot(const std::string& service, Millis now) const;
     Millis expectedRun(const Unit&) const;
     Millis expectedEnd(const Unit&, Millis now) const;
     double lostWork(const Unit&, Millis now) const;
     double worthLosing(const Unit&) const;
 
     // Advice on where a step may run.
-    std::set<std::string> allowedWorkers(const StepAdvice&, const Floor&, Millis now) const;
-    bool isAdvised(const Unit&, const Floor&, Ask&, Millis now);
-    const std::string* ticketFor(const UnitKey&, const WorkerLife&, Millis now) const;
+    std::set<std::string> allowedWorkers(const StepAdvice&, const Snapshot&, Millis now) const;
+    bool isAdvised(const Unit&, const Snapshot&, PlacementRequest&, Millis now);
+    const std::string* ticketFor(const UnitKey&, const Incarnation&, Millis now) const;
     void forgetAdvice(const std::string& job);
 
     // Records.
@@ -163,14 +163,14 @@
     bool recordDue(Millis now);
     Progress progressOf(const ActiveJob&) const;
     void makeBatch(Millis now, Orders&);
-    void makeLooks(Millis now, Orders&);
-    void sendStart(Worker&, Occupant&, const Unit&, Millis now);
-    bool lookDue(const Worker&, Millis now) const;
-    void look(Worker&, Millis now, Orders&) const;
-    void lookBeside(Worker&, Orders&) const;
-    void lookAtIdle(const std::vector<Worker*>&, Millis now, Orders&);
+    void makePolls(Millis now, Orders&);
+    void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
+    bool pollDue(const Worker&, Millis now) const;
+    void poll(Worker&, Millis now, Orders&) const;
+    void pollBeside(Worker&, Orders&) const;
+    void pollIdle(const std::vector<Worker*>&, Millis now, Orders&);
     void makeStops(Millis now, Orders&);
-    void note(NoteKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
+    void emit(PlanEventKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
 
     const PlannerOptions options;
     const JobTable& table;
@@ -178,7 +178,7 @@
     std::map<std::string, ActiveJob> jobs;
     std::map<UnitKey, Unit> units; // Of jobs that are not over.
     std::set<UnitKey> waitingUnits;
-    std::map<std::string, Worker> workers; // By id; the newest life.
+    std::map<std::string, Worker> workers; // By id; the newest incarnation.
     RunTimes runTimes;
     WorkerSpeeds speeds;
     Millis learnedAt { 0 }; // When what was learned was last written down.
@@ -192,16 +192,16 @@
     std::int64_t batchNumber { 0 };
     bool batchUnderWay { false };
     std::vector<std::pair<std::string, RunRef>> startsInBatch;
-    std::map<WorkerLife, std::int64_t> endsInBatch;
+    std::map<Incarnation, std::int64_t> endsInBatch;
     std::vector<StartOrder> startOrders;
     std::map<StepKey, StepAdvice> advice; // Of steps whose queue has a policy.
     std::vector<AdviceOrder> adviceOrders;
     int adviceUnderWay { 0 };
-    std::vector<Note> notes;
+    std::vector<PlanEvent> events;
     bool isDeposed { false };
     bool changed { true };
-    bool looksLeft { false }; // Due, and more than were sent at once.
-    Millis idleLooksFrom { 0 }; // None at idle workers before then, unless something waits for room.
+    bool pollsLeft { false }; // Due, and more than were sent at once.
+    Millis idlePollsFrom { 0 }; // None at idle workers before then, unless something waits for room.
     struct Demanded {
         double accelerators { 0 };
         Millis at { 0 };
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -17,48 +17,48 @@
     StepKey stepOf(const UnitKey& unit) { return { unit.job, unit.occurrence, unit.step }; }
 
     struct Askable {
-        const FloorWorker* worker;
+        const SnapshotWorker* worker;
         bool near; // In the rack of the data.
         bool free; // For a member, now.
     };
 
 } // namespace
 
-const std::string* TaskPlanner::ticketFor(const UnitKey& unit, const WorkerLife& life, Millis now) const
+const std::string* TaskPlanner::ticketFor(const UnitKey& unit, const Incarnation& incarnation, Millis now) const
 {
     const auto found = this->advice.find(stepOf(unit));
-    return found == this->advice.end() ? nullptr : found->second.ticketFor(life, now);
+    return found == this->advice.end() ? nullptr : found->second.ticketFor(incarnation, now);
 }
 
-std::set<std::string> TaskPlanner::allowedWorkers(const StepAdvice& known, const Floor& floor, Millis now) const
+std::set<std::string> TaskPlanner::allowedWorkers(const StepAdvice& known, const Snapshot& snapshot, Millis now) const
 {
     std::set<std::string> allowed;
-    for (const FloorWorker& worker : floor.workers) {
-        if (known.ticketFor(this->workers.at(worker.id).seen.life, now + ticketSpare))
+    for (const SnapshotWorker& worker : snapshot.workers) {
+        if (known.ticketFor(this->workers.at(worker.id).seen.incarnation, now + ticketSpare))
             allowed.insert(worker.id);
     }
     return allowed;
 }
 
-// Whether the unit can be placed, or waited for, on the workers that `ask.allowed`
+// Whether the unit can be placed, or waited for, on the workers that `request.allowed`
 // holds; else the advice service is asked about others.
-bool TaskPlanner::isAdvised(const Unit& unit, const Floor& floor, Ask& ask, Millis now)
+bool TaskPlanner::isAdvised(const Unit& unit, const Snapshot& snapshot, PlacementRequest& request, Millis now)
 {
     StepAdvice& known = this->advice[stepOf(unit.key)];
-    if (floor.findFree(ask))
+    if (snapshot.findFree(request))
         return true;
     std::vector<Askable> open;
-    Ask anywhere = ask;
+    PlacementRequest anywhere = request;
     anywhere.allowed = nullptr;
-    for (const FloorWorker& worker : floor.workers) {
-        const WorkerLife& life = this->workers.at(worker.id).seen.life;
-        if (!floor.suits(worker, anywhere) || !ask.each.within(worker.capacity) || !known.isOpen(life, now + ticketSpare))
+    for (const SnapshotWorker& worker : snapshot.workers) {
+        const Incarnation& incarnation = this->workers.at(worker.id).seen.incarnation;
+        if (!snapshot.suits(worker, anywhere) || !request.each.within(worker.capacity) || !known.isOpen(incarnation, now + ticketSpare))
             continue;
-        open.push_back({ &worker, worker.rack == ask.rack, ask.each.within(worker.free) && ask.each.within(worker.soon) });
+        open.push_back({ &worker, worker.rack == request.rack, request.each.within(worker.free) && request.each.within(worker.afterStops) });
     }
-    if (!ask.rack.empty() && std::none_of(open.begin(), open.end(), [](const Askable& candidate) { return candidate.near; }) && !floor.couldEverFit(ask))
-        ask.rack.clear(); // None of its rack may run it.
-    if (floor.findFree(ask))
+    if (!request.rack.empty() && std::none_of(open.begin(), open.end(), [](const Askable& candidate) { return candidate.near; }) && !snapshot.couldEverFit(request))
+        request.rack.clear(); // None of its rack may run it.
+    if (snapshot.findFree(request))
         return true;
     if (open.empty())
         return known.underWay.empty();
@@ -67,7 +67,7 @@
         AdviceOrder order { .step = stepOf(unit.key), .terms = unit.job->terms.advice, .workers = {} };
         for (std::size_t i = 0; i < std::min(open.size(), mostWorkersAdvised); ++i) {
             order.workers.push_back(open[i].worker->id);
-            known.underWay.push_back(this->workers.at(open[i].worker->id).seen.life);
+            known.underWay.push_back(this->workers.at(open[i].worker->id).seen.incarnation);
         }
         ++this->adviceUnderWay;
         this->adviceOrders.push_back(std::move(order));
@@ -84,12 +84,12 @@
     if (found == this->advice.end() || job == this->jobs.end())
         return; // The job is over.
     StepAdvice& known = found->second;
-    for (const WorkerLife& life : known.underWay) {
-        const auto row = std::find_if(allowed.begin(), allowed.end(), [&](const AllowedWorker& worker) { return worker.id == life.id; });
+    for (const Incarnation& incarnation : known.underWay) {
+        const auto row = std::find_if(allowed.begin(), allowed.end(), [&](const AllowedWorker& worker) { return worker.id == incarnation.id; });
         if (row == allowed.end())
-            known.deny(life);
+            known.deny(incarnation);
         else
-            known.allow(life, row->ticket, now + job->second.job->terms.advice.valid);
+            known.allow(incarnation, row->ticket, now + job->second.job->terms.advice.valid);
     }
     known.underWay.clear();
 }
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -73,14 +73,14 @@
         return;
     for (const auto& [id, worker] : this->workers) {
         if (worker.handled > worker.durable)
-            this->endsInBatch[worker.seen.life] = worker.handled;
+            this->endsInBatch[worker.seen.incarnation] = worker.handled;
     }
     if (!this->recordDue(now))
         return;
     if (this->dirty.empty() && this->toForget.empty()) {
         // Ends that changed nothing are as durable as they will ever be.
-        for (const auto& [life, number] : this->endsInBatch) {
-            if (Worker* worker = this->find(life); worker && worker->seen.life == life)
+        for (const auto& [incarnation, number] : this->endsInBatch) {
+            if (Worker* worker = this->find(incarnation); worker && worker->seen.incarnation == incarnation)
                 worker->durable = number;
         }
         this->endsInBatch.clear();
@@ -124,10 +124,10 @@
     if (!this->batchUnderWay || batch != this->batchNumber)
         return;
     this->batchUnderWay = false;
-    for (const auto& [life, number] : this->endsInBatch) {
-        Worker* worker = this->find(life);
-        if (!worker || worker->seen.life != life)
-            continue; // A later life counts its ends anew.
+    for (const auto& [incarnation, number] : this->endsInBatch) {
+        Worker* worker = this->find(incarnation);
+        if (!worker || worker->seen.incarnation != incarnation)
+            continue; // A later incarnation counts its ends anew.
         worker->durable = number;
         if (worker->ackDueBy == 0)
             worker->ackDueBy = now + longestAckDelay;
@@ -137,45 +137,45 @@
         const auto worker = this->workers.find(id);
         if (worker == this->workers.end())
             continue;
-        const auto occupant = worker->second.occupants.find(run);
-        if (occupant == worker->second.occupants.end() || occupant->second.phase != RunPhase::Recording)
+        const auto placedRun = worker->second.placedRuns.find(run);
+        if (placedRun == worker->second.placedRuns.end() || placedRun->second.phase != RunPhase::Recording)
             continue;
-        const Unit* unit = this->find(occupant->second.unit);
+        const Unit* unit = this->find(placedRun->second.unit);
         if (!unit)
             continue;
-        occupant->second.phase = RunPhase::Starting;
-        this->sendStart(worker->second, occupant->second, *unit, now);
+        placedRun->second.phase = RunPhase::Starting;
+        this->sendStart(worker->second, placedRun->second, *unit, now);
     }
     this->startsInBatch.clear();
 }
 
-void TaskPlanner::sendStart(Worker& worker, Occupant& occupant, const Unit& unit, Millis now)
+void TaskPlanner::sendStart(Worker& worker, PlacedRun& placedRun, const Unit& unit, Millis now)
 {
-    ++occupant.startsSent;
+    ++placedRun.startsSent;
     worker.lastStartAt = now;
     this->grantLease(worker, now);
-    const std::string* ticket = this->ticketFor(unit.key, worker.seen.life, now);
-    this->startOrders.push_back({ worker.seen.life, worker.seen.address, occupant.run, this->jobs.at(occupant.run.task.job).text, unit.checkpoint, ticket ? *ticket : "" });
+    const std::string* ticket = this->ticketFor(unit.key, worker.seen.incarnation, now);
+    this->startOrders.push_back({ worker.seen.incarnation, worker.seen.address, placedRun.run, this->jobs.at(placedRun.run.task.job).text, unit.checkpoint, ticket ? *ticket : "" });
 }
 
-// A start whose stop has been answered is settled by the next look. One that waits
+// A start whose stop has been answered is settled by the next poll. One that waits
 // for an end would hold up its task, so another goes beside it.
-void TaskPlanner::lookBeside(Worker& worker, Orders& orders) const
+void TaskPlanner::pollBeside(Worker& worker, Orders& orders) const
 {
-    if (!worker.lookUnderWay || worker.quickLookUnderWay)
+    if (!worker.pollUnderWay || worker.quickPollUnderWay)
         return;
-    for (const auto& [run, occupant] : worker.occupants) {
-        if (occupant.phase != RunPhase::Starting || occupant.stopAnsweredAt == 0 || occupant.stopAnsweredAt < worker.lookSentAt)
+    for (const auto& [run, placedRun] : worker.placedRuns) {
+        if (placedRun.phase != RunPhase::Starting || placedRun.stopAnsweredAt == 0 || placedRun.stopAnsweredAt < worker.pollSentAt)
             continue;
-        worker.quickLookUnderWay = true;
-        orders.looks.push_back({ worker.seen.life, worker.seen.address, 0, 0, false, true });
+        worker.quickPollUnderWay = true;
+        orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, 0, 0, false, true });
         return;
     }
 }
 
-bool TaskPlanner::lookDue(const Worker& worker, Millis now) const
+bool TaskPlanner::pollDue(const Worker& worker, Millis now) const
 {
-    if (worker.lookUnderWay || now < worker.nextLookAt)
+    if (worker.pollUnderWay || now < worker.nextPollAt)
         return false;
     const bool calm = worker.known && !worker.silent;
     const bool ackDue = worker.durable > worker.acknowledged && worker.ackDueBy > 0 && now >= worker.ackDueBy;
@@ -185,52 +185,52 @@
     return !calm || worker.handled <= worker.durable || now + this->options.longestLease / 2 >= worker.leaseOverBy;
 }
 
-void TaskPlanner::look(Worker& worker, Millis now, Orders& orders) const
+void TaskPlanner::poll(Worker& worker, Millis now, Orders& orders) const
 {
     const bool renews = worker.known && !worker.silent && worker.isLive();
-    worker.lookUnderWay = true;
-    worker.lookSentAt = now;
-    worker.ackUnderWay = worker.isLifeSure() ? worker.durable : 0;
+    worker.pollUnderWay = true;
+    worker.pollSentAt = now;
+    worker.ackUnderWay = worker.isIncarnationProven() ? worker.durable : 0;
     worker.ackDueBy = 0;
     if (renews)
         this->grantLease(worker, now);
-    orders.looks.push_back({ worker.seen.life, worker.seen.address, worker.ackUnderWay, renews ? lookWait : 0, renews });
+    orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, worker.ackUnderWay, renews ? pollWait : 0, renews });
 }
 
-// Where something runs a lease runs out, and a look tells of its end; those go first.
-void TaskPlanner::makeLooks(Millis now, Orders& orders)
+// Where something runs a lease runs out, and a poll tells of its end; those go first.
+void TaskPlanner::makePolls(Millis now, Orders& orders)
 {
     std::vector<Worker*> idle;
-    this->looksLeft = false;
+    this->pollsLeft = false;
     for (auto& [id, worker] : this->workers) {
-        if (worker.seen.address.empty() || (!worker.listed && worker.occupants.empty()))
+        if (worker.seen.address.empty() || (!worker.listed && worker.placedRuns.empty()))
             continue; // Of one known only from a record, the list has to tell where it is.
-        this->lookBeside(worker, orders);
-        if (!this->lookDue(worker, now))
+        this->pollBeside(worker, orders);
+        if (!this->pollDue(worker, now))
             continue;
-        if (worker.occupants.empty())
+        if (worker.placedRuns.empty())
             idle.push_back(&worker);
-        else if (orders.looks.size() < mostLooksAtOnce)
-            this->look(worker, now, orders);
+        else if (orders.polls.size() < mostPollsAtOnce)
+            this->poll(worker, now, orders);
         else
-            this->looksLeft = true;
+            this->pollsLeft = true;
     }
-    this->lookAtIdle(idle, now, orders);
+    this->pollIdle(idle, now, orders);
 }
 
-void TaskPlanner::lookAtIdle(const std::vector<Worker*>& idle, Millis now, Orders& orders)
+void TaskPlanner::pollIdle(const std::vector<Worker*>& idle, Millis now, Orders& orders)
 {
     const bool wanted = !this->waitingUnits.empty();
-    if (idle.empty() || (!wanted && now < this->idleLooksFrom))
+    if (idle.empty() || (!wanted && now < this->idlePollsFrom))
         return;
-    const std::size_t most = wanted ? mostLooksAtOnce : std::min(mostLooksAtOnce, orders.looks.size() + mostIdleLooksAtOnce);
+    const std::size_t most = wanted ? mostPollsAtOnce : std::min(mostPollsAtOnce, orders.polls.size() + mostIdlePollsAtOnce);
     for (Worker* worker : idle) {
-        if (orders.looks.size() >= most)
+        if (orders.polls.size() >= most)
             break;
-        this->look(*worker, now, orders);
+        this->poll(*worker, now, orders);
     }
-    this->idleLooksFrom = now + idleLooksPause;
-    this->looksLeft = this->looksLeft || (wanted && orders.looks.size() >= most);
+    this->idlePollsFrom = now + idlePollsPause;
+    this->pollsLeft = this->pollsLeft || (wanted && orders.polls.size() >= most);
 }
 
 void TaskPlanner::makeStops(Millis now, Orders& orders)
@@ -238,14 +238,14 @@
     for (auto& [id, worker] : this->workers) {
         if (worker.seen.address.empty())
             continue;
-        for (auto& [run, occupant] : worker.occupants) {
-            if (!occupant.stopWanted || occupant.phase == RunPhase::Recording || occupant.stopUnderWay)
+        for (auto& [run, placedRun] : worker.placedRuns) {
+            if (!placedRun.stopWanted || placedRun.phase == RunPhase::Recording || placedRun.stopUnderWay)
                 continue;
-            if (now < occupant.nextStopAt)
+            if (now < placedRun.nextStopAt)
                 continue;
-            occupant.stopUnderWay = true;
-            occupant.nextStopAt = now + stopRetry + this->options.stopTimeout;
-            orders.stops.push_back({ worker.seen.life, worker.seen.address, run });
+            placedRun.stopUnderWay = true;
+            placedRun.nextStopAt = now + stopRetry + this->options.stopTimeout;
+            orders.stops.push_back({ worker.seen.incarnation, worker.seen.address, run });
         }
     }
 }
@@ -259,9 +259,9 @@
     orders.advice = std::move(this->adviceOrders);
     this->adviceOrders.clear();
     this->makeStops(now, orders);
-    this->makeLooks(now, orders);
-    orders.notes = std::move(this->notes);
-    this->notes.clear();
+    this->makePolls(now, orders);
+    orders.events = std::move(this->events);
+    this->events.clear();
     return orders;
 }
 
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -1,4 +1,4 @@
-// The choice of what runs where: a round looks at every waiting unit in the order
+// The choice of what runs where: a round polls every waiting unit in the order
 // of what its delay would cost, and gives it free room, room of runs that are
 // being stopped, room of runs that it may stop, or a reservation.
 
@@ -17,7 +17,7 @@
 
 struct TaskPlanner::Candidate {
     Unit* unit;
-    Turn turn;
+    QueueKey queueKey;
     Millis waitedSince;
 };
 
@@ -36,13 +36,13 @@
     this->changed = false;
     this->noticeStalls(now);
     this->clearLeaving(now);
-    this->markSure();
+    this->markGuaranteed();
     this->decide(now, wall);
 }
 
 Millis TaskPlanner::nextWake(Millis now, Millis wall) const
 {
-    if (this->looksLeft)
+    if (this->pollsLeft)
         return now;
     Millis next = this->changed ? std::max(now, this->nextRound) : this->nextRound + idleRound;
     if (this->roundDueBy > 0)
@@ -53,11 +53,11 @@
         if (!isFinal(active.state) && active.nextOccurrence < active.job->occurrences())
             next = std::min(next, now + std::max<Millis>(active.job->dueAt(active.nextOccurrence) - wall, 0));
     }
-    if (this->idleLooksFrom > now)
-        next = std::min(next, this->idleLooksFrom);
+    if (this->idlePollsFrom > now)
+        next = std::min(next, this->idlePollsFrom);
     for (const auto& [id, worker] : this->workers) {
-        if (!worker.lookUnderWay && worker.nextLookAt > now)
-            next = std::min(next, worker.nextLookAt);
+        if (!worker.pollUnderWay && worker.nextPollAt > now)
+            next = std::min(next, worker.nextPollAt);
         if (worker.ackDueBy > now)
             next = std::min(next, worker.ackDueBy);
     }
@@ -112,12 +112,12 @@
     bool shared = false;
     for (std::size_t member = 0; member < unit.workers.size(); ++member) {
         Worker* worker = this->find(unit.workers[member]);
-        const auto occupant = worker ? worker->occupants.find({ unit.task(static_cast<std::int64_t>(member)), unit.run }) : std::map<RunRef, Occupant>::iterator();
-        if (!worker || occupant == worker->occupants.end())
+        const auto placedRun = worker ? worker->placedRuns.find({ unit.task(static_cast<std::int64_t>(member)), unit.run }) : std::map<RunRef, PlacedRun>::iterator();
+        if (!worker || placedRun == worker->placedRuns.end())
             continue;
-        shared = shared || (occupant->second.progress == least && worker != slowest);
-        if (occupant->second.progress < least) {
-            least = occupant->second.progress;
+        shared = shared || (placedRun->second.progress == least && worker != slowest);
+        if (placedRun->second.progress < least) {
+            least = placedRun->second.progress;
             slowest = worker;
             shared = false;
         }
@@ -137,9 +137,9 @@
     }
     for (const UnitKey& key : stalled) {
         Unit& unit = this->units.at(key);
-        this->note(NoteKind::UnitStalled, key, unit.run, unit.workers.front().id, fmt::format("at {}%", static_cast<int>(unit.progress * 100)));
+        this->emit(PlanEventKind::UnitStalled, key, unit.run, unit.workers.front().id, fmt::format("at {}%", static_cast<int>(unit.progress * 100)));
         if (Worker* worker = this->slowestMember(unit)) {
-            unit.avoid.push_back(worker->seen.life.id);
+            unit.avoid.push_back(worker->seen.incarnation.id);
             worker->trust.stalled(now);
         }
         this->stopUnit(unit, now);
@@ -154,25 +154,25 @@
     for (const auto& [id, worker] : this->workers) {
         if (!worker.seen.leaving)
             continue;
-        for (const auto& [run, occupant] : worker.occupants) {
-            const Unit* unit = occupant.stray || occupant.stopWanted ? nullptr : this->find(occupant.unit);
+        for (const auto& [run, placedRun] : worker.placedRuns) {
+            const Unit* unit = placedRun.stray || placedRun.stopWanted ? nullptr : this->find(placedRun.unit);
             if (unit && this->expectedEnd(*unit, now) > worker.leavesAt - leaveMargin)
-                moved.push_back(occupant.unit);
+                moved.push_back(placedRun.unit);
         }
     }
     for (const UnitKey& key : moved) {
         if (Unit* unit = this->find(key)) {
-            this->note(NoteKind::UnitEvicted, key, unit->run, "", "its worker leaves");
+            this->emit(PlanEventKind::UnitEvicted, key, unit->run, "", "its worker leaves");
             this->stopUnit(*unit, now);
         }
     }
 }
 
-void TaskPlanner::markSure()
+void TaskPlanner::markGuaranteed()
 {
     std::vector<ActiveJob*> urgent;
     for (auto& [id, active] : this->jobs) {
-        active.sure = false;
+        active.guaranteed = false;
         if (active.job->terms.priority == 0 && !isFinal(active.state))
             urgent.push_back(&active);
     }
@@ -181,7 +181,7 @@
     for (ActiveJob* active : urgent) {
         std::int64_t& sum = used[active->job->workspace];
         sum += acceleratorsOf(*active->job);
-        active->sure = sum <= this->catalog->guaranteeOf(active->job->workspace);
+        active->guaranteed = sum <= this->catalog->guaranteeOf(active->job->workspace);
     }
 }
 
@@ -201,54 +201,54 @@
     return static_cast<std::int64_t>(demanded.accelerators);
 }
 
-Floor TaskPlanner::makeFloor(const std::string& service, Millis now) const
+Snapshot TaskPlanner::makeSnapshot(const std::string& service, Millis now) const
 {
-    Floor floor;
-    floor.now = now;
+    Snapshot snapshot;
+    snapshot.now = now;
     for (const auto& [id, worker] : this->workers) {
         const bool present = worker.listed && !worker.silent && !worker.seen.leaving && worker.seen.service == service;
-        if (!present || now < worker.takesNothingUntil || !worker.trust.takesWork(now, worker.occupants.empty()))
+        if (!present || now < worker.takesNothingUntil || !worker.trust.takesWork(now, worker.placedRuns.empty()))
             continue;
-        FloorWorker place { .id = id, .rack = worker.seen.rack, .labels = &worker.seen.labels, .capacity = worker.seen.capacity };
+        SnapshotWorker place { .id = id, .rack = worker.seen.rack, .labels = &worker.seen.labels, .capacity = worker.seen.capacity };
         if (!worker.known) {
-            if (worker.occupants.empty())
-                floor.unasked.push_back(std::move(place));
+            if (worker.placedRuns.empty())
+                snapshot.unpolled.push_back(std::move(place));
             continue;
         }
         place.speed = this->speeds.of(id);
         place.free = worker.seen.capacity;
         place.free -= worker.used;
-        place.soon = place.free;
+        place.afterStops = place.free;
         place.oneMore = worker.trust.onTrial();
-        for (const auto& [run, occupant] : worker.occupants) {
-            const bool ending = occupant.stray || occupant.stopWanted;
+        for (const auto& [run, placedRun] : worker.placedRuns) {
+            const bool ending = placedRun.stray || placedRun.stopWanted;
             if (ending)
-                place.soon += occupant.room;
-            const auto unit = this->units.find(occupant.unit);
+                place.afterStops += placedRun.room;
+            const auto unit = this->units.find(placedRun.unit);
             const Millis endsAt = ending || unit == this->units.end() ? now + this->options.stopTimeout : this->expectedEnd(unit->second, now);
-            place.holders.push_back({ occupant.unit, occupant.room, endsAt, ending });
+            place.allocations.push_back({ placedRun.unit, placedRun.room, endsAt, ending });
         }
-        floor.workers.push_back(std::move(place));
+        snapshot.workers.push_back(std::move(place));
     }
-    return floor;
+    return snapshot;
 }
 
-Ask TaskPlanner::askOf(const Unit& unit) const
+PlacementRequest TaskPlanner::requestOf(const Unit& unit) const
 {
     const Step& step = unit.step();
-    Ask ask;
-    ask.members = unit.members();
-    ask.each = step.each;
+    PlacementRequest request;
+    request.members = unit.members();
+    request.each = step.each;
     if (step.fills)
-        ask.each.milliCores = 0;
-    ask.label = step.label;
-    ask.rack = step.dataRack;
-    ask.sameRack = step.sameRack;
-    ask.mostPerWorker = step.mostPerWorker;
-    ask.avoid = &unit.avoid;
-    ask.expected = this->expectedRun(unit);
-    ask.urgent = unit.job->terms.priority == 0;
-    return ask;
+        request.each.milliCores = 0;
+    request.label = step.label;
+    request.rack = step.dataRack;
+    request.sameRack = step.sameRack;
+    request.mostPerWorker = step.mostPerWorker;
+    request.avoid = &unit.avoid;
+    request.expected = this->expectedRun(unit);
+    request.urgent = unit.job->terms.priority == 0;
+    return request;
 }
 
 std::vector<TaskPlanner::Candidate> TaskPlanner::rank(Millis now, Millis wall)
@@ -261,101 +261,101 @@
         const ActiveJob& active = this->jobs.at(key.job);
         const Job& job = *active.job;
         Demand demand;
-        demand.sure = active.sure;
+        demand.guaranteed = active.guaranteed;
         demand.priority = job.terms.priority;
         demand.waitedSince = now - (wall - (job.repeats > 0 ? job.dueAt(key.occurrence) : job.acceptedAt));
         demand.expected = this->expectedRun(unit);
         demand.chain = this->runTimes.expect(job.terms.queue, unit.step().estimate).work;
         demand.stretch = job.terms.stretch;
         demand.target = job.terms.latencyTarget;
-        candidates.push_back({ &unit, turnOf(demand, now), demand.waitedSince });
+        candidates.push_back({ &unit, queueKeyOf(demand, now), demand.waitedSince });
     }
-    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.turn < b.turn; });
+    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.queueKey < b.queueKey; });
     return candidates;
 }
 
 void TaskPlanner::decide(Millis now, Millis wall)
 {
-    std::map<std::string, Floor> floors;
+    std::map<std::string, Snapshot> snapshots;
     std::map<std::string, int> reservations;
     std::vector<Candidate> candidates = this->rank(now, wall);
-    std::map<std::string, FailedAsks> failedAsks;
+    std::map<std::string, FailedRequests> failedRequests;
     int evictionSearches = 0;
     const UnitKey* blocked = nullptr; // A step of which a unit found no place.
     for (Candidate& candidate : candidates) {
         Unit& unit = *candidate.unit;
         if (blocked && blocked->job == unit.key.job && blocked->occurrence == unit.key.occurrence && blocked->step == unit.key.step)
-            continue; // Its units ask for the same, so the next finds none either.
+            continue; // Its units request for the same, so the next finds none either.
         const std::string& service = unit.job->terms.service;
-        auto floor = floors.find(service);
-        if (floor == floors.end()) {
-            floor = floors.emplace(service, this->makeFloor(service, now)).first;
-            floor->second.keep(this->urgentDemand(service, now));
+        auto snapshot = snapshots.find(service);
+        if (snapshot == snapshots.end()) {
+            snapshot = snapshots.emplace(service, this->makeSnapshot(service, now)).first;
+            snapshot->second.keep(this->urgentDemand(service, now));
         }
-        Ask ask = this->askOf(unit);
+        PlacementRequest request = this->requestOf(unit);
         std::set<std::string> allowed;
         const bool hasPolicy = this->options.advised && unit.job->terms.advice.valid > 0;
         if (hasPolicy) {
-            allowed = this->allowedWorkers(this->advice[{ unit.key.job, unit.key.occurrence, unit.key.step }], floor->second, now);
-            ask.allowed = &allowed;
+            allowed = this->allowedWorkers(this->advice[{ unit.key.job, unit.key.occurrence, unit.key.step }], snapshot->second, now);
+            request.allowed = &allowed;
         }
         std::vector<std::string> siblings;
-        if (ask.mostPerWorker > 0) {
+        if (request.mostPerWorker > 0) {
             for (auto other = this->units.lower_bound({ unit.key.job, unit.key.occurrence, unit.key.step, wholeGang });
                  other != this->units.end() && other->first.job == unit.key.job && other->first.occurrence == unit.key.occurrence && other->first.step == unit.key.step; ++other) {
-                for (const WorkerLife& life : other->second.workers)
-                    siblings.push_back(life.id);
+                for (const Incarnation& incarnation : other->second.workers)
+                    siblings.push_back(incarnation.id);
             }
-            ask.siblings = &siblings;
+            request.siblings = &siblings;
         }
-        if (hasPolicy && !this->isAdvised(unit, floor->second, ask, now))
+        if (hasPolicy && !this->isAdvised(unit, snapshot->second, request, now))
             continue;
         // A place that no set of workers can offer is not waited for.
-        if ((!ask.rack.empty() || ask.sameRack) && !floor->second.couldEverFit(ask)) {
-            ask.rack.clear();
-            ask.sameRack = false;
+        if ((!request.rack.empty() || request.sameRack) && !snapshot->second.couldEverFit(request)) {
+            request.rack.clear();
+            request.sameRack = false;
         }
-        if (!floor->second.couldEverFit(ask)) {
-            ask.avoid = nullptr; // Rather one that failed it than none.
+        if (!snapshot->second.couldEverFit(request)) {
+            request.avoid = nullptr; // Rather one that failed it than none.
         }
-        const bool plain = ask.mostPerWorker == 0 && unit.avoid.empty() && !hasPolicy;
-        FailedAsks& failed = failedAsks[service];
-        const bool hopeless = failed.cover(ask);
-        if (!hopeless && this->tryPlace(candidate, floor->second, ask, now))
+        const bool plain = request.mostPerWorker == 0 && unit.avoid.empty() && !hasPolicy;
+        FailedRequests& failed = failedRequests[service];
+        const bool hopeless = failed.cover(request);
+        if (!hopeless && this->tryPlace(candidate, snapshot->second, request, now))
             continue;
         // Stopping others throws work away; the idle workers that a planner which has
         // just taken over has not heard yet answer within a fraction of a second.
-        const bool roomIsNear = !floor->second.unasked.empty() && floor->second.couldFitUnasked(ask);
+        const bool roomIsNear = !snapshot->second.unpolled.empty() && snapshot->second.couldFitUnpolled(request);
         if (!roomIsNear && evictionSearches < mostEvictionSearches && this->mayEvict(candidate, now)) {
             ++evictionSearches;
-            if (this->tryEvict(candidate, floor->second, ask, now)) {
-                failedAsks.erase(service); // It moved room from one to another.
+            if (this->tryEvict(candidate, snapshot->second, request, now)) {
+                failedRequests.erase(service); // It moved room from one to another.
                 continue;
             }
         }
         blocked = &unit.key;
         if (plain && !hopeless)
-            failed.add(ask);
+            failed.add(request);
         if (reservations[service]++ < mostReservations)
-            floor->second.reserve(ask);
+            snapshot->second.reserve(request);
     }
 }
 
-bool TaskPlanner::tryPlace(Candidate& candidate, Floor& floor, const Ask& ask, Millis now)
+bool TaskPlanner::tryPlace(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     Unit& unit = *candidate.unit;
-    if (const auto places = floor.findFreeAtPace(ask)) {
+    if (const auto places = snapshot.findFreeAtPace(request)) {
         std::vector<std::string> chosen;
         for (const std::size_t index : *places)
-            chosen.push_back(floor.workers[index].id);
-        floor.take(ask, *places);
+            chosen.push_back(snapshot.workers[index].id);
+        snapshot.take(request, *places);
         const Step& step = unit.step();
-        unit.placedFar = (!step.dataRack.empty() && ask.rack.empty()) || (step.sameRack && !ask.sameRack);
+        unit.placedFar = (!step.dataRack.empty() && request.rack.empty()) || (step.sameRack && !request.sameRack);
         this->place(unit, chosen, now);
         return true;
     }
-    if (const auto places = floor.findSoon(ask)) {
-        floor.promise(ask, *places);
+    if (const auto places = snapshot.findAfterStops(request)) {
+        snapshot.promise(request, *places);
         return true;
     }
     return false;
@@ -363,51 +363,51 @@
 
 bool TaskPlanner::mayEvict(const Candidate& candidate, Millis now)
 {
-    if (candidate.turn.useless && !candidate.turn.sure)
+    if (candidate.queueKey.useless && !candidate.queueKey.guaranteed)
         return false;
     if (candidate.unit->job->terms.priority == 0)
         return true;
-    const Millis patientUntil = candidate.turn.latestStart - evictionLead;
+    const Millis patientUntil = candidate.queueKey.latestStart - evictionLead;
     if (now >= patientUntil)
         return true;
     this->roundDueBy = this->roundDueBy == 0 ? patientUntil : std::min(this->roundDueBy, patientUntil);
     return false;
 }
 
-bool TaskPlanner::tryEvict(Candidate& candidate, Floor& floor, const Ask& ask, Millis now)
+bool TaskPlanner::tryEvict(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     const Unit& unit = *candidate.unit;
-    const bool sure = candidate.turn.sure;
+    const bool guaranteed = candidate.queueKey.guaranteed;
     const std::int64_t priority = unit.job->terms.priority;
     const auto lost = [&](const UnitKey& key) {
         const auto found = this->units.find(key);
         if (found == this->units.end())
             return -1.0;
         const ActiveJob& active = this->jobs.at(key.job);
-        if (active.sure || (!sure && active.job->terms.priority <= priority))
+        if (active.guaranteed || (!guaranteed && active.job->terms.priority <= priority))
             return -1.0;
         // Else the same unit, begun anew each time, would always be the cheapest.
         const bool saves = found->second.step().savesProgress;
         return this->lostWork(found->second, now) * (saves ? 1.0 : static_cast<double>(1 + found->second.evictions));
     };
-    const auto plan = planEviction(floor, ask, lost, sure ? std::numeric_limits<double>::max() : this->worthLosing(unit));
+    const auto plan = planEviction(snapshot, request, lost, guaranteed ? std::numeric_limits<double>::max() : this->worthLosing(unit));
     if (!plan)
         return false;
     for (const UnitKey& victim : plan->victims) {
         Unit& stopped = this->units.at(victim);
-        this->note(NoteKind::UnitEvicted, victim, stopped.run, "", fmt::format("for {}, {:.0f} core-seconds lost", unit.key.job, this->lostWork(stopped, now)));
+        this->emit(PlanEventKind::UnitEvicted, victim, stopped.run, "", fmt::format("for {}, {:.0f} core-seconds lost", unit.key.job, this->lostWork(stopped, now)));
         ++stopped.evictions;
         this->stopUnit(stopped, now);
-        for (FloorWorker& worker : floor.workers) {
-            for (Holder& holder : worker.holders) {
-                if (holder.unit == victim && !holder.ending) {
-                    holder.ending = true;
-                    worker.soon += holder.room;
+        for (SnapshotWorker& worker : snapshot.workers) {
+            for (Allocation& allocation : worker.allocations) {
+                if (allocation.unit == victim && !allocation.ending) {
+                    allocation.ending = true;
+                    worker.afterStops += allocation.room;
                 }
             }
         }
     }
-    floor.promise(ask, plan->places);
+    snapshot.promise(request, plan->places);
     return true;
 }
 
@@ -429,18 +429,18 @@
     this->waitingUnits.erase(unit.key);
     for (std::size_t member = 0; member < chosen.size(); ++member) {
         Worker& worker = this->workers.at(chosen[member]);
-        unit.workers.push_back(worker.seen.life);
-        Occupant occupant { .run = { unit.task(static_cast<std::int64_t>(member)), unit.run }, .unit = unit.key };
-        occupant.room = this->roomOf(occupant.run.task);
-        worker.used += occupant.room;
-        worker.occupants.emplace(occupant.run, occupant);
-        this->startsToRecord.emplace_back(chosen[member], occupant.run);
+        unit.workers.push_back(worker.seen.incarnation);
+        PlacedRun placedRun { .run = { unit.task(static_cast<std::int64_t>(member)), unit.run }, .unit = unit.key };
+        placedRun.room = this->roomOf(placedRun.run.task);
+        worker.used += placedRun.room;
+        worker.placedRuns.emplace(placedRun.run, placedRun);
+        this->startsToRecord.emplace_back(chosen[member], placedRun.run);
     }
     ActiveJob& active = this->jobs.at(unit.key.job);
     active.started = true;
     active.state = JobState::Running;
     this->markDirty(unit.key.job);
-    this->note(NoteKind::UnitPlaced, unit.key, unit.run, chosen.front(), fmt::format("waited {} ms, {} members, priority {}{}, declared {} ms", now - unit.waitingSince, chosen.size(), unit.job->terms.priority, active.sure ? ", guaranteed" : "", unit.step().estimate));
+    this->emit(PlanEventKind::UnitPlaced, unit.key, unit.run, chosen.front(), fmt::format("waited {} ms, {} members, priority {}{}, declared {} ms", now - unit.waitingSince, chosen.size(), unit.job->terms.priority, active.guaranteed ? ", guaranteed" : "", unit.step().estimate));
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -1,4 +1,4 @@
-// Workers and the runs on them: what lists, looks and answers to orders show, and
+// Workers and the runs on them: what lists, polls and answers to orders show, and
 // when a run that nobody can see any more is surely over.
 
 #include "tasks/planner_limits.h"
@@ -11,9 +11,9 @@
 
 using namespace detail;
 
-TaskPlanner::Worker* TaskPlanner::find(const WorkerLife& life)
+TaskPlanner::Worker* TaskPlanner::find(const Incarnation& incarnation)
 {
-    const auto found = this->workers.find(life.id);
+    const auto found = this->workers.find(incarnation.id);
     return found == this->workers.end() ? nullptr : &found->second;
 }
 
@@ -27,32 +27,32 @@
 {
     std::set<std::string> listed;
     for (const WorkerSighting& seen : sightings) {
-        listed.insert(seen.life.id);
-        const auto [found, isNew] = this->workers.try_emplace(seen.life.id);
+        listed.insert(seen.incarnation.id);
+        const auto [found, isNew] = this->workers.try_emplace(seen.incarnation.id);
         Worker& worker = found->second;
-        if (!isNew && worker.seen.life.born > seen.life.born)
-            continue; // An entry of a life that is known to be over.
+        if (!isNew && worker.seen.incarnation.born > seen.incarnation.born)
+            continue; // An entry of a incarnation that is known to be over.
         if (seen.leaving && !worker.seen.leaving)
             worker.leavesAt = now + seen.remaining;
         if (worker.seen.leaving != seen.leaving || !worker.listed)
             this->changed = true;
-        const WorkerLife known = worker.seen.life;
+        const Incarnation known = worker.seen.incarnation;
         worker.seen = seen;
         worker.listed = true;
-        // Which runs are of the later life only a look can tell: a start that was
+        // Which runs are of the later incarnation only a poll can tell: a start that was
         // meant for the earlier one may have been carried out by this one.
-        if (!isNew && known.born < seen.life.born) {
-            worker.seen.life = known;
+        if (!isNew && known.born < seen.incarnation.born) {
+            worker.seen.incarnation = known;
             worker.known = false;
-            worker.nextLookAt = std::min(worker.nextLookAt, now);
+            worker.nextPollAt = std::min(worker.nextPollAt, now);
         }
     }
     for (auto next = this->workers.begin(); next != this->workers.end();) {
         Worker& worker = next->second;
         if (!listed.contains(next->first)) {
             worker.listed = false;
-            if (worker.occupants.empty()) {
-                this->note(NoteKind::WorkerGone, {}, 0, next->first, "no longer listed");
+            if (worker.placedRuns.empty()) {
+                this->emit(PlanEventKind::WorkerGone, {}, 0, next->first, "no longer listed");
                 next = this->workers.erase(next);
                 continue;
             }
@@ -62,11 +62,11 @@
 }
 
 // After a restart a worker runs nothing and knows nothing of before.
-void TaskPlanner::loseLife(Worker& worker, Millis now, const char* why)
+void TaskPlanner::loseIncarnation(Worker& worker, Millis now, const char* why)
 {
-    this->note(NoteKind::WorkerGone, {}, 0, worker.seen.life.id, why);
+    this->emit(PlanEventKind::WorkerGone, {}, 0, worker.seen.incarnation.id, why);
     std::vector<RunRef> lost;
-    for (const auto& [run, occupant] : worker.occupants)
+    for (const auto& [run, placedRun] : worker.placedRuns)
         lost.push_back(run);
     for (const RunRef& run : lost)
         this->memberGone(worker, run, std::nullopt, "", now);
@@ -78,12 +78,12 @@
 }
 
 // The worker has started again and knows nothing of before. Runs that it lists
-// are of its present life; a start without an answer may still arrive there.
-void TaskPlanner::changeLife(Worker& worker, const WorkerLook& look, Millis sentAt, Millis now)
+// are of its present incarnation; a start without an answer may still arrive there.
+void TaskPlanner::changeIncarnation(Worker& worker, const WorkerReport& report, Millis sentAt, Millis now)
 {
-    this->note(NoteKind::WorkerGone, {}, 0, worker.seen.life.id, "a later life answers");
-    const WorkerLife before = worker.seen.life;
-    worker.seen.life.born = look.born;
+    this->emit(PlanEventKind::WorkerGone, {}, 0, worker.seen.incarnation.id, "a later incarnation answers");
+    const Incarnation before = worker.seen.incarnation;
+    worker.seen.incarnation.born = report.born;
     if (worker.ackLostAt > 0)
         worker.takesNothingUntil = worker.ackLostAt + longestLateCall;
     worker.handled = worker.durable = worker.acknowledged = worker.ackUnderWay = 0;
@@ -91,86 +91,86 @@
     worker.trust = {};
     this->endsInBatch.erase(before);
     std::set<RunRef> listed;
-    for (const RunningTask& running : look.running)
+    for (const RunningTask& running : report.running)
         listed.insert(running.run);
-    for (const EndedTask& end : look.ended)
+    for (const EndedTask& end : report.ended)
         listed.insert(end.run);
     std::vector<RunRef> lost;
-    for (auto& [run, occupant] : worker.occupants) {
-        if (occupant.phase == RunPhase::Running && !listed.contains(run)) {
-            // One that was confirmed after the look was sent may be of this life.
-            if (occupant.confirmedAt < sentAt)
+    for (auto& [run, placedRun] : worker.placedRuns) {
+        if (placedRun.phase == RunPhase::Running && !listed.contains(run)) {
+            // One that was confirmed after the poll was sent may be of this incarnation.
+            if (placedRun.confirmedAt < sentAt)
                 lost.push_back(run);
-        } else if (occupant.phase == RunPhase::Starting && !listed.contains(run)) {
-            occupant.inherited = false;
-            occupant.stopWanted = true;
-            occupant.stopAnsweredAt = 0;
+        } else if (placedRun.phase == RunPhase::Starting && !listed.contains(run)) {
+            placedRun.inherited = false;
+            placedRun.stopWanted = true;
+            placedRun.stopAnsweredAt = 0;
         }
     }
     for (const RunRef& run : lost)
         this->memberGone(worker, run, std::nullopt, "", now);
-    for (auto& [run, occupant] : worker.occupants) {
-        Unit* unit = occupant.stray ? nullptr : this->find(occupant.unit);
+    for (auto& [run, placedRun] : worker.placedRuns) {
+        Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
         if (!unit)
             continue;
-        for (WorkerLife& life : unit->workers) {
-            if (life == before)
-                life = worker.seen.life;
+        for (Incarnation& incarnation : unit->workers) {
+            if (incarnation == before)
+                incarnation = worker.seen.incarnation;
         }
     }
 }
 
-void TaskPlanner::lookAnswered(const WorkerLife& life, Millis sentAt, bool quick, const WorkerLook& look, Millis now)
+void TaskPlanner::pollAnswered(const Incarnation& incarnation, Millis sentAt, bool quick, const WorkerReport& report, Millis now)
 {
-    Worker* worker = this->find(life);
+    Worker* worker = this->find(incarnation);
     if (!worker)
         return;
-    if (look.born < worker->seen.life.born && look.born > 0)
-        return this->lookFailed(life, quick, WorkerFault::NoAnswer, now); // Overtaken by a look at the present life.
-    if (look.born > worker->seen.life.born)
-        this->changeLife(*worker, look, sentAt, now);
+    if (report.born < worker->seen.incarnation.born && report.born > 0)
+        return this->pollFailed(incarnation, quick, WorkerFault::NoAnswer, now); // Overtaken by a poll at the present incarnation.
+    if (report.born > worker->seen.incarnation.born)
+        this->changeIncarnation(*worker, report, sentAt, now);
     if (!worker->known)
-        this->note(NoteKind::WorkerKnown, {}, 0, life.id, fmt::format("{} runs, {} ends", look.running.size(), look.ended.size()));
-    (quick ? worker->quickLookUnderWay : worker->lookUnderWay) = false;
+        this->emit(PlanEventKind::WorkerKnown, {}, 0, incarnation.id, fmt::format("{} runs, {} ends", report.running.size(), report.ended.size()));
+    (quick ? worker->quickPollUnderWay : worker->pollUnderWay) = false;
     worker->known = true;
     worker->silent = false;
-    worker->lookPause = 0;
-    worker->nextLookAt = now;
-    worker->lifeShownAt = std::max(worker->lifeShownAt, sentAt);
+    worker->pollPause = 0;
+    worker->nextPollAt = now;
+    worker->incarnationShownAt = std::max(worker->incarnationShownAt, sentAt);
     if (!quick)
         worker->acknowledged = std::max(worker->acknowledged, worker->ackUnderWay);
     if (worker->acknowledged >= worker->durable)
         worker->ackDueBy = 0;
     this->changed = true;
-    for (const EndedTask& end : look.ended)
+    for (const EndedTask& end : report.ended)
         this->applyEnd(*worker, end, now);
-    for (const RunningTask& running : look.running)
+    for (const RunningTask& running : report.running)
         this->applyRunning(*worker, running, now);
-    this->settleUnlisted(*worker, look, sentAt, now);
+    this->settleUnlisted(*worker, report, sentAt, now);
 }
 
-void TaskPlanner::lookFailed(const WorkerLife& life, bool quick, WorkerFault fault, Millis now)
+void TaskPlanner::pollFailed(const Incarnation& incarnation, bool quick, WorkerFault fault, Millis now)
 {
-    Worker* worker = this->find(life);
+    Worker* worker = this->find(incarnation);
     if (!worker)
         return;
-    (quick ? worker->quickLookUnderWay : worker->lookUnderWay) = false;
+    (quick ? worker->quickPollUnderWay : worker->pollUnderWay) = false;
     if (fault == WorkerFault::Deposed) {
         this->isDeposed = true;
         return;
     }
-    if (fault == WorkerFault::OtherLife) {
-        this->loseLife(*worker, now, "another life answers");
-        worker->nextLookAt = now + longestLookPause;
+    if (fault == WorkerFault::OtherIncarnation) {
+        this->loseIncarnation(*worker, now, "another incarnation answers");
+        worker->nextPollAt = now + longestPollPause;
         return;
     }
     if (!quick && worker->ackUnderWay > 0 && fault == WorkerFault::NoAnswer)
         worker->ackLostAt = now;
     if (!worker->silent)
-        this->note(NoteKind::WorkerSilent, {}, 0, life.id, std::string(nameOf(fault)));
+        this->emit(PlanEventKind::WorkerSilent, {}, 0, incarnation.id, std::string(nameOf(fault)));
     worker->silent = true;
-    worker->lookPause = std::clamp(worker->lookPause * 2, firstLookPause, longestLookPause);
-    worker->nextLookAt = now + worker->lookPause;
+    worker->pollPause = std::clamp(worker->pollPause * 2, firstPollPause, longestPollPause);
+    worker->nextPollAt = now + worker->pollPause;
 }
 
 void TaskPlanner::applyEnd(Worker& worker, const EndedTask& end, Millis now)
@@ -180,12 +180,12 @@
     worker.handled = end.number;
     if (end.end == RunEnd::Done)
         worker.trust.done();
-    if (end.end == RunEnd::Failed && worker.occupants.contains(end.run)) {
+    if (end.end == RunEnd::Failed && worker.placedRuns.contains(end.run)) {
         worker.trust.failed(now);
         if (worker.trust.onTrial())
-            this->note(NoteKind::WorkerDistrusted, {}, 0, worker.seen.life.id, "runs fail one after the other");
+            this->emit(PlanEventKind::WorkerDistrusted, {}, 0, worker.seen.incarnation.id, "runs fail one after the other");
     }
-    if (worker.occupants.contains(end.run))
+    if (worker.placedRuns.contains(end.run))
         this->memberGone(worker, end.run, end.end, end.checkpoint, now);
     if (end.end == RunEnd::Done)
         this->acceptLateDone(end.run, now);
@@ -208,24 +208,24 @@
 
 void TaskPlanner::applyRunning(Worker& worker, const RunningTask& running, Millis now)
 {
-    const auto found = worker.occupants.find(running.run);
-    if (found == worker.occupants.end()) {
+    const auto found = worker.placedRuns.find(running.run);
+    if (found == worker.placedRuns.end()) {
         // A run that was given up, or of a job that is over: it only takes room.
-        Occupant stray { .run = running.run, .unit = this->unitOf(running.run.task) };
+        PlacedRun stray { .run = running.run, .unit = this->unitOf(running.run.task) };
         stray.stray = true;
         stray.phase = RunPhase::Running;
         stray.stopWanted = true;
         stray.room = this->roomOf(running.run.task);
         worker.used += stray.room;
-        worker.occupants.emplace(running.run, stray);
+        worker.placedRuns.emplace(running.run, stray);
         return;
     }
-    Occupant& occupant = found->second;
-    if (occupant.phase != RunPhase::Running) {
-        occupant.phase = RunPhase::Running;
-        occupant.confirmedAt = now;
+    PlacedRun& placedRun = found->second;
+    if (placedRun.phase != RunPhase::Running) {
+        placedRun.phase = RunPhase::Running;
+        placedRun.confirmedAt = now;
     }
-    Unit* unit = occupant.stray ? nullptr : this->find(occupant.unit);
+    Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
     if (!unit || unit->run != running.run.run)
         return;
     const double progress = static_cast<double>(running.percent) / 100.0;
@@ -235,8 +235,8 @@
         unit->movedAt = now;
     }
     // Members have unequal work, and one that is through waits for the others.
-    if (progress > occupant.progress) {
-        occupant.progress = progress;
+    if (progress > placedRun.progress) {
+        placedRun.progress = progress;
         unit->movedAt = now;
         unit->progress = this->leastProgress(*unit);
     }
@@ -254,28 +254,28 @@
         Worker* worker = this->find(unit.workers[member]);
         if (!worker)
             continue;
-        const auto occupant = worker->occupants.find({ unit.task(static_cast<std::int64_t>(member)), unit.run });
-        if (occupant != worker->occupants.end())
-            least = std::min(least, std::max(occupant->second.progress, unit.progressAtStart));
+        const auto placedRun = worker->placedRuns.find({ unit.task(static_cast<std::int64_t>(member)), unit.run });
+        if (placedRun != worker->placedRuns.end())
+            least = std::min(least, std::max(placedRun->second.progress, unit.progressAtStart));
     }
     return least;
 }
 
 // A run that a complete list does not hold is not there. Whether it may still
 // come depends on who sent its start, and on whether a stop got there first.
-void TaskPlanner::settleUnlisted(Worker& worker, const WorkerLook& look, Millis sentAt, Millis now)
+void TaskPlanner::settleUnlisted(Worker& worker, const WorkerReport& report, Millis sentAt, Millis now)
 {
     std::set<RunRef> listed;
-    for (const RunningTask& running : look.running)
+    for (const RunningTask& running : report.running)
         listed.insert(running.run);
-    for (const EndedTask& end : look.ended)
+    for (const EndedTask& end : report.ended)
         listed.insert(end.run);
     std::vector<RunRef> gone;
-    for (const auto& [run, occupant] : worker.occupants) {
-        if (occupant.phase == RunPhase::Recording || listed.contains(run))
+    for (const auto& [run, placedRun] : worker.placedRuns) {
+        if (placedRun.phase == RunPhase::Recording || listed.contains(run))
             continue;
-        const bool ranBefore = occupant.phase == RunPhase::Running && occupant.confirmedAt < sentAt;
-        const bool neverWill = occupant.inherited || (occupant.stopAnsweredAt > 0 && occupant.stopAnsweredAt < sentAt);
+        const bool ranBefore = placedRun.phase == RunPhase::Running && placedRun.confirmedAt < sentAt;
+        const bool neverWill = placedRun.inherited || (placedRun.stopAnsweredAt > 0 && placedRun.stopAnsweredAt < sentAt);
         if (ranBefore || neverWill)
             gone.push_back(run);
     }
@@ -283,26 +283,26 @@
         this->memberGone(worker, run, std::nullopt, "", now);
 }
 
-void TaskPlanner::startAnswered(const WorkerLife& life, const RunRef& run, StartAnswer answer, Millis now)
+void TaskPlanner::startAnswered(const Incarnation& incarnation, const RunRef& run, StartAnswer answer, Millis now)
 {
     if (answer == StartAnswer::Deposed)
         this->isDeposed = true;
-    Worker* worker = this->find(life);
+    Worker* worker = this->find(incarnation);
     if (worker)
         worker->lastStartAt = now;
-    if (!worker || !worker->occupants.contains(run))
+    if (!worker || !worker->placedRuns.contains(run))
         return;
-    Occupant& occupant = worker->occupants.at(run);
-    Unit* unit = occupant.stray ? nullptr : this->find(occupant.unit);
+    PlacedRun& placedRun = worker->placedRuns.at(run);
+    Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
     this->changed = true;
     // What an earlier try may still bring about is not undone by the answer to a later one.
-    const bool settles = answer == StartAnswer::Started || answer == StartAnswer::OtherLife || answer == StartAnswer::Old;
-    if (occupant.startsSent > 1 && !settles)
+    const bool settles = answer == StartAnswer::Started || answer == StartAnswer::OtherIncarnation || answer == StartAnswer::Old;
+    if (placedRun.startsSent > 1 && !settles)
         answer = StartAnswer::NoAnswer;
     switch (answer) {
     case StartAnswer::Started:
-        occupant.phase = RunPhase::Running;
-        occupant.confirmedAt = now;
+        placedRun.phase = RunPhase::Running;
+        placedRun.confirmedAt = now;
         worker->silent = false;
         if (unit && unit->startedAt == 0) {
             unit->startedAt = now;
@@ -311,23 +311,23 @@
         return;
     case StartAnswer::NoAnswer:
         worker->silent = true;
-        worker->nextLookAt = now;
-        if (unit && !unit->stopping && occupant.startsSent < mostStarts)
-            return this->sendStart(*worker, occupant, *unit, now);
-        occupant.stopWanted = true;
+        worker->nextPollAt = now;
+        if (unit && !unit->stopping && placedRun.startsSent < mostStarts)
+            return this->sendStart(*worker, placedRun, *unit, now);
+        placedRun.stopWanted = true;
         if (unit)
             this->stopUnit(*unit, now);
         return;
-    case StartAnswer::OtherLife:
-        this->loseLife(*worker, now, "another life answers");
+    case StartAnswer::OtherIncarnation:
+        this->loseIncarnation(*worker, now, "another incarnation answers");
         return;
     case StartAnswer::NotSent:
         worker->silent = true;
-        worker->nextLookAt = now;
+        worker->nextPollAt = now;
         break;
     case StartAnswer::NoTicket:
         if (const auto known = this->advice.find({ run.task.job, run.task.occurrence, run.task.step }); known != this->advice.end())
-            known->second.forget(life);
+            known->second.forget(incarnation);
         break;
     case StartAnswer::Unwell:
         worker->trust.failed(now);
@@ -340,20 +340,20 @@
     this->memberGone(*worker, run, std::nullopt, "", now);
 }
 
-void TaskPlanner::stopAnswered(const WorkerLife& life, const RunRef& run, bool taken, Millis now)
+void TaskPlanner::stopAnswered(const Incarnation& incarnation, const RunRef& run, bool taken, Millis now)
 {
-    Worker* worker = this->find(life);
-    if (!worker || !worker->occupants.contains(run))
+    Worker* worker = this->find(incarnation);
+    if (!worker || !worker->placedRuns.contains(run))
         return;
-    Occupant& occupant = worker->occupants.at(run);
-    occupant.stopUnderWay = false;
+    PlacedRun& placedRun = worker->placedRuns.at(run);
+    placedRun.stopUnderWay = false;
     if (taken) {
-        occupant.stopAnsweredAt = now;
+        placedRun.stopAnsweredAt = now;
         return;
     }
     worker->silent = true;
-    occupant.stopPause = std::clamp(occupant.stopPause * 2, firstOrderPause, stopRetry);
-    occupant.nextStopAt = now + occupant.stopPause;
+    placedRun.stopPause = std::clamp(placedRun.stopPause * 2, firstOrderPause, stopRetry);
+    placedRun.nextStopAt = now + placedRun.stopPause;
 }
 
 void TaskPlanner::stopUnit(Unit& unit, Millis now)
@@ -363,16 +363,16 @@
     unit.stopping = true;
     const UnitKey key = unit.key;
     const std::int64_t run = unit.run;
-    const std::vector<WorkerLife> lives = unit.workers;
+    const std::vector<Incarnation> incarnations = unit.workers;
     std::vector<std::pair<Worker*, RunRef>> unsent;
-    for (std::size_t member = 0; member < lives.size(); ++member) {
-        Worker* worker = this->find(lives[member]);
+    for (std::size_t member = 0; member < incarnations.size(); ++member) {
+        Worker* worker = this->find(incarnations[member]);
         const RunRef ref { unit.task(static_cast<std::int64_t>(member)), run };
-        if (!worker || !worker->occupants.contains(ref))
+        if (!worker || !worker->placedRuns.contains(ref))
             continue;
-        Occupant& occupant = worker->occupants.at(ref);
-        occupant.stopWanted = true;
-        if (occupant.phase == RunPhase::Recording)
+        PlacedRun& placedRun = worker->placedRuns.at(ref);
+        placedRun.stopWanted = true;
+        if (placedRun.phase == RunPhase::Recording)
             unsent.emplace_back(worker, ref);
     }
     for (const auto& [worker, ref] : unsent)
@@ -383,18 +383,18 @@
 void TaskPlanner::memberGone(Worker& worker, const RunRef& ref, std::optional<RunEnd> end, const std::string& checkpoint, Millis now)
 {
     const RunRef run = ref;
-    const auto found = worker.occupants.find(run);
-    if (found == worker.occupants.end())
+    const auto found = worker.placedRuns.find(run);
+    if (found == worker.placedRuns.end())
         return;
-    const Occupant occupant = found->second;
-    worker.used -= occupant.room;
-    worker.occupants.erase(found);
+    const PlacedRun placedRun = found->second;
+    worker.used -= placedRun.room;
+    worker.placedRuns.erase(found);
     this->changed = true;
-    Unit* unit = occupant.stray ? nullptr : this->find(occupant.unit);
+    Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
     if (!unit || unit->run != run.run || unit->state != UnitState::Running)
         return;
     if (end == RunEnd::Done) {
-        this->unitDone(occupant.unit, now);
+        this->unitDone(placedRun.unit, now);
         return;
     }
     if (!checkpoint.empty()) {
@@ -403,13 +403,13 @@
     }
     if (end == RunEnd::Failed) {
         unit->failed = true;
-        if (std::find(unit->avoid.begin(), unit->avoid.end(), worker.seen.life.id) == unit->avoid.end())
-            unit->avoid.push_back(worker.seen.life.id);
+        if (std::find(unit->avoid.begin(), unit->avoid.end(), worker.seen.incarnation.id) == unit->avoid.end())
+            unit->avoid.push_back(worker.seen.incarnation.id);
     }
     --unit->left;
     if (unit->left > 0 && !unit->stopping)
         this->stopUnit(*unit, now);
-    unit = this->find(occupant.unit);
+    unit = this->find(placedRun.unit);
     if (unit && unit->run == run.run && unit->state == UnitState::Running && unit->left == 0)
         this->runOver(*unit, now);
 }
@@ -417,19 +417,19 @@
 void TaskPlanner::expire(Millis now)
 {
     for (auto& [id, worker] : this->workers) {
-        if (worker.occupants.empty() || now < worker.leaseOverBy)
+        if (worker.placedRuns.empty() || now < worker.leaseOverBy)
             continue;
         std::vector<RunRef> over;
-        for (const auto& [run, occupant] : worker.occupants) {
-            if (occupant.phase != RunPhase::Recording)
+        for (const auto& [run, placedRun] : worker.placedRuns) {
+            if (placedRun.phase != RunPhase::Recording)
                 over.push_back(run);
         }
         if (over.empty())
             continue;
-        this->note(NoteKind::WorkerLapsed, {}, 0, id, fmt::format("{} runs, no answer for a whole lease", over.size()));
+        this->emit(PlanEventKind::WorkerLapsed, {}, 0, id, fmt::format("{} runs, no answer for a whole lease", over.size()));
         for (const RunRef& run : over)
             this->memberGone(worker, run, RunEnd::Lapsed, "", now);
-        worker.known = false; // What runs there now, a look has to tell.
+        worker.known = false; // What runs there now, a poll has to tell.
     }
 }
 
--- a/src/tasks/testing/election_test.cc
+++ b/src/tasks/testing/election_test.cc
@@ -43,7 +43,7 @@
         CPPUNIT_ASSERT(append);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 5 }, append->claim.term);
         election.appended(AppendOutcome::Elsewhere, begin + 305);
-        election.recordRead({ 4, "a", 10 }, 18, begin + 310); // It lives.
+        election.recordRead({ 4, "a", 10 }, 18, begin + 310); // It incarnations.
         CPPUNIT_ASSERT(!election.step(begin + 1500));
     }
 
--- a/src/tasks/testing/learning_test.cc
+++ b/src/tasks/testing/learning_test.cc
@@ -95,15 +95,15 @@
     void urgentBeforePatientAndLateLast()
     {
         constexpr Millis now = 100000;
-        const auto turn = [&](bool sure, std::int64_t priority, Millis waitedSince) {
-            return turnOf({ .sure = sure, .priority = priority, .waitedSince = waitedSince, .expected = 2000, .chain = 2000, .stretch = 3, .target = 1000 }, now);
+        const auto keyOf = [&](bool guaranteed, std::int64_t priority, Millis waitedSince) {
+            return queueKeyOf({ .guaranteed = guaranteed, .priority = priority, .waitedSince = waitedSince, .expected = 2000, .chain = 2000, .stretch = 3, .target = 1000 }, now);
         };
-        CPPUNIT_ASSERT(turn(true, 0, now) < turn(false, 0, now - 3000));
-        CPPUNIT_ASSERT(turn(false, 0, now) < turn(false, 1, now - 3000));
-        CPPUNIT_ASSERT(turn(false, 1, now - 3000) < turn(false, 1, now));
+        CPPUNIT_ASSERT(keyOf(true, 0, now) < keyOf(false, 0, now - 3000));
+        CPPUNIT_ASSERT(keyOf(false, 0, now) < keyOf(false, 1, now - 3000));
+        CPPUNIT_ASSERT(keyOf(false, 1, now - 3000) < keyOf(false, 1, now));
         // Three times its objective is over: whatever it does is worth nothing.
-        CPPUNIT_ASSERT(turn(false, 2, now) < turn(false, 1, now - 20000));
-        CPPUNIT_ASSERT(turn(false, 1, now - 20000).useless);
+        CPPUNIT_ASSERT(keyOf(false, 2, now) < keyOf(false, 1, now - 20000));
+        CPPUNIT_ASSERT(keyOf(false, 1, now - 20000).useless);
     }
 
     void trustEndsAfterTwoFailuresInARow()
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -50,12 +50,12 @@
     CPPUNIT_TEST(aPlannerThatFollowsLosesNothing);
     CPPUNIT_TEST(aCutWorkerIsWaitedForUntilItsLeaseIsOver);
     CPPUNIT_TEST(aRestartedWorkerStartsAnew);
-    CPPUNIT_TEST(endsOfTheNextLifeAreNotAcknowledgedUnread);
+    CPPUNIT_TEST(endsOfTheNextIncarnationAreNotAcknowledgedUnread);
     CPPUNIT_TEST(aLostStartIsSentAgain);
     CPPUNIT_TEST(aStalledWorkerLosesItsTasks);
     CPPUNIT_TEST(aGangOfUnequalMembersIsLeftAlone);
     CPPUNIT_TEST(membersThatStandEquallyFarAreNotBlamed);
-    CPPUNIT_TEST(aTakeoverLooksAtBusyWorkersFirst);
+    CPPUNIT_TEST(aTakeoverPollsBusyWorkersFirst);
     CPPUNIT_TEST(idleWorkersAreAskedInTheGaps);
     CPPUNIT_TEST(nothingIsStoppedBeforeIdleWorkersAreAsked);
     CPPUNIT_TEST(aWorkerThatFailsAllIsNotGivenEveryTask);
@@ -229,11 +229,11 @@
     }
 
     // A worker crashes and is back at once under its id, before the list of workers
-    // or a look tells. A start that was meant for the earlier life reaches the next
-    // one, and ends there. A look that still acknowledges the ends of the earlier
-    // life would make the worker forget that end unread: the task runs again, and
+    // or a poll tells. A start that was meant for the earlier incarnation reaches the next
+    // one, and ends there. A poll that still acknowledges the ends of the earlier
+    // incarnation would make the worker forget that end unread: the task runs again, and
     // the same heat sheet is drawn twice.
-    void endsOfTheNextLifeAreNotAcknowledgedUnread()
+    void endsOfTheNextIncarnationAreNotAcknowledgedUnread()
     {
         for (std::uint64_t seed = 1; seed <= 40; ++seed) {
             VirtualSite site({ .seed = seed, .workers = 2, .failures = 0 });
@@ -304,7 +304,7 @@
     // once takes a weak machine longer than its term: it could not renew, and the next
     // one would do the same, so that no job starts any more. Leases run out where
     // something runs, so these come first.
-    void aTakeoverLooksAtBusyWorkersFirst()
+    void aTakeoverPollsBusyWorkersFirst()
     {
         constexpr int workers = 1000;
         constexpr std::size_t mostAtOnce = 50;
@@ -316,9 +316,9 @@
         site.newPlanner();
         site.planner->step(site.now, site.now);
         const Orders orders = site.planner->take(site.now);
-        CPPUNIT_ASSERT(orders.looks.size() <= mostAtOnce);
-        for (const LookOrder& look : orders.looks)
-            CPPUNIT_ASSERT(site.isBusy(look.worker.id));
+        CPPUNIT_ASSERT(orders.polls.size() <= mostAtOnce);
+        for (const PollOrder& poll : orders.polls)
+            CPPUNIT_ASSERT(site.isBusy(poll.worker.id));
         CPPUNIT_ASSERT_EQUAL(site.now, site.planner->nextWake(site.now, site.now));
         site.newPlanner();
         constexpr Millis soon = 1500;
@@ -338,13 +338,13 @@
         VirtualSite site({ .seed = 33, .workers = workers, .failures = 0 });
         site.newPlanner();
         site.planner->step(site.now, site.now);
-        CPPUNIT_ASSERT(site.planner->take(site.now).looks.size() <= fewAtOnce);
-        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, site.planner->take(site.now).looks.size());
+        CPPUNIT_ASSERT(site.planner->take(site.now).polls.size() <= fewAtOnce);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, site.planner->take(site.now).polls.size());
         const Millis wake = site.planner->nextWake(site.now, site.now);
         CPPUNIT_ASSERT(wake > site.now && wake <= site.now + 20);
         site.submit(job("j1", 30, whole, 60000));
         site.planner->step(site.now, site.now);
-        CPPUNIT_ASSERT(site.planner->take(site.now).looks.size() > fewAtOnce);
+        CPPUNIT_ASSERT(site.planner->take(site.now).polls.size() > fewAtOnce);
     }
 
     // A planner that takes over hears of the busy workers first. An urgent job that
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -129,7 +129,7 @@
     std::vector<WorkerSighting> seen;
     for (const auto& [id, worker] : this->workers) {
         WorkerSighting sighting;
-        sighting.life = { id, worker.born };
+        sighting.incarnation = { id, worker.born };
         sighting.address = id;
         sighting.service = std::string("s"); // GCC 12 warns wrongly where a literal of one letter is assigned.
         sighting.rack = worker.rack;
@@ -191,8 +191,8 @@
         this->stop(order);
     for (const StartOrder& order : orders.starts)
         this->start(order);
-    for (const LookOrder& order : orders.looks)
-        this->look(order);
+    for (const PollOrder& order : orders.polls)
+        this->poll(order);
     for (const AdviceOrder& order : orders.advice)
         this->advise(order);
     for (const std::string& problem : this->planner->violations())
@@ -364,42 +364,42 @@
         [this, order](const std::optional<bool>& taken) { this->planner->stopAnswered(order.worker, order.run, taken.value_or(false), this->now); });
 }
 
-void VirtualSite::look(const LookOrder& order)
+void VirtualSite::poll(const PollOrder& order)
 {
     const Millis sentAt = this->now;
     const std::int64_t term = this->term;
     const Millis until = order.renews ? this->now + this->options.lease : 0;
-    // A waiting look is acted out by its answer alone: it is given after 100 ms.
+    // A waiting poll is acted out by its answer alone: it is given after 100 ms.
     constexpr Millis shortWait = 100;
     this->at(this->now + (order.wait > 0 ? shortWait : 0), [this, order, term, until, sentAt, mine = this->generation] {
         if (mine != this->generation)
             return;
         this->send(
-            order.worker.id, [this, order, term, until] { return this->carryLook(order, term, until); },
-            [this, order, sentAt](const std::optional<WorkerLook>& look) {
-                if (look)
-                    this->planner->lookAnswered(order.worker, sentAt, order.beside, *look, this->now);
+            order.worker.id, [this, order, term, until] { return this->carryPoll(order, term, until); },
+            [this, order, sentAt](const std::optional<WorkerReport>& report) {
+                if (report)
+                    this->planner->pollAnswered(order.worker, sentAt, order.beside, *report, this->now);
                 else
-                    this->planner->lookFailed(order.worker, order.beside, WorkerFault::NoAnswer, this->now);
+                    this->planner->pollFailed(order.worker, order.beside, WorkerFault::NoAnswer, this->now);
             });
     });
 }
 
-std::optional<WorkerLook> VirtualSite::carryLook(const LookOrder& order, std::int64_t term, Millis until)
+std::optional<WorkerReport> VirtualSite::carryPoll(const PollOrder& order, std::int64_t term, Millis until)
 {
     Worker& worker = this->workers.at(order.worker.id);
     if (term < worker.token)
         return std::nullopt;
     worker.token = term;
     worker.leaseUntil = std::max(worker.leaseUntil, until);
-    this->acknowledge(worker, order.acknowledged); // It cannot tell which life the number is of.
-    WorkerLook look;
-    look.clock = this->now - worker.born;
-    look.born = worker.born;
+    this->acknowledge(worker, order.acknowledged); // It cannot tell which incarnation the number is of.
+    WorkerReport report;
+    report.clock = this->now - worker.born;
+    report.born = worker.born;
     for (const auto& [ref, run] : worker.running)
-        look.running.push_back({ ref, run.checkpoint, 100 - run.left * 100 / run.total });
-    look.ended = worker.ended;
-    return look;
+        report.running.push_back({ ref, run.checkpoint, 100 - run.left * 100 / run.total });
+    report.ended = worker.ended;
+    return report;
 }
 
 void VirtualSite::acknowledge(Worker& worker, std::int64_t through)
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -165,13 +165,13 @@
 
     void stop(const StopOrder& order);
 
-    void look(const LookOrder& order);
+    void poll(const PollOrder& order);
 
     // The policy of every queue that has one: workers of even number may run its steps.
     void advise(const AdviceOrder& order);
     std::string ticketOf(const StepKey& step, const std::string& worker) const;
 
-    std::optional<WorkerLook> carryLook(const LookOrder& order, std::int64_t term, Millis until);
+    std::optional<WorkerReport> carryPoll(const PollOrder& order, std::int64_t term, Millis until);
 
     void acknowledge(Worker& worker, std::int64_t through);
 
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -26,7 +26,7 @@
     std::set<std::int64_t> failedRuns; // By number: the same end may be told again by its worker.
     std::string checkpoint;
     double saved { 0 }; // Share of the work that the checkpoint holds, 0 to 1.
-    std::vector<WorkerLife> workers; // Of the present run, one a member.
+    std::vector<Incarnation> workers; // Of the present run, one a member.
 
     // Of the present run.
     std::int64_t left { 0 }; // Members that have not ended.
@@ -76,7 +76,7 @@
     std::int64_t nextOccurrence { 0 }; // Not begun yet.
     std::map<std::int64_t, Occurrence> occurrences; // Begun and not done.
     std::set<std::int64_t> doneOutOfOrder;
-    bool sure { false }; // Within its workspace's guarantee.
+    bool guaranteed { false }; // Within its workspace's guarantee.
 };
 
 enum class RunPhase {
@@ -86,7 +86,7 @@
 };
 
 // A run on a worker, from the decision to place it until it surely takes no room.
-struct Occupant {
+struct PlacedRun {
     RunRef run;
     UnitKey unit;
     bool stray { false }; // Its unit has gone on without it.
@@ -106,43 +106,43 @@
 struct WorkerState {
     WorkerSighting seen;
     bool listed { true };
-    bool known { false }; // Has answered a look of this term.
+    bool known { false }; // Has answered a poll of this term.
     bool silent { false }; // The last call had no answer.
     Millis leaseOverBy { 0 }; // No run can be alive there later without a new lease.
-    bool lookUnderWay { false };
-    bool quickLookUnderWay { false }; // One beside a look that waits.
-    Millis lookSentAt { 0 };
-    Millis nextLookAt { 0 };
-    Millis lookPause { 0 }; // After a look without an answer.
+    bool pollUnderWay { false };
+    bool quickPollUnderWay { false }; // One beside a poll that waits.
+    Millis pollSentAt { 0 };
+    Millis nextPollAt { 0 };
+    Millis pollPause { 0 }; // After a poll without an answer.
     Millis ackDueBy { 0 }; // Ends are durable and not acknowledged yet; 0: none.
     Millis leavesAt { 0 }; // While leaving: not before then.
     std::int64_t handled { 0 }; // Ends up to this number are in the planner's state,
     std::int64_t durable { 0 }; // in the log,
     std::int64_t acknowledged { 0 }; // and known to be so at the worker.
     std::int64_t ackUnderWay { 0 };
-    Millis ackLostAt { 0 }; // When a look that acknowledged ends last got no answer; it may be carried out late.
+    Millis ackLostAt { 0 }; // When a poll that acknowledged ends last got no answer; it may be carried out late.
     Millis takesNothingUntil { 0 }; // Ends there could be acknowledged unread.
-    Millis lifeShownAt { 0 }; // When the last look was sent that was answered by this life.
+    Millis incarnationShownAt { 0 }; // When the last poll was sent that was answered by this incarnation.
     Millis lastStartAt { 0 }; // When a start was last sent there, or answered.
     Room used;
-    std::map<RunRef, Occupant> occupants;
+    std::map<RunRef, PlacedRun> placedRuns;
     WorkerTrust trust;
 
     // A run may be alive there, and needs a lease.
     bool isLive() const
     {
-        return std::any_of(this->occupants.begin(), this->occupants.end(), [](const auto& entry) { return entry.second.phase != RunPhase::Recording; });
+        return std::any_of(this->placedRuns.begin(), this->placedRuns.end(), [](const auto& entry) { return entry.second.phase != RunPhase::Recording; });
     }
 
-    // Whether the ends that are acknowledged are surely of the life that is asked. A
+    // Whether the ends that are acknowledged are surely of the incarnation that is asked. A
     // worker that has started again under its id numbers its ends anew, and forgets
-    // those that were acknowledged to its earlier life: a task then runs a second
+    // those that were acknowledged to its earlier incarnation: a task then runs a second
     // time, for nobody has read that it ended. It has no ends before it was sent a
-    // start, so the life is sure if a look sent after the last start showed it.
-    bool isLifeSure() const
+    // start, so the incarnation is sure if a poll sent after the last start showed it.
+    bool isIncarnationProven() const
     {
-        const bool awaitsStart = std::any_of(this->occupants.begin(), this->occupants.end(), [](const auto& entry) { return entry.second.phase == RunPhase::Starting; });
-        return !awaitsStart && this->lifeShownAt > this->lastStartAt;
+        const bool awaitsStart = std::any_of(this->placedRuns.begin(), this->placedRuns.end(), [](const auto& entry) { return entry.second.phase == RunPhase::Starting; });
+        return !awaitsStart && this->incarnationShownAt > this->lastStartAt;
     }
 };
 
--- a/src/tasks/worker.cc
+++ b/src/tasks/worker.cc
@@ -12,14 +12,14 @@
 
 std::string_view nameOf(WorkerFault fault)
 {
-    constexpr std::array<std::string_view, 4> names { "no_answer", "not_sent", "other_life", "deposed" };
+    constexpr std::array<std::string_view, 4> names { "no_answer", "not_sent", "other_incarnation", "deposed" };
     return names.at(static_cast<std::size_t>(fault));
 }
 
 std::string_view nameOf(StartAnswer answer)
 {
     constexpr std::array<std::string_view, 11> names { "started", "no_answer", "not_sent", "no_room", "old", "late", "unwell",
-        "refused", "no_ticket", "other_life", "deposed" };
+        "refused", "no_ticket", "other_incarnation", "deposed" };
     return names.at(static_cast<std::size_t>(answer));
 }
 
--- a/src/tasks/worker.h
+++ b/src/tasks/worker.h
@@ -13,7 +13,7 @@
 namespace rattan::tasks {
 
 struct WorkerSighting {
-    WorkerLife life;
+    Incarnation incarnation;
     std::string address; // IP:PORT
     std::string service;
     std::string domain; // Failure domain.
@@ -43,24 +43,24 @@
 };
 
 struct EndedTask {
-    std::int64_t number { 0 }; // Counts up from 1 in each life of the worker.
+    std::int64_t number { 0 }; // Counts up from 1 in each incarnation of the worker.
     RunRef run;
     RunEnd end { RunEnd::Done };
     std::string checkpoint;
 };
 
-struct WorkerLook {
+struct WorkerReport {
     Millis clock { 0 }; // The worker's own.
-    Millis born { 0 }; // Of the life that answers.
+    Millis born { 0 }; // Of the incarnation that answers.
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended; // Those not acknowledged yet, at most a bounded number at once.
 };
 
-// Why a look or an order had no effect that can be relied on.
+// Why a poll or an order had no effect that can be relied on.
 enum class WorkerFault {
     NoAnswer, // It may have been carried out, or may be later.
     NotSent, // It cannot have been carried out.
-    OtherLife, // The worker has started again.
+    OtherIncarnation, // The worker has started again.
     Deposed, // A planner with a higher term has called there.
 };
 
@@ -74,7 +74,7 @@
     Unwell, // The worker takes nothing at present.
     Refused, // It can never run there.
     NoTicket, // The advice on it does not hold any more.
-    OtherLife,
+    OtherIncarnation,
     Deposed,
 };
 
--- a/src/tasks/worker_trust.h
+++ b/src/tasks/worker_trust.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Whether a worker is given work, judged by what becomes of it there. A worker
-// that fails or stalls all it starts answers looks like a sound one; without
+// that fails or stalls all it starts answers polls like a sound one; without
 // this, every task would be sent there again and again until its job is given
 // up. Two failures in a row, which sound workers show about once in a thousand
 // runs, end its trust for a time that doubles; then one run is tried.
