--- a/src/bin/rattan_instance.cc
+++ b/src/bin/rattan_instance.cc
@@ -4,9 +4,9 @@
 #include "base/settings.h"
 #include "instance/program.h"
 #include "platform/caller_format.h"
+#include "platform/configuration_format.h"
 #include "platform/instance_settings.h"
 #include "platform/store_format.h"
-#include "platform/configuration_format.h"
 #include "platform/worker_format.h"
 
 #include <fmt/format.h>
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -58,7 +58,7 @@
     if (!this->hasConfiguration || !this->jobsLoaded)
         return this->refuse(ticket, question, "this instance has just started", now);
     if (this->catalog->version < this->versionElsewhere)
-        return this->refuse(ticket, question, "a newer text is in force elsewhere", now);
+        return this->refuse(ticket, question, "a newer configuration is in force elsewhere", now);
     const tasks::Queue* queue = this->catalog->queueFor(request.host, request.path);
     if (!queue)
         return this->answer(ticket, question, { .outcome = Outcome::NoSuchQueue }, now);
