Place nothing in a failure domain that two silent workers cast doubt on, before it answers

Change: when two workers of a domain fall silent within 1.5 s, its other workers are asked at once, and nothing is placed on them before they have answered.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -27,6 +27,7 @@
 
 #include "tasks/advice.h"
 #include "tasks/catalog.h"
+#include "tasks/domain_doubts.h"
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
 #include "tasks/run_times.h"
@@ -126,6 +127,8 @@
     void loseIncarnation(Worker&, Millis now, const char* why);
     void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, Millis now);
     void grantLease(Worker&, Millis now) const;
+    void fellSilent(Worker&, Millis now);
+    bool isDoubted(const Worker&, Millis now) const;
     Worker* find(const Incarnation&); // By its id: a run that is looked for may be in a later incarnation.
     Unit* find(const UnitKey&);
     Room roomOf(const TaskRef&) const;
@@ -168,6 +171,7 @@
     bool pollDue(const Worker&, Millis now) const;
     void poll(Worker&, Millis now, Orders&) const;
     void pollBeside(Worker&, Orders&) const;
+    void pollDoubted(Worker&, Millis now, Orders&);
     void pollIdle(const std::vector<Worker*>&, Millis now, Orders&);
     void makeStops(Millis now, Orders&);
     void emit(PlanEventKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
@@ -179,6 +183,7 @@
     std::map<UnitKey, Unit> units; // Of jobs that are not over.
     std::set<UnitKey> waitingUnits;
     std::map<std::string, Worker> workers; // By id; the newest incarnation.
+    DomainDoubts domainDoubts;
     RunTimes runTimes;
     WorkerSpeeds speeds;
     Millis learnedAt { 0 }; // When what was learned was last written down.
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -160,6 +160,18 @@
 
 // A start whose stop has been answered is settled by the next poll. One that waits
 // for an end would hold up its task, so another goes beside it.
+void TaskPlanner::pollDoubted(Worker& worker, Millis now, Orders& orders)
+{
+    if (!worker.known || worker.silent || worker.quickPollUnderWay || !this->isDoubted(worker, now))
+        return;
+    if (orders.polls.size() >= mostPollsAtOnce) {
+        this->pollsLeft = true;
+        return;
+    }
+    worker.quickPollUnderWay = true;
+    orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, 0, 0, false, true });
+}
+
 void TaskPlanner::pollBeside(Worker& worker, Orders& orders) const
 {
     if (!worker.pollUnderWay || worker.quickPollUnderWay)
@@ -206,6 +218,7 @@
         if (worker.seen.address.empty() || (!worker.listed && worker.placedRuns.empty()))
             continue; // Of one known only from a record, the list has to tell where it is.
         this->pollBeside(worker, orders);
+        this->pollDoubted(worker, now, orders);
         if (!this->pollDue(worker, now))
             continue;
         if (worker.placedRuns.empty())
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -207,7 +207,7 @@
     snapshot.now = now;
     for (const auto& [id, worker] : this->workers) {
         const bool present = worker.listed && !worker.silent && !worker.seen.leaving && worker.seen.service == service;
-        if (!present || now < worker.takesNothingUntil || !worker.trust.takesWork(now, worker.placedRuns.empty()))
+        if (!present || now < worker.takesNothingUntil || this->isDoubted(worker, now) || !worker.trust.takesWork(now, worker.placedRuns.empty()))
             continue;
         SnapshotWorker place { .id = id, .rack = worker.seen.rack, .labels = &worker.seen.labels, .capacity = worker.seen.capacity };
         if (!worker.known) {
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -134,6 +134,7 @@
     (quick ? worker->quickPollUnderWay : worker->pollUnderWay) = false;
     worker->known = true;
     worker->silent = false;
+    worker->heardAt = now;
     worker->pollPause = 0;
     worker->nextPollAt = now;
     worker->incarnationShownAt = std::max(worker->incarnationShownAt, sentAt);
@@ -149,6 +150,17 @@
     this->settleUnlisted(*worker, report, sentAt, now);
 }
 
+void TaskPlanner::fellSilent(Worker& worker, Millis now)
+{
+    worker.silent = true;
+    this->domainDoubts.wentSilent(worker.seen.domain, worker.seen.incarnation.id, now);
+}
+
+bool TaskPlanner::isDoubted(const Worker& worker, Millis now) const
+{
+    return this->domainDoubts.covers(worker.seen.domain, worker.heardAt, now);
+}
+
 void TaskPlanner::pollFailed(const Incarnation& incarnation, bool quick, WorkerFault fault, Millis now)
 {
     Worker* worker = this->find(incarnation);
@@ -168,7 +180,7 @@
         worker->ackLostAt = now;
     if (!worker->silent)
         this->emit(PlanEventKind::WorkerSilent, {}, 0, incarnation.id, std::string(nameOf(fault)));
-    worker->silent = true;
+    this->fellSilent(*worker, now);
     worker->pollPause = std::clamp(worker->pollPause * 2, firstPollPause, longestPollPause);
     worker->nextPollAt = now + worker->pollPause;
 }
@@ -304,13 +316,14 @@
         placedRun.phase = RunPhase::Running;
         placedRun.confirmedAt = now;
         worker->silent = false;
+        worker->heardAt = now;
         if (unit && unit->startedAt == 0) {
             unit->startedAt = now;
             unit->movedAt = now;
         }
         return;
     case StartAnswer::NoAnswer:
-        worker->silent = true;
+        this->fellSilent(*worker, now);
         worker->nextPollAt = now;
         if (unit && !unit->stopping && placedRun.startsSent < mostStarts)
             return this->sendStart(*worker, placedRun, *unit, now);
@@ -322,7 +335,7 @@
         this->loseIncarnation(*worker, now, "another incarnation answers");
         return;
     case StartAnswer::NotSent:
-        worker->silent = true;
+        this->fellSilent(*worker, now);
         worker->nextPollAt = now;
         break;
     case StartAnswer::NoTicket:
@@ -349,9 +362,10 @@
     placedRun.stopUnderWay = false;
     if (taken) {
         placedRun.stopAnsweredAt = now;
+        worker->heardAt = now;
         return;
     }
-    worker->silent = true;
+    this->fellSilent(*worker, now);
     placedRun.stopPause = std::clamp(placedRun.stopPause * 2, firstOrderPause, stopRetry);
     placedRun.nextStopAt = now + placedRun.stopPause;
 }
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(aRestartedWorkerStartsAnew);
     CPPUNIT_TEST(endsOfTheNextIncarnationAreNotAcknowledgedUnread);
     CPPUNIT_TEST(aLostStartIsSentAgain);
+    CPPUNIT_TEST(aDomainThatIsCutOffIsFoundOutByTwoStarts);
     CPPUNIT_TEST(aStalledWorkerLosesItsTasks);
     CPPUNIT_TEST(aGangOfUnequalMembersIsLeftAlone);
     CPPUNIT_TEST(membersThatStandEquallyFarAreNotBlamed);
@@ -209,6 +210,30 @@
         assertSound(site);
     }
 
+    // A failure domain is cut off while urgent jobs keep coming. A job whose start went
+    // there cannot begin elsewhere before the lease is over, and is late; so the domain
+    // must cost two of them, and not one for each of its workers.
+    void aDomainThatIsCutOffIsFoundOutByTwoStarts()
+    {
+        VirtualSite site({ .seed = 1, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        for (const char* worker : { "w08", "w09", "w10", "w11" })
+            site.cut(worker, true);
+        constexpr int jobs = 8;
+        for (int i = 0; i < jobs; ++i) {
+            site.submit(job(fmt::format("j{}", i), 1, whole, 1000, 0));
+            site.run(site.now + 300);
+        }
+        site.run(site.now + 2000);
+        int late = 0;
+        for (int i = 0; i < jobs; ++i)
+            late += site.stateOf(fmt::format("j{}", i)) == JobState::Completed ? 0 : 1;
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} late", late), late <= 2);
+        CPPUNIT_ASSERT(site.runUntilOver(60000));
+        assertSound(site);
+    }
+
     // The network loses one order in ten, or its answer. Of a gang of eight more than half
     // lose a member's start so; begun anew each time, an urgent job is late for one
     // lost message.
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -133,6 +133,7 @@
         sighting.address = id;
         sighting.service = std::string("s"); // GCC 12 warns wrongly where a literal of one letter is assigned.
         sighting.rack = worker.rack;
+        sighting.domain = worker.rack; // Each rack is a failure domain of its own.
         sighting.labels = { "k", worker.rack };
         sighting.capacity = worker.capacity;
         sighting.leaving = worker.leaving;
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -108,6 +108,7 @@
     bool listed { true };
     bool known { false }; // Has answered a poll of this term.
     bool silent { false }; // The last call had no answer.
+    Millis heardAt { 0 }; // Its last answer.
     Millis leaseOverBy { 0 }; // No run can be alive there later without a new lease.
     bool pollUnderWay { false };
     bool quickPollUnderWay { false }; // One beside a poll that waits.
