Weak instances leave a store that was away to strong ones

After an outage every term is over, and the first of 45 instances to get through claims; 39 are weak. Change: a weak instance waits up to 2 s (1 s at 0.12 cores) from when it can read the claims again, and claims nothing while it has not read them for 4 s. Test: aWeakInstanceLeavesARegainedStoreToOthers.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -35,6 +35,10 @@
     // Instances that hardly ever plan need not hear of each renewal.
     constexpr Millis weakClaimsGather = 900;
 
+    // Without a newer reading of the claims they do not claim either: twice the time that
+    // a reading usually takes them.
+    constexpr Millis weakClaimsTrusted = 4000;
+
     constexpr Millis gaugesEvery = 500; // Whoever collects them does so every few seconds.
 
     constexpr Millis claimTimeout = 500; // Longer than a renewal takes at a slow store, and half a term.
@@ -47,7 +51,11 @@
     // Instances that all find the planner gone must not all claim at once.
     constexpr Millis electionJitter = 100;
 
-    constexpr Millis weakestWaits = 400; // Of an instance without any processor time.
+    // Of an instance without any processor time; one with half of what planning takes waits
+    // half of it. Longer than the pauses between two tries to read a store that was away,
+    // so that a strong instance comes first: 350 workers are too much for an eighth of a
+    // core, and with a planner there only a quarter of all work was done in time.
+    constexpr Millis weakestWaits = 2000;
 
     // To the store: three streams wait, and the list, records, claims, appends and
     // two probes must not wait for them.
@@ -278,7 +286,8 @@
 {
     if (this->draining)
         this->election.retire();
-    if (this->claimUnderWay)
+    const bool isWeak = this->settings.processorShare < enoughToPlan;
+    if (this->claimUnderWay || (isWeak && !this->election.leads(now) && now - this->claimsReader.confirmedAt() > weakClaimsTrusted))
         return;
     const std::optional<tasks::Election::Append> append = this->election.step(now);
     if (!append)
@@ -430,6 +439,8 @@
     bool& known = this->reachable[stream];
     if (!known)
         logEvent(events::storeRegained, { { "stream", nameOf(stream) }, { "end", end } });
+    if (!known && stream == Stream::Claims)
+        this->election.unreadUntil(now);
     known = true;
     if (stream == Stream::Configuration)
         this->gateway.configurationConfirmed(confirmedAt);
@@ -444,7 +455,8 @@
 
 void ControlLoop::streamFailed(Stream stream, const std::string& why, Millis now)
 {
-    static_cast<void>(now);
+    if (stream == Stream::Claims)
+        this->election.unreadUntil(now);
     this->metrics.count("rattan_store_failures_total", { { "stream", std::string(nameOf(stream)) } });
     bool& known = this->reachable[stream];
     if (known)
--- a/src/tasks/election.cc
+++ b/src/tasks/election.cc
@@ -65,6 +65,8 @@
         return false;
     if (this->heldByPredecessor())
         return true;
+    if (now < this->regainedAt + this->options.jitter)
+        return false;
     if (this->newest.term > 0 && this->newest.holder.empty())
         return now >= this->newestReadAt + this->options.jitter / 2;
     if (this->suspectedAt > 0 && now >= this->suspectedAt + this->options.jitter)
--- a/src/tasks/election.h
+++ b/src/tasks/election.h
@@ -40,7 +40,7 @@
     Millis renewEvery { 300 }; // A renewal may take 400 ms at a slow store: two tries fit in a term.
     Millis term { 1000 }; // From sending a renewal; an order is out within it or not at all.
     Millis takeover { 1250 }; // Longer than a term by what clocks and messages may be off; work starts again within 1.5 s.
-    Millis jitter { 0 }; // Added to takeover here, so that not all claim in one moment.
+    Millis jitter { 0 }; // Added to takeover here, so that not all claim in one moment; longer where others should come first.
 };
 
 enum class AppendOutcome {
@@ -67,6 +67,10 @@
     std::optional<Append> step(Millis now);
     void appended(AppendOutcome, Millis now);
 
+    // The log could not be read until now. Whoever comes back first is as likely as not
+    // one that should leave planning to others, so its jitter counts from here.
+    void unreadUntil(Millis now) { this->regainedAt = now; }
+
     // The holder is taken as gone: its term need not be waited for. Until the next claim
     // is read. Two may then lead for a moment, the earlier one without effect: workers
     // that the later one has asked, and the store, refuse its lower term.
@@ -111,6 +115,7 @@
     bool holds { false }; // The newest claim is ours and of this process.
     bool resigning { false }; // Until the log shows that the term is given up.
     bool retired { false };
+    Millis regainedAt { 0 };
     Millis suspectedAt { 0 }; // Since when the present holder is taken as gone; 0: it is not.
     std::int64_t failedInTerm { 0 }; // In which the last try to renew failed.
     Millis leadsUntil { 0 }; // Of confirmedTerm.
--- a/src/tasks/testing/election_test.cc
+++ b/src/tasks/testing/election_test.cc
@@ -30,9 +30,23 @@
     CPPUNIT_TEST(aHolderThatIsTakenAsGoneIsFollowedAtOnce);
     CPPUNIT_TEST(aFailedRenewalIsToldUntilOneSucceeds);
     CPPUNIT_TEST(aRenewalThatWasReadHasNotFailed);
+    CPPUNIT_TEST(aWeakInstanceLeavesARegainedStoreToOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // The store was away for all, and every term is over when it comes back. Of 45 instances
+    // 39 are too weak to plan; should one of them claim first, all jobs are late for the
+    // rest of the day.
+    void aWeakInstanceLeavesARegainedStoreToOthers()
+    {
+        Election weak({ .holder = "weak", .renewEvery = 500, .term = 2000, .takeover = 2400, .jitter = 1000 }, begin);
+        weak.recordRead({ 4, "a", 9 }, 17, begin);
+        weak.caughtUp(18);
+        weak.unreadUntil(begin + 9000);
+        CPPUNIT_ASSERT(!weak.step(begin + 9999));
+        CPPUNIT_ASSERT(weak.step(begin + 10000));
+    }
+
     // Heartbeats of the planner have stopped. Its term would be waited for in vain.
     void aHolderThatIsTakenAsGoneIsFollowedAtOnce()
     {
