--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -22,8 +22,8 @@
     constexpr std::chrono::milliseconds appendTimeout { 800 };
     constexpr std::chrono::milliseconds orderTimeout { 700 };
 
-    // A start or stop without an answer is sent again after this. Workers answer within
-    // 20 ms, 99 of 100; three tries find within 0.7 s that a worker is out of reach.
+    // A start or stop without an answer is sent again after this. Far above the way
+    // there and back; three tries find within 0.7 s that a worker is out of reach.
     constexpr std::chrono::milliseconds retriedOrderTimeout { 230 };
     constexpr std::chrono::milliseconds pollTimeout { 800 }; // Beyond what the poll may wait.
     constexpr std::chrono::milliseconds connectTimeout { 500 };
--- a/src/instance/planner_watch.h
+++ b/src/instance/planner_watch.h
@@ -41,11 +41,10 @@
 
 class PlannerWatch {
 public:
-    // Heartbeats of one planner cost it 0.1 ms of processor time a second for each watcher.
+    // Short against what an urgent job has to spare; what it costs was not measured.
     static constexpr Millis beatEvery = 100;
 
-    // Four heartbeats; one datagram in forty is lost on the worst links that we know of,
-    // and a loaded planner is late by up to 60 ms.
+    // Four heartbeats; one datagram in forty is lost on the worst links that we know of.
     static constexpr Millis silence = 450;
 
     // Enough that one of them reaches the store in most cuts; more only cost.
