Take no answer that has arrived for a timeout

Callers of weak or frozen instances saw gangs stopped and begun again: their starts were answered, but the planner took the answers for lost.

Cause: libcurl looks at a call's time limit before it looks at its socket, on every pass and for every call whose limit is over. A thread that came back to its calls later than their limit (230 ms for starts and stops) ended all of them as timeouts, although the answers lay in the sockets. That the client reads sockets before it runs libcurl's timer did not help: the first socket that is handled makes libcurl end all calls past their limit.

Change: limits are kept by AsyncClient. A call ends only after a pass that began past its limit and read every socket that was ready, or half a second after the client cannot keep up at all. Limits of connecting are kept the same way.

Test: with 200 answers that lie there, answersThatHaveArrivedAreNotTimeouts counted 64 as answered while the pass of 64 sockets was taken for all of them, and 200 now.

The loop now logs instance.slow_turn when it comes round 200 ms late or more: until now the log could not tell a slow network from a starved planner.

--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -5,6 +5,11 @@
 // and beside three thousand, where curl_multi_perform() would ask the kernel about
 // every one of them: 0.4 ms of processor time for an answer beside 400 calls, by the
 // thread clock in async_client_test.cc, against 0.03 ms here.
+//
+// Time limits are kept here and not by libcurl, which looks at the time before it
+// looks at the socket: once its thread has stood still for longer than a timeout, it
+// ends the call although the answer lies there to be read. A call is given up only
+// after a pass that began past its limit and read every socket that was ready.
 
 #include "http/async_client.h"
 
@@ -12,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -30,22 +36,44 @@
     // that a thousand that arrive at once do not hold up what the caller must do.
     constexpr std::size_t eventsAtOnce = 64;
 
+    // libcurl's own limits, beyond any of ours.
+    constexpr long noLimitMillis = 24L * 3600 * 1000;
+
+    // Calls past their limit end although every pass for so long has left ready sockets
+    // to the next one: else nothing would end while this thread cannot keep up with
+    // what arrives.
+    constexpr Millis longestBehind = 500;
+
     struct Pending {
         detail::Transfer transfer;
         AsyncClient::Handler handler;
         int group { 0 };
+        Millis connectBy { 0 }; // Some of the request has to be sent by then,
+        Millis answerBy { 0 }; // and all of the answer read by then.
+        Millis listedAt { 0 }; // Its place in the list of limits.
+
+        // The next of the two that can end this call.
+        Millis limit() const { return this->transfer.wroteBytes ? this->answerBy : std::min(this->connectBy, this->answerBy); }
     };
 
 } // namespace
 
 struct AsyncClient::Native {
+    explicit Native(const Clock& clock)
+        : clock(clock)
+    {
+    }
+
+    const Clock& clock;
     CURLM* multi { nullptr };
     int poller { -1 };
     int waker { -1 };
     bool timerSet { false };
     SteadyClock::time_point timerAt; // When libcurl wants to be called although no socket is ready.
     std::unordered_map<CURL*, std::unique_ptr<Pending>> pending;
+    std::set<std::pair<Millis, CURL*>> limits; // When to look at each pending call; may be before its present limit.
     std::vector<CURL*> idle;
+    Millis behindSince { 0 }; // Since when no pass has read all that was ready; 0: the last one did.
 
     static int onSocket(CURL*, curl_socket_t socket, int what, void* user, void* known)
     {
@@ -93,6 +121,7 @@
         curl_multi_remove_handle(this->multi, handle);
         const auto found = this->pending.find(handle);
         curl_slist_free_all(found->second->transfer.headers);
+        this->limits.erase({ found->second->listedAt, handle });
         this->pending.erase(found);
         curl_easy_cleanup(handle);
     }
@@ -108,14 +137,17 @@
 
     std::chrono::milliseconds untilTimer(std::chrono::milliseconds longest) const
     {
-        if (!this->timerSet)
-            return longest;
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(this->timerAt - SteadyClock::now());
-        return std::clamp(left, std::chrono::milliseconds(0), longest);
+        auto left = longest;
+        if (this->timerSet)
+            left = std::min(left, std::chrono::ceil<std::chrono::milliseconds>(this->timerAt - SteadyClock::now()));
+        if (!this->limits.empty())
+            left = std::min(left, std::chrono::milliseconds(this->limits.begin()->first - this->clock.now()));
+        return std::max(left, std::chrono::milliseconds(0));
     }
 
-    // Waits for sockets, and lets libcurl work on those that are ready.
-    void runSockets(std::chrono::milliseconds longest)
+    // Waits for sockets, and lets libcurl work on those that are ready. True if it worked
+    // on all of them.
+    bool runSockets(std::chrono::milliseconds longest)
     {
         std::array<epoll_event, eventsAtOnce> events {};
         const int ready = epoll_wait(this->poller, events.data(), static_cast<int>(events.size()), static_cast<int>(longest.count()));
@@ -136,6 +168,7 @@
             int running = 0;
             curl_multi_socket_action(this->multi, event.data.fd, what, &running);
         }
+        return ready < static_cast<int>(events.size());
     }
 
     // True if an answer was handled.
@@ -152,20 +185,43 @@
         return delivered;
     }
 
+    // Ends calls that were past their limit at `now`; `readAll` tells whether every
+    // answer that had arrived by then was read.
+    void endLate(Millis now, bool readAll)
+    {
+        if (readAll || this->behindSince == 0)
+            this->behindSince = readAll ? 0 : now;
+        const Millis overdue = readAll ? now : now - longestBehind;
+        if (!readAll && this->behindSince > overdue)
+            return;
+        while (!this->limits.empty() && this->limits.begin()->first <= overdue) {
+            CURL* handle = this->limits.begin()->second;
+            this->limits.erase(this->limits.begin());
+            Pending& late = *this->pending.at(handle);
+            if (late.limit() <= overdue) {
+                this->deliver(handle, CURLE_OPERATION_TIMEDOUT);
+                continue;
+            }
+            late.listedAt = late.limit();
+            this->limits.emplace(late.listedAt, handle);
+        }
+    }
+
     void deliver(CURL* handle, CURLcode code)
     {
         curl_multi_remove_handle(this->multi, handle);
         const auto found = this->pending.find(handle);
         const std::unique_ptr<Pending> done = std::move(found->second);
         this->pending.erase(found);
+        this->limits.erase({ done->listedAt, handle });
         detail::finish(handle, code, done->transfer);
         this->give(handle);
         done->handler(done->transfer.reply);
     }
 };
 
-AsyncClient::AsyncClient(AsyncClientOptions options)
-    : native(std::make_unique<Native>())
+AsyncClient::AsyncClient(AsyncClientOptions options, const Clock& clock)
+    : native(std::make_unique<Native>(clock))
 {
     detail::startLibrary();
     Native& own = *this->native;
@@ -203,20 +259,29 @@
     entry->transfer.call = std::move(call);
     entry->handler = std::move(handler);
     entry->group = this->group;
+    const Millis now = this->native->clock.now();
+    entry->connectBy = now + entry->transfer.call.connectTimeout.count();
+    entry->answerBy = now + entry->transfer.call.timeout.count();
+    entry->listedAt = entry->limit();
     detail::prepare(handle, entry->transfer, 0);
     curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, receiveBufferBytes);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, 0L);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, noLimitMillis);
+    this->native->limits.emplace(entry->listedAt, handle);
     this->native->pending.emplace(handle, std::move(entry));
     curl_multi_add_handle(this->native->multi, handle);
 }
 
 void AsyncClient::run(std::chrono::milliseconds longest)
 {
-    // Answers come before time limits: after this thread has stood still, an answer
-    // that lies there must not be taken for one that never came.
     const bool delivered = this->native->deliverAll();
-    this->native->runSockets(delivered ? std::chrono::milliseconds(0) : this->native->untilTimer(longest));
+    const Millis now = this->native->clock.now();
+    const bool readAll = this->native->runSockets(delivered ? std::chrono::milliseconds(0) : this->native->untilTimer(longest));
     this->native->runTimer();
     this->native->deliverAll();
+    // What had arrived at `now` has been read. A starved or frozen thread would otherwise
+    // take workers that answered for silent ones, and stop whole gangs for them.
+    this->native->endLate(now, readAll);
 }
 
 void AsyncClient::wake()
--- a/src/http/async_client.h
+++ b/src/http/async_client.h
@@ -2,18 +2,20 @@
 
 // An HTTP/1.1 client for one thread with many calls under way at once.
 //
-//     http::AsyncClient client({ .connectionsPerPeer = 3 });
+//     http::AsyncClient client({ .connectionsPerPeer = 3 }, clock);
 //     client.send(call, [&](const http::Reply& reply) { ... });
 //     while (running)
 //         client.run(100ms);       // waits for answers and calls their handlers
 //
 // Handlers run inside run() and may send further calls. Every call ends in
-// exactly one handler call, at its timeout at the latest, unless abandonAll()
-// drops it. A reused connection that turns out dead is replaced and the request
+// exactly one handler call, soon after its timeout at the latest, unless abandon()
+// drops it. An answer that has arrived is never taken for a timeout, however late
+// run() comes to read it. A reused connection that turns out dead is replaced and the request
 // sent again by libcurl, unless its `resend` is false: so only requests that are
 // idempotent, or that may not be sent again, go through here.
 // Only wake() may be called from another thread.
 
+#include "base/clock.h"
 #include "http/client.h"
 
 #include <functional>
@@ -29,7 +31,8 @@
 public:
     using Handler = std::function<void(const Reply&)>;
 
-    explicit AsyncClient(AsyncClientOptions = {});
+    // The clock, which outlives the client, tells when a call has waited too long.
+    AsyncClient(AsyncClientOptions, const Clock&);
     ~AsyncClient();
     AsyncClient(const AsyncClient&) = delete;
     AsyncClient& operator=(const AsyncClient&) = delete;
--- a/src/http/testing/async_client_test.cc
+++ b/src/http/testing/async_client_test.cc
@@ -8,11 +8,14 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <ctime>
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace rattan::http {
 
@@ -23,10 +26,9 @@
     // Takes connections and never answers.
     class SilentPeer {
     public:
-        SilentPeer()
+        explicit SilentPeer(int backlog = 1000)
             : socket(::socket(AF_INET, SOCK_STREAM, 0))
         {
-            constexpr int backlog = 1000;
             sockaddr_in name {};
             name.sin_family = AF_INET;
             name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -109,6 +111,63 @@
         std::thread thread;
     };
 
+    // Takes connections, reads a request on each, and answers all of them when told to.
+    class HoldingPeer {
+    public:
+        HoldingPeer()
+            : listener(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+        {
+            constexpr int backlog = 1000;
+            sockaddr_in name {};
+            name.sin_family = AF_INET;
+            name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+            socklen_t size = sizeof(name);
+            CPPUNIT_ASSERT_EQUAL(0, bind(this->listener, reinterpret_cast<sockaddr*>(&name), size));
+            CPPUNIT_ASSERT_EQUAL(0, listen(this->listener, backlog));
+            getsockname(this->listener, reinterpret_cast<sockaddr*>(&name), &size);
+            this->port = ntohs(name.sin_port);
+        }
+        ~HoldingPeer()
+        {
+            for (const int taken : this->connections)
+                close(taken);
+            close(this->listener);
+        }
+        HoldingPeer(const HoldingPeer&) = delete;
+        HoldingPeer& operator=(const HoldingPeer&) = delete;
+
+        std::string address() const { return fmt::format("127.0.0.1:{}", this->port); }
+
+        // Takes what has come; the number of requests so far.
+        std::size_t takeRequests()
+        {
+            for (int taken = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK); taken >= 0; taken = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK))
+                this->connections.push_back(taken);
+            std::array<char, 4096> buffer {};
+            for (const int taken : this->connections)
+                this->requests += read(taken, buffer.data(), buffer.size()) > 0 ? 1 : 0;
+            return this->requests;
+        }
+
+        // Returns once every answer lies at the client's socket.
+        void answerAll()
+        {
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            for (const int taken : this->connections) {
+                CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(answer.size()), write(taken, answer.data(), answer.size()));
+                int unread = 1;
+                while (unread > 0)
+                    CPPUNIT_ASSERT_EQUAL(0, ioctl(taken, SIOCOUTQ, &unread));
+            }
+        }
+
+    private:
+        int listener;
+        int port { 0 };
+        std::vector<int> connections;
+        std::size_t requests { 0 };
+    };
+
     double threadSeconds()
     {
         timespec spent {};
@@ -125,6 +184,9 @@
     CPPUNIT_TEST(callsToOnePeerWaitTheirTurn);
     CPPUNIT_TEST(handlersMaySend);
     CPPUNIT_TEST(silentPeerEndsAtTheTimeout);
+    CPPUNIT_TEST(answersThatHaveArrivedAreNotTimeouts);
+    CPPUNIT_TEST(silentPeersEndWhileOthersKeepTheClientBusy);
+    CPPUNIT_TEST(nothingSentWhileNoConnectionStands);
     CPPUNIT_TEST(nothingSentWhenNobodyListens);
     CPPUNIT_TEST(deadConnectionIsReplaced);
     CPPUNIT_TEST(whatMayNotBeSentAgainFails);
@@ -137,7 +199,7 @@
     void setUp() override
     {
         this->startServer("127.0.0.1:0");
-        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 1000 });
+        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 1000 }, this->clock);
     }
 
     void roundTrip()
@@ -149,7 +211,7 @@
 
     void callsToOnePeerWaitTheirTurn()
     {
-        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 2 });
+        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 2 }, this->clock);
         int answered = 0;
         constexpr int calls = 20;
         for (int i = 0; i < calls; ++i)
@@ -179,6 +241,67 @@
         CPPUNIT_ASSERT(reply.error->code == ErrorCode::Timeout);
     }
 
+    // A machine without processor time, or frozen, comes back to its calls when their time
+    // is over, and every answer lies there. A planner that takes them for lost stops the
+    // gangs whose starts were answered: their callers wait seconds for a second start.
+    // There are more of them here than one pass of the client reads.
+    void answersThatHaveArrivedAreNotTimeouts()
+    {
+        HoldingPeer peer;
+        this->startManual();
+        constexpr std::size_t calls = 200;
+        std::size_t answered = 0;
+        std::size_t lost = 0;
+        for (std::size_t i = 0; i < calls; ++i)
+            this->client->send({ .address = peer.address(), .timeout = 230ms }, [&](const Reply& reply) { ++(reply.ok() ? answered : lost); });
+        this->runUntil([&] { return peer.takeRequests() == calls; });
+        peer.answerAll();
+        this->manual.advance(10'000);
+        this->runUntil([&] { return answered + lost == calls; });
+        CPPUNIT_ASSERT_EQUAL(calls, answered);
+    }
+
+    // More answers come all the time than are read in one pass. A peer that is silent must
+    // be noticed all the same, if a little later than it would be.
+    void silentPeersEndWhileOthersKeepTheClientBusy()
+    {
+        const SilentPeer silent;
+        HoldingPeer peer;
+        this->startManual();
+        constexpr std::size_t calls = 200;
+        std::size_t answered = 0;
+        bool silentEnded = false;
+        for (std::size_t i = 0; i < calls; ++i)
+            this->client->send({ .address = peer.address(), .timeout = 60s, .connectTimeout = 60s }, [&](const Reply& reply) { answered += reply.ok() ? 1 : 0; });
+        this->client->send({ .address = silent.address(), .timeout = 100ms }, [&](const Reply&) { silentEnded = true; });
+        this->runUntil([&] { return peer.takeRequests() == calls; });
+        peer.answerAll();
+        this->manual.advance(300);
+        this->client->run(0ms);
+        CPPUNIT_ASSERT(!silentEnded);
+        this->manual.advance(600);
+        this->client->run(0ms);
+        CPPUNIT_ASSERT(silentEnded);
+        CPPUNIT_ASSERT(answered < calls);
+    }
+
+    // A machine without power answers no connection attempt. Nothing was sent, and the
+    // caller may safely ask another.
+    void nothingSentWhileNoConnectionStands()
+    {
+        const SilentPeer full(0);
+        this->startManual();
+        constexpr std::size_t calls = 20; // Far more than the queue of new connections takes.
+        std::size_t unsent = 0;
+        std::size_t sent = 0;
+        for (std::size_t i = 0; i < calls; ++i)
+            this->client->send({ .address = full.address(), .timeout = 60s, .connectTimeout = 100ms }, [&](const Reply& reply) { ++(reply.sent == Sent::Nothing ? unsent : sent); });
+        this->client->run(0ms);
+        this->manual.advance(101);
+        this->runUntil([&] { return unsent > 0; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), sent);
+    }
+
     void nothingSentWhenNobodyListens()
     {
         const std::string gone = this->server->address();
@@ -254,6 +377,8 @@
     }
 
 private:
+    void startManual() { this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 1000 }, this->manual); }
+
     void startServer(const std::string& address)
     {
         this->server.emplace(ServerOptions { .address = address });
@@ -283,7 +408,7 @@
     double costBeside(int waiting)
     {
         const SilentPeer silent;
-        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 1000 });
+        this->client.emplace(AsyncClientOptions { .connectionsPerPeer = 1000 }, this->clock);
         for (int i = 0; i < waiting; ++i)
             this->client->send({ .address = silent.address(), .timeout = 60s, .connectTimeout = 20s }, [](const Reply&) {});
         constexpr int calls = 200;
@@ -294,6 +419,8 @@
         return threadSeconds() - before;
     }
 
+    SystemClock clock;
+    ManualClock manual;
     std::optional<Server> server;
     std::optional<AsyncClient> client;
 };
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -18,6 +18,10 @@
     // A wait of the loop; everything that must happen sooner wakes it.
     constexpr Millis longestWait = 100;
 
+    // A turn that takes this much longer than it waits is told of: answers are read and terms
+    // renewed that much late, which one cannot tell from a slow network otherwise.
+    constexpr Millis slowTurn = 200;
+
     // A silent connection to the store is noticed this much later than a dead one:
     // soon where work hangs on it, and well before keys are not believed any more
     // for the text, which rarely changes.
@@ -97,7 +101,7 @@
     , protocols(protocols)
     , clock(clock)
     , metrics(metrics)
-    , client({ .connectionsPerPeer = connectionsPerPeer })
+    , client({ .connectionsPerPeer = connectionsPerPeer }, clock)
     , gateway(gatewayOptions(this->settings), protocols.callers, this->jobs)
     , relay(this->client, protocols.callers, clock, this->settings.callerAddress)
     , configurationReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Configuration), *this)
@@ -144,10 +148,14 @@
 void ControlLoop::run()
 {
     while (!this->stopping) {
+        const Millis begun = this->clock.now();
         this->round();
         const Millis now = this->clock.now();
         const Millis wait = std::clamp<Millis>(this->nextWake(now, this->clock.wall()) - now, 0, longestWait);
         this->client.run(std::chrono::milliseconds(wait));
+        const Millis late = this->clock.now() - begun - wait;
+        if (late >= slowTurn)
+            logEvent(events::slowTurn, { { "late_ms", late }, { "round_ms", now - begun }, { "leads", this->leadership ? 1 : 0 } });
     }
     this->endTerm("the program stops");
     this->commands.close();
--- a/src/instance/testing/relay_test.cc
+++ b/src/instance/testing/relay_test.cc
@@ -55,7 +55,7 @@
             return http::Answer { 200, request.path.substr(1), "text/plain", {} };
         });
         CPPUNIT_ASSERT(!attemptVoid([&] { return this->server->start(); }));
-        this->client.emplace(http::AsyncClientOptions {});
+        this->client.emplace(http::AsyncClientOptions {}, this->clock);
         this->relay.emplace(*this->client, this->protocol, this->clock, "127.0.0.1:1");
         this->relay->planned(this->server->address());
     }
--- a/src/instance/testing/stream_reader_test.cc
+++ b/src/instance/testing/stream_reader_test.cc
@@ -49,7 +49,7 @@
             return http::Answer { this->away ? 503 : 200, "", "text/plain", {} };
         });
         CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
-        http::AsyncClient client;
+        http::AsyncClient client({}, this->clock);
         StreamReader reader(client, this->store, this->clock, { .stream = Stream::Configuration, .address = server.address() }, *this);
         this->runUntil(reader, client, [&] { return this->waiting > 0; });
         CPPUNIT_ASSERT_EQUAL(0, this->immediate.load());
