Tell why an urgent unit that may stop others stops none

An incident could not be traced to its cause: an urgent job waited two seconds for room, and the log did not tell why nothing was stopped for it before. The planner now tells once, whenever the reason changes, whether what it may stop makes no room or the cheapest choice loses more than is allowed, with both figures. The choice itself is unchanged: the bound is compared after the search and not in it.

--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -64,6 +64,7 @@
     WorkerLapsed,
     WorkerGone,
     WorkerDistrusted,
+    UnitWaits, // It may stop others, and stops none.
 };
 
 // A decision or a change of what the planner believes, for the log.
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -146,6 +146,7 @@
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     bool mayEvict(const Candidate&, Millis now);
     bool tryEvict(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
+    void tellRefusal(Unit&, detail::EvictionRefusal, double cost, double bound);
     void decide(Millis now, Millis wall);
     std::int64_t urgentDemand(const std::string& service, Millis now);
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -376,7 +376,7 @@
 
 bool TaskPlanner::tryEvict(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
-    const Unit& unit = *candidate.unit;
+    Unit& unit = *candidate.unit;
     const bool guaranteed = candidate.queueKey.guaranteed;
     const std::int64_t priority = unit.job->terms.priority;
     const auto lost = [&](const UnitKey& key) {
@@ -390,9 +390,13 @@
         const bool saves = found->second.step().savesProgress;
         return this->lostWork(found->second, now) * (saves ? 1.0 : static_cast<double>(1 + found->second.evictions));
     };
-    const auto plan = planEviction(snapshot, request, lost, guaranteed ? std::numeric_limits<double>::max() : this->worthLosing(unit));
-    if (!plan)
+    constexpr double noBound = std::numeric_limits<double>::max();
+    const double bound = guaranteed ? noBound : this->worthLosing(unit);
+    const auto plan = planEviction(snapshot, request, lost, noBound);
+    if (!plan || plan->lostWork > bound) {
+        this->tellRefusal(unit, plan ? EvictionRefusal::TooMuchLost : EvictionRefusal::NoRoom, plan ? plan->lostWork : 0, bound);
         return false;
+    }
     for (const UnitKey& victim : plan->victims) {
         Unit& stopped = this->units.at(victim);
         this->emit(PlanEventKind::UnitEvicted, victim, stopped.run, "", fmt::format("for {}, {:.0f} core-seconds lost", unit.key.job, this->lostWork(stopped, now)));
@@ -411,6 +415,16 @@
     return true;
 }
 
+// An urgent unit that waits is the first thing asked about afterwards.
+void TaskPlanner::tellRefusal(Unit& unit, EvictionRefusal refusal, double cost, double bound)
+{
+    if (unit.refusal == refusal)
+        return;
+    unit.refusal = refusal;
+    std::string why = refusal == EvictionRefusal::NoRoom ? "no runs that it may stop make room" : fmt::format("the cheapest choice loses {:.0f} core-seconds, {:.0f} are allowed", cost, bound);
+    this->emit(PlanEventKind::UnitWaits, unit.key, unit.run, "", std::move(why));
+}
+
 void TaskPlanner::place(Unit& unit, const std::vector<std::string>& chosen, Millis now)
 {
     ++unit.run;
@@ -418,6 +432,7 @@
     unit.left = static_cast<std::int64_t>(chosen.size());
     unit.failed = false;
     unit.stopping = false;
+    unit.refusal = EvictionRefusal::None;
     unit.placedAt = now;
     unit.adopted = false;
     unit.startedAt = 0;
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(aJobThatAlwaysFailsIsGivenUp);
     CPPUNIT_TEST(aCancelledJobIsStopped);
     CPPUNIT_TEST(guaranteedJobsGetTheirRoomBack);
+    CPPUNIT_TEST(anUrgentJobThatWaitsIsExplained);
     CPPUNIT_TEST(aPlannerThatFollowsLosesNothing);
     CPPUNIT_TEST(aCutWorkerIsWaitedForUntilItsLeaseIsOver);
     CPPUNIT_TEST(aRestartedWorkerStartsAnew);
@@ -161,6 +162,30 @@
         assertSound(site);
     }
 
+    // An urgent job outside its workspace's guarantee waits for seconds beside patient
+    // ones, because these have run for so long that stopping one loses too much. Its
+    // caller asks why, and the log has to tell, once and not in every round.
+    void anUrgentJobThatWaitsIsExplained()
+    {
+        VirtualSite site({ .seed = 35, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("patient", 12, whole, 60000, 2));
+        site.run(25000);
+        Job urgent = job("urgent", 1, whole, 1000, 0);
+        urgent.workspace = "without a guarantee";
+        site.submit(urgent);
+        site.run(27000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.runsOf("urgent"));
+        std::vector<std::string> reasons;
+        for (const PlanEvent& event : site.planEvents) {
+            if (event.kind == PlanEventKind::UnitWaits && event.job == "urgent")
+                reasons.push_back(event.detail);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, reasons.size());
+        CPPUNIT_ASSERT(reasons.front().find("core-seconds") != std::string::npos);
+        assertSound(site);
+    }
+
     // The planner dies while tasks run; another takes over seconds later. Users see
     // nothing of it: no task is begun again, and none is forgotten.
     void aPlannerThatFollowsLosesNothing()
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -186,6 +186,7 @@
         return;
     this->planner->step(this->now, this->now);
     Orders orders = this->planner->take(this->now);
+    this->planEvents.insert(this->planEvents.end(), orders.events.begin(), orders.events.end());
     for (const RecordBatch& batch : orders.batches)
         this->record(batch);
     for (const StopOrder& order : orders.stops)
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -55,6 +55,7 @@
     std::vector<std::string> broken; // What must hold and did not.
     std::string traced; // A job whose orders are told in `trace`.
     std::vector<std::string> trace;
+    std::vector<PlanEvent> planEvents; // All that planners told for the log.
     std::unique_ptr<TaskPlanner> planner;
     JobTable table;
 
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -18,6 +18,13 @@
 
 namespace rattan::tasks::detail {
 
+// Why a unit that may stop others stopped none.
+enum class EvictionRefusal {
+    None,
+    NoRoom, // Stopping all that it may stop makes no room.
+    TooMuchLost, // The cheapest choice loses more than the unit may cost others.
+};
+
 struct Unit {
     UnitKey key;
     std::shared_ptr<const Job> job;
@@ -44,6 +51,7 @@
     std::int64_t evictions { 0 }; // Runs that were stopped to make room for others.
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
+    EvictionRefusal refusal { EvictionRefusal::None }; // Last told of, so that each round need not tell it again.
     std::vector<std::string> avoid; // Workers on which a run failed or stalled.
 
     const Step& step() const { return this->job->steps[static_cast<std::size_t>(this->key.step)]; }
