Ask elsewhere before an old configuration denies a queue or a key

Such an answer, given while the store is out of reach, now goes to the relay like a refusal does. What the relay believes is unchanged: an older configuration of the other instance never, a newer answer always.

Test: whatAnOldConfigurationLacksIsAskedForElsewhere failed on the code before (33 passed, 1 failed), passes now (34 passed, 0 failed).

--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -59,9 +59,12 @@
         return this->refuse(ticket, question, "this instance has just started", now);
     if (this->catalog->version < this->versionElsewhere)
         return this->refuse(ticket, question, "a newer configuration is in force elsewhere", now);
+    // Cut off from the store, this instance may have missed the version that added a
+    // queue or a key: its caller would be told that there is none, and give up.
+    const bool mayBeOutdated = !this->storeInReach(now);
     const tasks::Queue* queue = this->catalog->queueFor(request.host, request.path);
     if (!queue)
-        return this->answer(ticket, question, { .outcome = Outcome::NoSuchQueue }, now);
+        return this->answer(ticket, question, { .outcome = Outcome::NoSuchQueue, .wantsStore = mayBeOutdated }, now);
     std::string workspace;
     if (!queue->open) {
         // A key that was taken away would go on working here for as long as this
@@ -70,7 +73,7 @@
             return this->refuse(ticket, question, "the operators' configuration cannot be read at present", now);
         const std::string* holder = this->catalog->workspaceFor(request.key);
         if (!holder)
-            return this->answer(ticket, question, { .outcome = Outcome::UnknownKey }, now);
+            return this->answer(ticket, question, { .outcome = Outcome::UnknownKey, .wantsStore = mayBeOutdated }, now);
         workspace = *holder;
     } else if (const std::string* holder = this->catalog->workspaceFor(request.key)) {
         workspace = *holder;
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(noRefusalWhileAnEarlierTryMayStillArrive);
     CPPUNIT_TEST(aStoreOutOfReachIsToldAtOnce);
     CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf);
+    CPPUNIT_TEST(whatAnOldConfigurationLacksIsAskedForElsewhere);
     CPPUNIT_TEST(unknownJobsAreLookedForBeforeTheyAreDenied);
     CPPUNIT_TEST(cancelsAreDurable);
     CPPUNIT_TEST(strangeRequestsAreTurnedAway);
@@ -136,6 +137,23 @@
         CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
     }
 
+    // The store turns an instance away while operators add a queue and a key. Its callers
+    // were told for four seconds that there is neither, and took that for final. Another
+    // instance may know better; while the store is in reach, nobody else is asked.
+    void whatAnOldConfigurationLacksIsAskedForElsewhere()
+    {
+        const auto wantsStore = [this](Millis at, const std::string& path, const std::string& key) {
+            this->ask(1, RequestKind::Submit, at, path, key);
+            return this->gateway->takeAnswers().at(0).answer.wantsStore;
+        };
+        const std::string unknownQueue = "/q/" + id;
+        const std::string knownQueue = "/p/" + id;
+        CPPUNIT_ASSERT(!wantsStore(begin + 100, unknownQueue, "key"));
+        CPPUNIT_ASSERT(!wantsStore(begin + 100, knownQueue, "other key"));
+        CPPUNIT_ASSERT(wantsStore(begin + 1500, unknownQueue, "key"));
+        CPPUNIT_ASSERT(wantsStore(begin + 1500, knownQueue, "other key"));
+    }
+
     // An instance is cut off from the store while an operator takes a key away. Its
     // callers would go on with that key for as long as the cut lasts.
     void withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf()
