--- a/src/instance/planner_watch.h
+++ b/src/instance/planner_watch.h
@@ -41,7 +41,7 @@
 
 class PlannerWatch {
 public:
-    // Short against what an urgent job has to spare; what it costs was not measured.
+    // Short against what an urgent job has to spare.
     static constexpr Millis beatEvery = 100;
 
     // Four heartbeats; one datagram in forty is lost on the worst links that we know of.
