Count leases as long as they are granted

Cause 1: a start that waited in its lane granted a lease from when it was sent; the planner counted it from when it decided. Change: a start carries the time of its decision, and its lease runs from there.

Cause 2: who misses the planner's heartbeats follows it before its term is over, and counted the leases that it takes over from the takeover; the earlier planner may grant some for the rest of its term at workers that the later one has not reached. Change: leases that are taken over count one term longer.

--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -256,11 +256,12 @@
     });
 }
 
-// A lease is granted from the moment of sending, so that one that waited in its
-// lane is as long as any.
+// An order may wait for seconds in its lane, behind others that get no answer. A lease
+// from when it is sent would outlive what the planner counts from its decision: it would
+// take the run for over, and start the task a second time while it still runs.
 void Leadership::sendStart(const tasks::StartOrder& order)
 {
-    const Millis until = this->clocks.show(order.worker, this->services.clock.now()).value_or(0) + this->services.settings.longestLease;
+    const Millis until = this->clocks.show(order.worker, order.decidedAt).value_or(0) + this->services.settings.longestLease;
     http::Call call = this->services.workers.start(order, until, this->number);
     call.timeout = retriedOrderTimeout;
     call.connectTimeout = retriedOrderTimeout;
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -21,6 +21,7 @@
     std::shared_ptr<const std::string> text;
     std::string checkpoint; // Empty: from nothing.
     std::string ticket; // Where the queue's policy wants one.
+    Millis decidedAt { 0 }; // The lease that it grants runs from here, however late it is sent.
 };
 
 struct StopOrder {
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -82,7 +82,9 @@
         // Where records tell of two incarnations, runs of both are kept until a poll shows
         // which are there: a start for the earlier may have reached the later.
         worker.seen.incarnation.born = std::max(worker.seen.incarnation.born, incarnation.born);
-        this->grantLease(worker, now); // At most what the earlier planner granted.
+        // The earlier planner may not know yet that it is followed, and renew leases at workers
+        // that this one does not reach. Counted shorter, their tasks would run twice at a time.
+        this->grantLease(worker, now + this->options.earlierTerm);
         PlacedRun placedRun { .run = { unit.task(static_cast<std::int64_t>(member)), unit.run }, .unit = unit.key };
         placedRun.inherited = true;
         placedRun.phase = RunPhase::Starting;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -45,6 +45,7 @@
 
 struct PlannerOptions {
     Millis longestLease { 10000 }; // Granted with each poll and start.
+    Millis earlierTerm { 1000 }; // An earlier planner, taken as gone, may go on granting leases for this long.
     Millis stopTimeout { 200 }; // Longest time that a stop takes at a worker.
     bool advised { false }; // There is an advice service to request; else no queue's policy is heeded.
 };
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -155,7 +155,7 @@
     worker.lastStartAt = now;
     this->grantLease(worker, now);
     const std::string* ticket = this->ticketFor(unit.key, worker.seen.incarnation, now);
-    this->startOrders.push_back({ worker.seen.incarnation, worker.seen.address, placedRun.run, this->jobs.at(placedRun.run.task.job).text, unit.checkpoint, ticket ? *ticket : "" });
+    this->startOrders.push_back({ worker.seen.incarnation, worker.seen.address, placedRun.run, this->jobs.at(placedRun.run.task.job).text, unit.checkpoint, ticket ? *ticket : "", now });
 }
 
 // A start whose stop has been answered is settled by the next poll. One that waits
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(anUrgentJobThatWaitsIsExplained);
     CPPUNIT_TEST(aPlannerThatFollowsLosesNothing);
     CPPUNIT_TEST(aCutWorkerIsWaitedForUntilItsLeaseIsOver);
+    CPPUNIT_TEST(aStartThatWaitedGrantsNoLongerLease);
+    CPPUNIT_TEST(anEarlierPlannerMayGrantLeasesForTheRestOfItsTerm);
     CPPUNIT_TEST(aRestartedWorkerStartsAnew);
     CPPUNIT_TEST(endsOfTheNextIncarnationAreNotAcknowledgedUnread);
     CPPUNIT_TEST(aLostStartIsSentAgain);
@@ -222,6 +224,48 @@
         assertSound(site);
     }
 
+    // Starts wait for seconds behind others that get no answer, and then the worker
+    // takes them although its answers are lost. A lease from when they were sent outlives
+    // what the planner counts from its decision: it takes the run for over and starts
+    // the task elsewhere while it runs, and a seat is held twice.
+    void aStartThatWaitedGrantsNoLongerLease()
+    {
+        VirtualSite site({ .seed = 36, .workers = 2, .failures = 0 });
+        site.delayStarts(3000);
+        site.newPlanner();
+        site.run(1500);
+        site.submit(job("j1", 1, whole, 60000));
+        site.run(1600);
+        site.loseAllAnswers();
+        site.run(5000);
+        const std::string host = site.hostOf("j1", 0);
+        site.run(11100); // The start was sent three times, the last time three seconds after its decision.
+        site.cut(host, true);
+        site.delayStarts(0);
+        site.run(30000);
+        CPPUNIT_ASSERT(site.runsOf("j1") > 1);
+        assertSound(site);
+    }
+
+    // A planner that misses its predecessor's heartbeats follows it before that one's term is
+    // over. Until then the earlier one may renew leases at workers that the later one
+    // cannot reach; taken for over too early, their tasks would run twice at a time.
+    void anEarlierPlannerMayGrantLeasesForTheRestOfItsTerm()
+    {
+        VirtualSite site({ .seed = 37, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("j1", 1, whole, 60000));
+        site.run(3000);
+        const std::string host = site.hostOf("j1", 0);
+        site.cut(host, true);
+        site.newPlanner();
+        site.run(3900);
+        site.renewByEarlierPlanner(host);
+        site.run(20000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("j1"));
+        assertSound(site);
+    }
+
     void aRestartedWorkerStartsAnew()
     {
         VirtualSite site({ .seed = 10, .workers = 4, .failures = 0 });
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -255,10 +255,20 @@
 }
 
 void VirtualSite::start(const StartOrder& order)
+{
+    if (this->startsWait == 0)
+        return this->sendStart(order);
+    this->at(this->now + this->startsWait, [this, order, mine = this->generation] {
+        if (mine == this->generation && this->planner)
+            this->sendStart(order);
+    });
+}
+
+void VirtualSite::sendStart(const StartOrder& order)
 {
     this->tell(order.run, order.worker.id, "start sent");
     const std::int64_t term = this->term;
-    const Millis until = this->now + this->options.lease;
+    const Millis until = order.decidedAt + this->options.lease;
     this->send(
         order.worker.id, [this, order, term, until] { return std::optional(this->carryStart(order, term, until)); },
         [this, order](const std::optional<StartAnswer>& answer) {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -70,6 +70,15 @@
 
     void cut(const std::string& id, bool isCut) { this->workers.at(id).cut = isCut; }
     void stall(const std::string& id, bool stalls) { this->workers.at(id).stalls = stalls; }
+
+    // Starts are sent this much after they were decided, as those are that wait behind others.
+    void delayStarts(Millis wait) { this->startsWait = wait; }
+
+    // A call of the planner before, which has not heard yet that another follows it,
+    // renews the lease of a worker that the other one has not reached.
+    void renewByEarlierPlanner(const std::string& id) { this->workers.at(id).leaseUntil = this->now + this->options.lease; }
+
+    void loseAllAnswers() { this->options.lostAnswers = 1; }
     void failAll(const std::string& id, bool fails) { this->workers.at(id).failsAll = fails; }
     void leave(const std::string& id);
 
@@ -153,6 +162,7 @@
     void send(const std::string& id, Carry carry, Answer answer);
 
     void start(const StartOrder& order);
+    void sendStart(const StartOrder& order);
 
     void tell(const RunRef& run, const std::string& worker, const char* what);
 
@@ -185,6 +195,7 @@
     void finish(Worker& worker, const RunRef& ref, RunEnd end);
 
     SiteOptions options;
+    Millis startsWait { 0 };
     std::shared_ptr<const Catalog> catalog;
     std::map<std::string, Worker> workers;
     std::map<std::string, Job> jobs;
