--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -73,7 +74,7 @@
     std::unordered_map<CURL*, std::unique_ptr<Pending>> pending;
     std::set<std::pair<Millis, CURL*>> limits; // When to look at each pending call; may be before its present limit.
     std::vector<CURL*> idle;
-    Millis behindSince { 0 }; // Since when no pass has read all that was ready; 0: the last one did.
+    std::optional<Millis> behindSince; // Since when no pass has read all that was ready.
 
     static int onSocket(CURL*, curl_socket_t socket, int what, void* user, void* known)
     {
@@ -189,10 +190,12 @@
     // answer that had arrived by then was read.
     void endLate(Millis now, bool readAll)
     {
-        if (readAll || this->behindSince == 0)
-            this->behindSince = readAll ? 0 : now;
+        if (readAll)
+            this->behindSince.reset();
+        else if (!this->behindSince)
+            this->behindSince = now;
         const Millis overdue = readAll ? now : now - longestBehind;
-        if (!readAll && this->behindSince > overdue)
+        if (this->behindSince.value_or(overdue) > overdue)
             return;
         while (!this->limits.empty() && this->limits.begin()->first <= overdue) {
             CURL* handle = this->limits.begin()->second;
