--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -1,3 +1,6 @@
+// Jobs, the planner and the network between it and workers. The workers themselves
+// are in virtual_site_workers.cc.
+
 #include "tasks/testing/virtual_site.h"
 
 namespace rattan::tasks::testing {
@@ -38,27 +41,6 @@
         this->planner->jobCancelled(id, this->now);
 }
 
-void VirtualSite::leave(const std::string& id)
-{
-    this->workers.at(id).leaving = true;
-    this->relist();
-}
-
-void VirtualSite::restart(const std::string& id)
-{
-    Worker& worker = this->workers.at(id);
-    for (const auto& [ref, run] : worker.running)
-        this->tell(ref, id, "lost by a restart");
-    worker.running.clear();
-    worker.ended.clear();
-    worker.endNumber = 0;
-    worker.lapsedEnds.clear();
-    worker.token = 0;
-    worker.born = this->now;
-    worker.ceilings.clear();
-    this->at(this->now + 500, [this] { this->relist(); });
-}
-
 void VirtualSite::run(Millis until)
 {
     while (this->now < until) {
@@ -116,44 +98,12 @@
     return found == this->ends.end() ? 0 : found->second;
 }
 
-void VirtualSite::addWorker(const std::string& id)
-{
-    Worker worker;
-    constexpr int perRack = 4;
-    worker.rack = fmt::format("r{}", this->workers.size() / perRack);
-    this->workers.emplace(id, worker);
-}
-
-std::vector<WorkerSighting> VirtualSite::sightings() const
-{
-    std::vector<WorkerSighting> seen;
-    for (const auto& [id, worker] : this->workers) {
-        WorkerSighting sighting;
-        sighting.incarnation = { id, worker.born };
-        sighting.address = id;
-        sighting.service = std::string("s"); // GCC 12 warns wrongly where a literal of one letter is assigned.
-        sighting.rack = worker.rack;
-        sighting.domain = worker.rack; // Each rack is a failure domain of its own.
-        sighting.labels = { "k", worker.rack };
-        sighting.capacity = worker.capacity;
-        sighting.leaving = worker.leaving;
-        sighting.remaining = worker.leaving ? 2000 : 0;
-        seen.push_back(sighting);
-    }
-    return seen;
-}
-
 void VirtualSite::relist()
 {
     if (this->planner)
         this->planner->workersSeen(this->sightings(), this->now);
 }
 
-std::string VirtualSite::ticketOf(const StepKey& step, const std::string& worker) const
-{
-    return fmt::format("{}.{}.{} on {} born {}", step.job, step.occurrence, step.step, worker, this->workers.at(worker).born);
-}
-
 void VirtualSite::advise(const AdviceOrder& order)
 {
     this->adviceAsked += static_cast<std::int64_t>(order.workers.size());
@@ -282,79 +232,6 @@
         this->trace.push_back(fmt::format("{} ms: {} {}.{} run {} on {}", this->now, what, run.task.step, run.task.index, run.run, worker));
 }
 
-StartAnswer VirtualSite::carryStart(const StartOrder& order, std::int64_t term, Millis until)
-{
-    this->tell(order.run, order.worker.id, "start arrives");
-    Worker& worker = this->workers.at(order.worker.id);
-    if (term < worker.token)
-        return StartAnswer::Deposed;
-    worker.token = term;
-    if (until <= this->now)
-        return StartAnswer::Late;
-    worker.leaseUntil = std::max(worker.leaseUntil, until);
-    if (worker.running.contains(order.run))
-        return StartAnswer::Started;
-    if (worker.ceilings[order.run.task] >= order.run.run)
-        return StartAnswer::Old;
-    const TaskRef& task = order.run.task;
-    if (this->jobs.at(task.job).terms.advice.valid > 0 && order.ticket != this->ticketOf({ task.job, task.occurrence, task.step }, order.worker.id)) {
-        ++this->refusedTickets;
-        return StartAnswer::NoTicket;
-    }
-    this->judgeStart(order, worker);
-    const Step& step = this->stepOf(order.run.task);
-    Run run;
-    run.startedAt = this->now;
-    run.total = std::max<Millis>(step.estimate, 1);
-    if (this->options.uneven && order.run.task.index > 0)
-        run.total /= 4;
-    run.left = run.total;
-    if (!order.checkpoint.empty())
-        run.left -= std::min<Millis>(run.total, std::stoll(order.checkpoint));
-    run.checkpoint = order.checkpoint;
-    run.members = step.gang ? step.count : 1;
-    run.waitingSince = this->now;
-    run.room = step.each;
-    run.fails = worker.failsAll || this->chance() < this->options.failures;
-    worker.running.emplace(order.run, run);
-    return StartAnswer::Started;
-}
-
-void VirtualSite::judgeStart(const StartOrder& order, const Worker& worker)
-{
-    const TaskRef& task = order.run.task;
-    ++this->starts[task.job];
-    const Job& job = this->jobs.at(task.job);
-    const Step& step = this->stepOf(task);
-    Room used = step.each;
-    for (const auto& [ref, run] : worker.running)
-        used += run.room;
-    if (!used.within(worker.capacity))
-        this->breach("over room", order);
-    for (const auto& [id, other] : this->workers) {
-        for (const auto& [ref, run] : other.running) {
-            if (ref.task == task)
-                this->breach(fmt::format("twice at a time (run {} on {})", ref.run, id), order);
-        }
-    }
-    if (this->doneAndNoted.contains(task))
-        this->breach("again after its end", order);
-    for (const std::int64_t earlier : step.dependsOn) {
-        const Step& before = job.steps[static_cast<std::size_t>(earlier)];
-        for (std::int64_t index = 0; index < before.count; ++index) {
-            if (!this->done.contains({ task.job, task.occurrence, earlier, index }))
-                this->breach("before what it depends on", order);
-        }
-    }
-    if (static_cast<std::int64_t>(this->failedNoted[task].size()) >= job.terms.mostAttempts)
-        this->breach("after its last attempt", order);
-}
-
-void VirtualSite::breach(const std::string& what, const StartOrder& order)
-{
-    this->broken.push_back(fmt::format("{} ms: {}: {}.{}.{} run {} on {}", this->now, what, order.run.task.job, order.run.task.step, order.run.task.index, order.run.run, order.worker.id));
-}
-
 void VirtualSite::stop(const StopOrder& order)
 {
     const std::int64_t term = this->term;
@@ -397,115 +274,4 @@
     });
 }
 
-std::optional<WorkerReport> VirtualSite::carryPoll(const PollOrder& order, std::int64_t term, Millis until)
-{
-    Worker& worker = this->workers.at(order.worker.id);
-    if (term < worker.token)
-        return std::nullopt;
-    worker.token = term;
-    worker.leaseUntil = std::max(worker.leaseUntil, until);
-    this->acknowledge(worker, order.acknowledged); // It cannot tell which incarnation the number is of.
-    WorkerReport report;
-    report.clock = this->now - worker.born;
-    report.born = worker.born;
-    for (const auto& [ref, run] : worker.running)
-        report.running.push_back({ ref, run.checkpoint, 100 - run.left * 100 / run.total });
-    report.ended = worker.ended;
-    return report;
-}
-
-void VirtualSite::acknowledge(Worker& worker, std::int64_t through)
-{
-    for (const EndedTask& end : worker.ended) {
-        if (end.number > through)
-            continue;
-        if (worker.lapsedEnds.contains(end.number))
-            continue;
-        if (end.end == RunEnd::Done)
-            this->doneAndNoted.insert(end.run.task);
-        if (end.end == RunEnd::Failed)
-            this->failedNoted[end.run.task].insert(end.run.run);
-    }
-    std::erase_if(worker.ended, [&](const EndedTask& end) { return end.number <= through; });
-}
-
-std::int64_t VirtualSite::present(const RunRef& run) const
-{
-    std::int64_t count = 0;
-    for (const auto& [id, worker] : this->workers) {
-        for (const auto& [ref, other] : worker.running)
-            count += ref.task.job == run.task.job && ref.task.occurrence == run.task.occurrence && ref.task.step == run.task.step && ref.run == run.run ? 1 : 0;
-    }
-    return count;
-}
-
-bool VirtualSite::allThrough(const RunRef& run) const
-{
-    for (const auto& [id, worker] : this->workers) {
-        for (const auto& [ref, other] : worker.running) {
-            if (ref.task.job == run.task.job && ref.task.occurrence == run.task.occurrence && ref.task.step == run.task.step && ref.run == run.run && other.left > 0)
-                return false;
-        }
-    }
-    return true;
-}
-
-void VirtualSite::work(const std::string&, Worker& worker)
-{
-    std::vector<std::pair<RunRef, RunEnd>> over;
-    if (worker.leaseUntil <= this->now) {
-        for (const EndedTask& end : worker.ended)
-            worker.lapsedEnds.insert(end.number);
-    }
-    for (auto& [ref, run] : worker.running) {
-        if (worker.leaseUntil <= this->now) {
-            over.emplace_back(ref, RunEnd::Lapsed);
-            continue;
-        }
-        if (run.stopAt > 0 && this->now >= run.stopAt) {
-            run.checkpoint = std::to_string(run.total - run.left);
-            over.emplace_back(ref, RunEnd::Stopped);
-            continue;
-        }
-        if (run.members > 1 && this->present(ref) < run.members) {
-            if (this->gone.contains({ ref.task.job, ref.task.occurrence, ref.task.step, ref.run }))
-                over.emplace_back(ref, this->gone.at({ ref.task.job, ref.task.occurrence, ref.task.step, ref.run }) ? RunEnd::Done : RunEnd::Broken);
-            else if (this->now - run.waitingSince >= this->options.gangTimeout)
-                over.emplace_back(ref, RunEnd::Alone);
-            continue;
-        }
-        if (worker.stalls)
-            continue;
-        run.left = std::max<Millis>(run.left - stepMillis, 0);
-        if (run.members > 1 && run.left == 0 && !this->allThrough(ref))
-            continue; // Members of a gang end together.
-        if (run.fails && run.left < run.total / 2)
-            over.emplace_back(ref, RunEnd::Failed);
-        else if (run.left <= 0)
-            over.emplace_back(ref, RunEnd::Done);
-    }
-    for (const auto& [ref, end] : over)
-        this->finish(worker, ref, end);
-}
-
-void VirtualSite::finish(Worker& worker, const RunRef& ref, RunEnd end)
-{
-    const Run run = worker.running.at(ref);
-    this->tell(ref, "", nameOf(end).data());
-    worker.running.erase(ref);
-    std::int64_t& ceiling = worker.ceilings[ref.task];
-    ceiling = std::max(ceiling, ref.run);
-    const bool saves = this->stepOf(ref.task).savesProgress;
-    worker.ended.push_back({ ++worker.endNumber, ref, end, saves && end != RunEnd::Done ? run.checkpoint : "" });
-    ++this->ends[end];
-    if (run.members > 1)
-        this->gone.emplace(std::tuple { ref.task.job, ref.task.occurrence, ref.task.step, ref.run }, end == RunEnd::Done);
-    if (end == RunEnd::Done) {
-        const Step& step = this->stepOf(ref.task);
-        this->done.insert(ref.task);
-        for (std::int64_t index = 0; step.gang && index < step.count; ++index)
-            this->done.insert({ ref.task.job, ref.task.occurrence, ref.task.step, index });
-    }
-}
-
 } // namespace rattan::tasks::testing
