--- a/src/http/testing/async_client_test.cc
+++ b/src/http/testing/async_client_test.cc
@@ -23,20 +23,26 @@
 
     using namespace std::chrono_literals;
 
+    // Binds a socket to a free port of the loopback address and listens; returns the port.
+    int listenOnLoopback(int socket, int backlog)
+    {
+        sockaddr_in name {};
+        name.sin_family = AF_INET;
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(name);
+        CPPUNIT_ASSERT_EQUAL(0, bind(socket, reinterpret_cast<sockaddr*>(&name), size));
+        CPPUNIT_ASSERT_EQUAL(0, listen(socket, backlog));
+        getsockname(socket, reinterpret_cast<sockaddr*>(&name), &size);
+        return ntohs(name.sin_port);
+    }
+
     // Takes connections and never answers.
     class SilentPeer {
     public:
         explicit SilentPeer(int backlog = 1000)
             : socket(::socket(AF_INET, SOCK_STREAM, 0))
         {
-            sockaddr_in name {};
-            name.sin_family = AF_INET;
-            name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            socklen_t size = sizeof(name);
-            CPPUNIT_ASSERT_EQUAL(0, bind(this->socket, reinterpret_cast<sockaddr*>(&name), size));
-            CPPUNIT_ASSERT_EQUAL(0, listen(this->socket, backlog));
-            getsockname(this->socket, reinterpret_cast<sockaddr*>(&name), &size);
-            this->port = ntohs(name.sin_port);
+            this->port = listenOnLoopback(this->socket, backlog);
         }
         ~SilentPeer() { close(this->socket); }
         SilentPeer(const SilentPeer&) = delete;
@@ -56,14 +62,7 @@
         DroppingPeer()
             : listener(::socket(AF_INET, SOCK_STREAM, 0))
         {
-            sockaddr_in name {};
-            name.sin_family = AF_INET;
-            name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            socklen_t size = sizeof(name);
-            CPPUNIT_ASSERT_EQUAL(0, bind(this->listener, reinterpret_cast<sockaddr*>(&name), size));
-            CPPUNIT_ASSERT_EQUAL(0, listen(this->listener, 4));
-            getsockname(this->listener, reinterpret_cast<sockaddr*>(&name), &size);
-            this->port = ntohs(name.sin_port);
+            this->port = listenOnLoopback(this->listener, 4);
             this->thread = std::thread([this] { this->serve(); });
         }
         ~DroppingPeer()
@@ -118,14 +117,7 @@
             : listener(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
         {
             constexpr int backlog = 1000;
-            sockaddr_in name {};
-            name.sin_family = AF_INET;
-            name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            socklen_t size = sizeof(name);
-            CPPUNIT_ASSERT_EQUAL(0, bind(this->listener, reinterpret_cast<sockaddr*>(&name), size));
-            CPPUNIT_ASSERT_EQUAL(0, listen(this->listener, backlog));
-            getsockname(this->listener, reinterpret_cast<sockaddr*>(&name), &size);
-            this->port = ntohs(name.sin_port);
+            this->port = listenOnLoopback(this->listener, backlog);
         }
         ~HoldingPeer()
         {
