Have other instances carry orders to workers where there are too many

Cause: the planner polls, starts and stops tasks at every worker itself.

Change: a planner with more workers than its cores and its link can serve has orders carried by others (src/delivery): by Cap'n Proto RPC, with workers numbered, reports told as differences, job texts left out (every instance reads them), polls gathered for 20 ms. Relays are chosen by strength and failure domain from offers that instances send the planner each second; a worker keeps its relay, and is reached from the planner while its relay fails. Leases are computed by the planner from the time of its decision, the term is on every order, and a relay sends nothing of a term that is over, nothing that lay on the way for 3 s, and nothing twice. Small deployments stay as they are.

--- a/src/instance/order_lanes.h
+++ b/src/delivery/order_lanes.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <string>
 
-namespace rattan::instance {
+namespace rattan::delivery {
 
 class OrderLanes {
 public:
@@ -56,4 +56,4 @@
     std::map<std::string, Lane> lanes;
 };
 
-} // namespace rattan::instance
+} // namespace rattan::delivery
--- /dev/null
+++ b/src/delivery/worker_call.cc
@@ -0,0 +1,36 @@
+#include "delivery/worker_call.h"
+
+namespace rattan::delivery {
+
+using tasks::StartAnswer;
+using tasks::WorkerFault;
+
+bool wasAnswered(const WorkerAnswer& answer)
+{
+    if (const auto* start = std::get_if<StartReply>(&answer.reply))
+        return start->answer != StartAnswer::NoAnswer && start->answer != StartAnswer::NotSent;
+    if (const auto* stop = std::get_if<StopReply>(&answer.reply))
+        return stop->taken || stop->deposed;
+    const auto& poll = std::get<PollReply>(answer.reply);
+    return poll.report || poll.fault == WorkerFault::Deposed || poll.fault == WorkerFault::OtherIncarnation;
+}
+
+WorkerAnswer notSent(const WorkerCall& call)
+{
+    if (std::holds_alternative<tasks::StartOrder>(call.order))
+        return { .reply = StartReply { .answer = StartAnswer::NotSent, .clock = std::nullopt } };
+    if (std::holds_alternative<tasks::StopOrder>(call.order))
+        return { .reply = StopReply {} };
+    return { .reply = PollReply { .report = std::nullopt, .fault = WorkerFault::NotSent } };
+}
+
+WorkerAnswer withoutAnswer(const WorkerCall& call)
+{
+    if (std::holds_alternative<tasks::StartOrder>(call.order))
+        return { .reply = StartReply {} };
+    if (std::holds_alternative<tasks::StopOrder>(call.order))
+        return { .reply = StopReply {} };
+    return { .reply = PollReply {} };
+}
+
+} // namespace rattan::delivery
--- a/src/instance/worker_protocol.h
+++ b/src/delivery/worker_protocol.h
@@ -8,7 +8,7 @@
 
 #include <optional>
 
-namespace rattan::instance {
+namespace rattan::delivery {
 
 struct StartReply {
     tasks::StartAnswer answer { tasks::StartAnswer::NoAnswer };
@@ -48,4 +48,4 @@
     virtual Result<tasks::WorkerSighting> parseSighting(const std::string& id, std::string_view entry) const = 0;
 };
 
-} // namespace rattan::instance
+} // namespace rattan::delivery
--- a/src/http/async_client.h
+++ b/src/http/async_client.h
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <string_view>
+#include <utility>
 
 namespace rattan::http {
 
@@ -60,8 +61,8 @@
     // What was already sent may still be acted on by the peer.
     void abandon(int group);
 
-    // The group given to the calls sent from now on.
-    void useGroup(int group) { this->group = group; }
+    // The group given to the calls sent from now on; returns the one before.
+    int useGroup(int group) { return std::exchange(this->group, group); }
 
     std::size_t underWay() const;
 
@@ -75,4 +76,21 @@
     std::unique_ptr<Native> native;
 };
 
+// While it lives, the calls that are sent are of a group.
+class CallGroup {
+public:
+    CallGroup(AsyncClient& client, int group)
+        : client(client)
+        , before(client.useGroup(group))
+    {
+    }
+    ~CallGroup() { this->client.useGroup(this->before); }
+    CallGroup(const CallGroup&) = delete;
+    CallGroup& operator=(const CallGroup&) = delete;
+
+private:
+    AsyncClient& client;
+    const int before;
+};
+
 } // namespace rattan::http
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -60,6 +60,9 @@
     , jobsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Jobs), *this)
     , claimsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Claims), *this)
     , election(electionOptions(this->settings), clock.now())
+    , deliveries(this->settings.peerAddress, [this] { this->client.wake(); })
+    , carrier(this->jobs, this->deliveries, clock, [this](std::uint64_t session) { return this->channelFor(session); })
+    , roster({ this->settings.processorShare, this->settings.linkMegabits })
     , catalog(std::make_shared<tasks::Catalog>())
     , commands(mostCommands)
     , trafficReport(metrics)
@@ -71,6 +74,7 @@
 void ControlLoop::start()
 {
     this->openPeerSocket();
+    this->startDeliveries();
     this->thread = std::thread([this] { this->run(); });
 }
 
@@ -80,6 +84,7 @@
     this->client.wake();
     if (this->thread.joinable())
         this->thread.join();
+    this->deliveries.stop();
 }
 
 void ControlLoop::apply(const InstanceSettings& fresh)
@@ -127,7 +132,8 @@
     this->takeSettings();
     this->takeCommands(now, wall);
     this->configurationReader.step(now);
-    this->jobsReader.hurry(this->leadership || this->gateway.awaitsEnd());
+    // Whoever carries starts needs the text of their jobs as soon as the planner has it.
+    this->jobsReader.hurry(this->leadership || this->carrier.isUsed() || this->gateway.awaitsEnd());
     this->jobsReader.step(now);
     this->claimsReader.step(now);
     if (this->gateway.wantsRead() || (this->leadership && this->leadership->wantsRead()))
@@ -138,13 +144,14 @@
     this->watchPlanner(now);
     this->runElection(now);
     this->lead(now, wall);
+    this->takeDeliveries(now);
     this->isReady = this->gateway.ready(now);
     this->publishGauges(now);
 }
 
 Millis ControlLoop::nextWake(Millis now, Millis wall) const
 {
-    return this->leadership ? this->leadership->nextWake(now, wall) : now + longestWait;
+    return std::min(this->carrier.nextWake(), this->leadership ? this->leadership->nextWake(now, wall) : now + longestWait);
 }
 
 void ControlLoop::takeCommands(Millis now, Millis wall)
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -16,6 +16,9 @@
 #include "base/datagram_socket.h"
 #include "base/metrics.h"
 #include "base/ring.h"
+#include "delivery/delivery_thread.h"
+#include "delivery/order_carrier.h"
+#include "delivery/relay_roster.h"
 #include "http/async_client.h"
 #include "instance/gateway.h"
 #include "instance/leadership.h"
@@ -39,7 +42,7 @@
 
 struct Protocols {
     const StoreProtocol& store;
-    const WorkerProtocol& workers;
+    const delivery::WorkerProtocol& workers;
     const CallerProtocol& callers;
     const ConfigurationProtocol& text;
 };
@@ -91,7 +94,16 @@
     void appendRecords(Millis now);
     void runElection(Millis now);
     void openPeerSocket();
+    void startDeliveries();
     void watchPlanner(Millis now);
+    void receiveDatagrams(Millis now);
+    void offerRelay(Millis now);
+    void takeDeliveries(Millis now);
+    std::unique_ptr<delivery::WorkerChannel> channelFor(std::uint64_t session);
+    void delivered(const delivery::OrdersArrived& orders, Millis now) { this->carrier.arrived(orders, now); }
+    void delivered(const delivery::SessionEnded& session, Millis) { this->carrier.ended(session); }
+    void delivered(const delivery::AnswersArrived&, Millis now);
+    void delivered(const delivery::PeerLost&, Millis now);
     std::string peerOf(const std::string& holder) const;
     void lead(Millis now, Millis wall);
     void endTerm(const char* why);
@@ -116,6 +128,10 @@
     tasks::Election election;
     PlannerWatch plannerWatch;
     DatagramSocket peerSocket;
+    delivery::DeliveryThread deliveries;
+    delivery::OrderCarrier carrier;
+    delivery::RelayRoster roster;
+    Millis offerAt { 0 };
     std::unique_ptr<Leadership> leadership;
     std::shared_ptr<const tasks::Catalog> catalog;
 
--- /dev/null
+++ b/src/instance/control_loop_delivery.cc
@@ -0,0 +1,62 @@
+// Carrying orders for the instance that plans, and having others carry them.
+
+#include "delivery/relay_offer.h"
+#include "instance/control_loop.h"
+#include "instance/control_loop_limits.h"
+#include "instance/events.h"
+
+namespace rattan::instance {
+
+using namespace detail;
+
+// Without it this instance plans as if there were no other, and carries nothing.
+void ControlLoop::startDeliveries()
+{
+    if (this->settings.peerAddress.empty())
+        return;
+    if (const auto error = attemptVoid([&] { return this->deliveries.start(); }))
+        logEvent(events::carriesNothing, { { "address", this->settings.peerAddress }, { "why", error->message } });
+}
+
+// Orders of a session are a group of calls of their own; terms have the numbers above 0.
+std::unique_ptr<delivery::WorkerChannel> ControlLoop::channelFor(std::uint64_t session)
+{
+    const int group = -static_cast<int>(session);
+    return std::make_unique<delivery::DirectChannel>(this->client, this->protocols.workers, group, [] { return true; });
+}
+
+void ControlLoop::takeDeliveries(Millis now)
+{
+    while (const auto event = this->deliveries.next())
+        std::visit([&](const auto& row) { this->delivered(row, now); }, *event);
+    this->carrier.step(now);
+    this->offerRelay(now);
+}
+
+void ControlLoop::delivered(const delivery::AnswersArrived& answers, Millis now)
+{
+    if (this->leadership)
+        this->leadership->answersArrived(answers, now);
+}
+
+void ControlLoop::delivered(const delivery::PeerLost& peer, Millis now)
+{
+    if (this->leadership)
+        this->leadership->peerLost(peer, now);
+}
+
+// Only where the jobs are known as they are now: a start needs the text of its job.
+void ControlLoop::offerRelay(Millis now)
+{
+    const bool knowsJobs = this->jobsReader.loaded() && now - this->jobsReader.confirmedAt() <= freshEnoughToCarry;
+    if (now < this->offerAt || !knowsJobs || this->draining || this->election.leads(now))
+        return;
+    const std::string planner = this->peerOf(this->election.newestClaim().holder);
+    if (planner.empty())
+        return;
+    this->offerAt = now + offerEvery;
+    const delivery::RelayOffer offer { .peer = {}, .domain = this->settings.domain, .strength = { this->settings.processorShare, this->settings.linkMegabits } };
+    this->peerSocket.send(planner, delivery::encodeOffer(offer));
+}
+
+} // namespace rattan::instance
--- a/src/instance/control_loop_limits.h
+++ b/src/instance/control_loop_limits.h
@@ -40,6 +40,12 @@
 // a reading usually takes them.
 inline constexpr Millis weakClaimsTrusted = 4000;
 
+// The planner forgets whoever has not offered to carry orders for three of these.
+inline constexpr Millis offerEvery = 1000;
+
+// Twice what a reading of the jobs' stream takes where nobody is in a hurry.
+inline constexpr Millis freshEnoughToCarry = 2500;
+
 inline constexpr Millis gaugesEvery = 500; // Whoever collects them does so every few seconds.
 
 inline constexpr Millis claimTimeout = 500; // Longer than a renewal takes at a slow store, and half a term.
--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -59,8 +59,11 @@
         logEvent(events::recordUnreadable, { { "stream", "claims" }, { "key", record.key }, { "why", claim.error.message } });
         return;
     }
-    if (claim.value->holder != this->election.newestClaim().holder)
+    this->carrier.claimed(claim.value->term);
+    if (claim.value->holder != this->election.newestClaim().holder) {
+        this->offerAt = 0; // The planner that follows needs helpers at once.
         logEvent(events::leadSeen, { { "term", claim.value->term }, { "holder", claim.value->holder } });
+    }
     this->election.recordRead(*claim.value, record.offset, now);
     this->relay.planned(addressOfHolder(claim.value->holder));
     this->plannerWatch.claimed({ claim.value->term, this->peerOf(claim.value->holder) }, now);
--- a/src/instance/control_loop_term.cc
+++ b/src/instance/control_loop_term.cc
@@ -1,5 +1,6 @@
 // Terms of planning: claiming, noticing that the planner is gone, and leading.
 
+#include "delivery/relay_offer.h"
 #include "instance/claim_record.h"
 #include "instance/control_loop.h"
 #include "instance/control_loop_limits.h"
@@ -48,10 +49,19 @@
         logEvent(events::watchImpossible, { { "address", this->settings.peerAddress }, { "why", error->message } });
 }
 
+void ControlLoop::receiveDatagrams(Millis now)
+{
+    while (const auto datagram = this->peerSocket.receive()) {
+        if (const auto offer = delivery::parseOffer(datagram->from, datagram->text))
+            this->roster.offered(*offer, now);
+        else
+            this->plannerWatch.received(datagram->from, datagram->text, now);
+    }
+}
+
 void ControlLoop::watchPlanner(Millis now)
 {
-    while (const auto datagram = this->peerSocket.receive())
-        this->plannerWatch.received(datagram->from, datagram->text, now);
+    this->receiveDatagrams(now);
     const std::int64_t ownTerm = this->election.leads(now) ? this->election.term() : 0;
     const bool asks = this->settings.processorShare >= enoughToPlan;
     for (const WatchMessage& message : this->plannerWatch.step(ownTerm, this->election.renewalFailed(), now)) {
@@ -85,7 +95,7 @@
         return;
     this->client.useGroup(static_cast<int>(this->election.term()));
     if (!this->leadership) {
-        const TermServices services { this->client, this->protocols.store, this->protocols.workers, this->clock, this->election, this->settings, this->metrics };
+        const TermServices services { this->client, this->protocols.store, this->protocols.workers, this->roster, this->deliveries, this->clock, this->election, this->settings, this->metrics };
         this->metrics.count("rattan_terms_total", { { "event", "taken" } });
         this->leadership = std::make_unique<Leadership>(this->election.term(), services, this->jobs);
         this->leadership->applyCatalog(this->catalog);
--- a/src/instance/events.h
+++ b/src/instance/events.h
@@ -29,9 +29,11 @@
 inline constexpr Event watchImpossible { 6033, "lead.watch_impossible", Level::Warning, "No heartbeats are exchanged with the planner; its term is waited for." };
 inline constexpr Event answered { 6040, "caller.answered", Level::Info, "A caller was given the outcome of a request that changes something, or a refusal." };
 inline constexpr Event relayFailed { 6041, "caller.relay_failed", Level::Warning, "A request was passed on to another instance, which gave no answer." };
+inline constexpr Event relayLost { 6042, "plan.relay_lost", Level::Warning, "An instance that carried orders for this one cannot be reached; its workers are reached another way." };
+inline constexpr Event carriesNothing { 6043, "instance.carries_nothing", Level::Warning, "This instance cannot carry orders for others, nor have others carry its own." };
 inline constexpr Event decided { 6050, "plan.decided", Level::Info, "A decision on a task, a job or a worker, and what it was based on." };
 inline constexpr Event orderRefused { 6051, "plan.order_refused", Level::Warning, "A worker did not take an order as wanted." };
 
-inline constexpr std::array instanceEvents { started, stopping, stopped, reloaded, reloadRefused, startFailed, slowTurn, traffic, configurationInForce, configurationUnreadable, storeLost, storeRegained, streamLoaded, recordUnreadable, appendFailed, leading, leadLost, leadSeen, watchImpossible, answered, relayFailed, decided, orderRefused };
+inline constexpr std::array instanceEvents { started, stopping, stopped, reloaded, reloadRefused, startFailed, slowTurn, traffic, configurationInForce, configurationUnreadable, storeLost, storeRegained, streamLoaded, recordUnreadable, appendFailed, leading, leadLost, leadSeen, watchImpossible, answered, relayFailed, relayLost, carriesNothing, decided, orderRefused };
 
 } // namespace rattan::instance::events
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -6,26 +6,26 @@
 
 namespace rattan::instance {
 
+using delivery::PollReply;
+using delivery::StartReply;
+using delivery::StopReply;
+using delivery::WorkerAnswer;
+using delivery::WorkerCall;
 using tasks::Orders;
 using tasks::PlanEventKind;
 using tasks::RunRef;
 using tasks::StartAnswer;
-using tasks::WorkerFault;
 
 namespace {
 
     // The name under which progress is appended; terms are its epochs.
     constexpr const char* planningProducer = "planner";
 
-    // Answers of the store and of workers take milliseconds; longer than this they
-    // are taken as lost. Short enough for a second try within a term.
+    // Answers take milliseconds; longer than this they are taken as lost. Short enough
+    // for a second try within a term.
     constexpr std::chrono::milliseconds appendTimeout { 800 };
-    constexpr std::chrono::milliseconds orderTimeout { 700 };
+    constexpr std::chrono::milliseconds adviceTimeout { 700 }; // Beyond what the service takes for the question.
 
-    // A start or stop without an answer is sent again after this. Far above the way
-    // there and back; three tries find within 0.7 s that a worker is out of reach.
-    constexpr std::chrono::milliseconds retriedOrderTimeout { 230 };
-    constexpr std::chrono::milliseconds pollTimeout { 800 }; // Beyond what the poll may wait.
     constexpr std::chrono::milliseconds connectTimeout { 500 };
 
     constexpr Millis longRound = 4; // Shorter ones are within what the clock shows.
@@ -33,8 +33,6 @@
 
     constexpr Millis adviceQueue = 5; // Questions that may be before one, and itself.
 
-    constexpr std::size_t ordersAtOnce = 2; // To one worker; with its poll, three connections.
-
     // Jobs that are over are told of for twice as long as callers were promised,
     // since an instance counts from when it first heard of the end.
     constexpr Millis statusSpare = 2;
@@ -72,7 +70,8 @@
     , services(services)
     , jobs(jobs)
     , catalog(std::make_shared<tasks::Catalog>())
-    , lanes(ordersAtOnce)
+    , direct(services.client, services.workers, static_cast<int>(term), [this] { return this->stillLeads(); })
+    , channel(term, services.roster, this->direct, services.port, services.clock)
     , workerList(services.client, services.store, services.clock, listOptions(services.settings), *this)
 {
 }
@@ -143,13 +142,8 @@
     this->workerList.step(now);
     if (!this->planner || !this->workerList.loaded())
         return;
-    if (this->listChanged) {
-        this->listChanged = false;
-        std::vector<tasks::WorkerSighting> seen;
-        for (const auto& [id, sighting] : this->sightings)
-            seen.push_back(sighting);
-        this->planner->workersSeen(seen, now);
-    }
+    if (this->listChanged)
+        this->tellWorkers(now);
     this->forgetOldJobs(now);
     this->planner->step(now, wall);
     // On a weak machine rounds must not keep the term from being renewed.
@@ -159,6 +153,38 @@
     this->carryOut(this->planner->take(now), now);
     if (this->batch && !this->batchUnderWay && now >= this->retryAt)
         this->sendBatch();
+    if (this->stillLeads())
+        this->channel.step(this->services.clock.now());
+}
+
+void Leadership::tellWorkers(Millis now)
+{
+    this->listChanged = false;
+    std::vector<tasks::WorkerSighting> seen;
+    std::vector<delivery::WorkerPlace> places;
+    for (const auto& [id, sighting] : this->sightings) {
+        seen.push_back(sighting);
+        places.push_back({ id, sighting.domain });
+    }
+    this->planner->workersSeen(seen, now);
+    this->services.roster.setWorkers(std::move(places));
+}
+
+// The machine may have stood still since an order was decided. Sent now, it could reach a
+// worker after the orders of a planner that took over.
+bool Leadership::stillLeads()
+{
+    if (!this->services.election.leads(this->services.clock.now()))
+        this->isLost = true;
+    return !this->isLost;
+}
+
+void Leadership::peerLost(const delivery::PeerLost& peer, Millis now)
+{
+    if (peer.term != this->number)
+        return;
+    logEvent(events::relayLost, { { "peer", peer.peer }, { "term", peer.term }, { "why", peer.why } });
+    this->channel.lost(peer, now);
 }
 
 // A few at a time, so that the records of a busy hour do not go out in one append.
@@ -178,7 +204,7 @@
 
 Millis Leadership::nextWake(Millis now, Millis wall) const
 {
-    return this->planner ? std::min(this->planner->nextWake(now, wall), now + listPause) : now + appendRetry;
+    return this->planner ? std::min({ this->planner->nextWake(now, wall), this->channel.nextWake(), now + listPause }) : now + appendRetry;
 }
 
 void Leadership::carryOut(Orders orders, Millis now)
@@ -187,10 +213,10 @@
         this->logPlanEvent(event);
     if (!orders.batches.empty())
         this->batch = std::move(orders.batches.front());
-    for (tasks::StopOrder& order : orders.stops)
-        this->lanes.add(order.worker.id, [this, order] { this->sendStop(order); });
-    for (tasks::StartOrder& order : orders.starts)
-        this->lanes.add(order.worker.id, [this, order] { this->sendStart(order); });
+    for (const tasks::StopOrder& order : orders.stops)
+        this->sendStop(order);
+    for (const tasks::StartOrder& order : orders.starts)
+        this->sendStart(order);
     for (const tasks::PollOrder& order : orders.polls)
         this->sendPoll(order, now);
     for (const tasks::AdviceOrder& order : orders.advice)
@@ -205,7 +231,7 @@
     call.purpose = "advice";
     call.address = this->services.settings.adviceAddress;
     const Millis expected = order.terms.each + order.terms.perWorker * static_cast<Millis>(order.workers.size());
-    call.timeout = std::chrono::milliseconds(expected * adviceQueue) + orderTimeout;
+    call.timeout = std::chrono::milliseconds(expected * adviceQueue) + adviceTimeout;
     call.connectTimeout = connectTimeout;
     this->services.client.send(std::move(call), [this, order](const http::Reply& reply) {
         const auto allowed = this->services.workers.parseAdvice(reply);
@@ -259,84 +285,63 @@
     });
 }
 
-// An order may wait for seconds in its lane, behind others that get no answer. A lease
-// from when it is sent would outlive what the planner counts from its decision: it would
-// take the run for over, and start the task a second time while it still runs.
+// An order may wait for seconds behind others that get no answer. A lease from when it is
+// sent would outlive what the planner counts from its decision: it would take the run for
+// over, and start the task a second time while it still runs.
 void Leadership::sendStart(const tasks::StartOrder& order)
 {
-    const Millis until = this->clocks.show(order.worker, order.decidedAt).value_or(0) + this->services.settings.longestLease;
-    http::Call call = this->services.workers.start(order, until, this->number);
-    call.timeout = retriedOrderTimeout;
-    call.connectTimeout = retriedOrderTimeout;
-    this->sendOrder("start", std::move(call), [this, order](const http::Reply& reply, Millis now) {
-        const StartReply answer = this->services.workers.parseStart(reply);
-        if (answer.clock)
-            this->clocks.heard(order.worker, *answer.clock, now);
-        this->services.metrics.count("rattan_orders_total", { { "order", "start" }, { "outcome", std::string(tasks::nameOf(answer.answer)) } });
-        if (answer.answer != StartAnswer::Started)
-            logEvent(events::orderRefused, { { "order", "start" }, { "run", runText(order.run) }, { "worker", order.worker.id }, { "answer", tasks::nameOf(answer.answer) }, { "status", reply.status } });
-        this->planner->startAnswered(order.worker, order.run, answer.answer, now);
-        this->lanes.done(order.worker.id);
+    const Millis leaseEnd = this->clocks.show(order.worker, order.decidedAt).value_or(0) + this->services.settings.longestLease;
+    const Millis sentAt = this->services.clock.now();
+    this->channel.send({ order, this->number, leaseEnd }, [this, order, sentAt](const WorkerAnswer& answer) {
+        const auto& reply = std::get<StartReply>(answer.reply);
+        const Millis now = this->services.clock.now();
+        this->observeOrder("start", sentAt, now);
+        if (reply.clock)
+            this->clocks.heard(order.worker, *reply.clock, now);
+        this->services.metrics.count("rattan_orders_total", { { "order", "start" }, { "outcome", std::string(tasks::nameOf(reply.answer)) } });
+        if (reply.answer != StartAnswer::Started)
+            logEvent(events::orderRefused, { { "order", "start" }, { "run", runText(order.run) }, { "worker", order.worker.id }, { "answer", tasks::nameOf(reply.answer) }, { "status", answer.status } });
+        this->planner->startAnswered(order.worker, order.run, reply.answer, now);
     });
 }
 
 void Leadership::sendStop(const tasks::StopOrder& order)
 {
-    http::Call call = this->services.workers.stop(order, this->number);
-    call.timeout = retriedOrderTimeout;
-    call.connectTimeout = retriedOrderTimeout;
-    this->sendOrder("stop", std::move(call), [this, order](const http::Reply& reply, Millis now) {
-        const StopReply answer = this->services.workers.parseStop(reply);
-        if (answer.clock)
-            this->clocks.heard(order.worker, *answer.clock, now);
-        this->services.metrics.count("rattan_orders_total", { { "order", "stop" }, { "outcome", answer.taken ? "taken" : "not_taken" } });
-        if (!answer.taken)
-            logEvent(events::orderRefused, { { "order", "stop" }, { "run", runText(order.run) }, { "worker", order.worker.id }, { "status", reply.status } });
-        if (answer.deposed)
+    const Millis sentAt = this->services.clock.now();
+    this->channel.send({ order, this->number, std::nullopt }, [this, order, sentAt](const WorkerAnswer& answer) {
+        const auto& reply = std::get<StopReply>(answer.reply);
+        const Millis now = this->services.clock.now();
+        this->observeOrder("stop", sentAt, now);
+        if (reply.clock)
+            this->clocks.heard(order.worker, *reply.clock, now);
+        this->services.metrics.count("rattan_orders_total", { { "order", "stop" }, { "outcome", reply.taken ? "taken" : "not_taken" } });
+        if (!reply.taken)
+            logEvent(events::orderRefused, { { "order", "stop" }, { "run", runText(order.run) }, { "worker", order.worker.id }, { "status", answer.status } });
+        if (reply.deposed)
             this->isLost = true;
-        this->planner->stopAnswered(order.worker, order.run, answer.taken, now);
-        this->lanes.done(order.worker.id);
+        this->planner->stopAnswered(order.worker, order.run, reply.taken, now);
     });
 }
 
-// Orders may leave their lane while an answer is handled, so the group of the
-// calls is set here and not by the loop.
-void Leadership::sendOrder(const char* kind, http::Call call, std::function<void(const http::Reply&, Millis)> handler)
+void Leadership::observeOrder(const char* kind, Millis sentAt, Millis now)
 {
-    // The machine may have stood still since the order was decided. Sent now, it
-    // could reach a worker after the orders of a planner that took over.
-    if (!this->services.election.leads(this->services.clock.now())) {
-        this->isLost = true;
-        return;
-    }
-    call.purpose = kind;
-    this->services.client.useGroup(static_cast<int>(this->number));
-    const Millis sentAt = this->services.clock.now();
-    this->services.client.send(std::move(call), [this, kind, sentAt, handler = std::move(handler)](const http::Reply& reply) {
-        constexpr double millisPerSecond = 1000;
-        const Millis now = this->services.clock.now();
-        this->services.metrics.observe("rattan_order_seconds", { { "order", kind } }, static_cast<double>(now - sentAt) / millisPerSecond);
-        handler(reply, now);
-    });
+    constexpr double millisPerSecond = 1000;
+    this->services.metrics.observe("rattan_order_seconds", { { "order", kind } }, static_cast<double>(now - sentAt) / millisPerSecond);
 }
 
 void Leadership::sendPoll(const tasks::PollOrder& order, Millis now)
 {
-    std::optional<Millis> until;
+    std::optional<Millis> leaseEnd;
     if (const auto shown = this->clocks.show(order.worker, now); shown && order.renews)
-        until = *shown + this->services.settings.longestLease;
-    http::Call call = this->services.workers.poll(order, until, this->number);
-    call.purpose = "poll";
-    call.timeout = std::chrono::milliseconds(order.wait) + pollTimeout;
-    call.connectTimeout = connectTimeout;
-    this->services.client.send(std::move(call), [this, order, now](const http::Reply& reply) {
-        const PollReply answer = this->services.workers.parsePoll(reply);
+        leaseEnd = *shown + this->services.settings.longestLease;
+    this->channel.send({ order, this->number, leaseEnd }, [this, order, now](const WorkerAnswer& answer) {
+        const auto& reply = std::get<PollReply>(answer.reply);
         const Millis heardAt = this->services.clock.now();
-        this->services.metrics.count("rattan_orders_total", { { "order", "poll" }, { "outcome", answer.report ? "answered" : std::string(tasks::nameOf(answer.fault)) } });
-        if (!answer.report)
-            return this->planner->pollFailed(order.worker, order.beside, answer.fault, heardAt);
-        this->clocks.heard(order.worker, answer.report->clock, heardAt);
-        this->planner->pollAnswered(order.worker, now, order.beside, *answer.report, heardAt);
+        this->services.metrics.count("rattan_orders_total", { { "order", "poll" }, { "outcome", reply.report ? "answered" : std::string(tasks::nameOf(reply.fault)) } });
+        if (!reply.report)
+            return this->planner->pollFailed(order.worker, order.beside, reply.fault, heardAt);
+        this->clocks.heard(order.worker, reply.report->clock, heardAt);
+        this->planner->pollAnswered(order.worker, now, order.beside, *reply.report, heardAt);
     });
 }
 
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -13,17 +13,16 @@
 // the planner's rules allow for.
 
 #include "base/metrics.h"
+#include "delivery/direct_channel.h"
+#include "delivery/relayed_channel.h"
 #include "http/async_client.h"
-#include "instance/order_lanes.h"
 #include "instance/settings.h"
 #include "instance/store_protocol.h"
 #include "instance/stream_reader.h"
 #include "instance/worker_clocks.h"
-#include "instance/worker_protocol.h"
 #include "tasks/election.h"
 #include "tasks/task_planner.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,7 +34,9 @@
 struct TermServices {
     http::AsyncClient& client;
     const StoreProtocol& store;
-    const WorkerProtocol& workers;
+    const delivery::WorkerProtocol& workers;
+    delivery::RelayRoster& roster;
+    delivery::DeliveryPort& port;
     const Clock& clock;
     const tasks::Election& election; // Asked again before each order.
     const InstanceSettings& settings;
@@ -64,6 +65,10 @@
     std::int64_t term() const { return this->number; }
     bool planning() const { return this->planner != nullptr; }
 
+    // What instances tell that carry orders for this one.
+    void answersArrived(const delivery::AnswersArrived& answers, Millis now) { this->channel.arrived(answers, now); }
+    void peerLost(const delivery::PeerLost&, Millis now);
+
     // What is read of the list of workers.
     void recordRead(Stream, const StoreRecord&, Millis now) override;
     void loadBegun(Stream) override;
@@ -77,8 +82,10 @@
     void forgetOldJobs(Millis now);
     void sendStart(const tasks::StartOrder&);
     void sendStop(const tasks::StopOrder&);
-    void sendOrder(const char* kind, http::Call, std::function<void(const http::Reply&, Millis)>);
     void sendPoll(const tasks::PollOrder&, Millis now);
+    void observeOrder(const char* kind, Millis sentAt, Millis now);
+    bool stillLeads();
+    void tellWorkers(Millis now);
     void sendAdvice(const tasks::AdviceOrder&);
     void logPlanEvent(const tasks::PlanEvent&) const;
 
@@ -87,7 +94,8 @@
     const tasks::JobTable& jobs;
     std::shared_ptr<const tasks::Catalog> catalog;
     std::unique_ptr<tasks::TaskPlanner> planner;
-    OrderLanes lanes;
+    delivery::DirectChannel direct;
+    delivery::RelayedChannel channel;
     StreamReader workerList;
     std::map<std::string, tasks::WorkerSighting> sightings;
     std::map<std::string, tasks::WorkerSighting> loadingSightings;
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -23,6 +23,7 @@
     Millis grace { 6000 }; // From the signal to stop until the process is killed.
     Millis statusKept { 120000 }; // How long the state of a job that is over is told.
     double processorShare { 1 }; // Cores that this process may use.
+    double linkMegabits { 1000 }; // A second, of its machine's own link.
 };
 
 } // namespace rattan::instance
