Read plans when taking over only, and before claiming

After a restart of all instances the load of 250 KB took longer than its timeout over a narrow link, began anew for ever, and held up the renewals of the term: 13 terms in 45 s, none planned.

Change: progress of tasks goes to a stream of its own (plans), which only whoever takes over reads; the jobs' stream gets a short record when a job begins and when it ends. A plan is dropped once its job's end is recorded. An instance loads the plans before it claims, and only what was added since after it. Timeouts of readers count from the last byte. Appends of a term are one type for both streams (TermStream).

--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -52,9 +52,19 @@
         Millis connectBy { 0 }; // Some of the request has to be sent by then,
         Millis answerBy { 0 }; // and all of the answer read by then.
         Millis listedAt { 0 }; // Its place in the list of limits.
+        std::uint64_t bytesSeen { 0 }; // Received when its limit was last put off.
 
         // The next of the two that can end this call.
         Millis limit() const { return this->transfer.wroteBytes ? this->answerBy : std::min(this->connectBy, this->answerBy); }
+
+        // Puts the limit off where bytes have come since that was last done.
+        void putOff(Millis now)
+        {
+            if (!this->transfer.call.timeoutWhileSilent || this->transfer.bytesReceived == this->bytesSeen)
+                return;
+            this->bytesSeen = this->transfer.bytesReceived;
+            this->answerBy = now + this->transfer.call.timeout.count();
+        }
     };
 
 } // namespace
@@ -214,6 +224,7 @@
             CURL* handle = this->limits.begin()->second;
             this->limits.erase(this->limits.begin());
             Pending& late = *this->pending.at(handle);
+            late.putOff(now);
             if (late.limit() <= overdue) {
                 this->deliver(handle, CURLE_OPERATION_TIMEDOUT);
                 continue;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,6 +41,9 @@
     std::size_t replyLimit { 4 << 20 }; // Bytes; a longer answer is an error.
     bool once { false }; // Never sent twice, whatever happens.
     bool resend { true }; // May be sent again when a kept connection turns out dead.
+    // The timeout counts from the last byte that came, for answers that a narrow link takes
+    // long to carry; heeded by AsyncClient only.
+    bool timeoutWhileSilent { false };
     std::string_view purpose { "other" }; // What its traffic is counted under; a constant.
 };
 
--- a/src/http/testing/async_client_test.cc
+++ b/src/http/testing/async_client_test.cc
@@ -142,9 +142,11 @@
         }
 
         // Returns once every answer lies at the client's socket.
-        void answerAll()
+        void answerAll() { this->sendAll("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); }
+
+        // Part of an answer, on every connection.
+        void sendAll(const std::string& answer)
         {
-            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
             for (const int taken : this->connections) {
                 CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(answer.size()), write(taken, answer.data(), answer.size()));
                 int unread = 1;
@@ -185,6 +187,7 @@
     CPPUNIT_TEST(abandonedCallsEndWithoutHandler);
     CPPUNIT_TEST(wakeEndsAWait);
     CPPUNIT_TEST(trafficIsCountedByPurpose);
+    CPPUNIT_TEST(aSlowAnswerIsNotASilentPeer);
     CPPUNIT_TEST(waitingCallsCostNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -202,6 +205,35 @@
         CPPUNIT_ASSERT_EQUAL(std::string("hello"), reply.body);
     }
 
+    // Guards against a load over a narrow link that is given up and begun anew for ever,
+    // because the whole of it takes longer than an answer usually does.
+    void aSlowAnswerIsNotASilentPeer()
+    {
+        this->startManual();
+        HoldingPeer first;
+        HoldingPeer second;
+        std::optional<Reply> patient;
+        std::optional<Reply> impatient;
+        this->client->send({ .address = first.address(), .timeout = 100ms, .timeoutWhileSilent = true }, [&](const Reply& reply) { patient = reply; });
+        this->client->send({ .address = second.address(), .timeout = 100ms }, [&](const Reply& reply) { impatient = reply; });
+        this->runUntil([&] { return first.takeRequests() == 1 && second.takeRequests() == 1; });
+        const std::string parts = "12345";
+        const std::string headers = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", parts.size());
+        first.sendAll(headers);
+        second.sendAll(headers);
+        for (const char part : parts) {
+            this->client->run(0ms);
+            this->manual.advance(60);
+            this->client->run(0ms);
+            first.sendAll(std::string(1, part));
+            if (!impatient)
+                second.sendAll(std::string(1, part));
+        }
+        this->runUntil([&] { return patient.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(parts, patient->body);
+        CPPUNIT_ASSERT(impatient && impatient->error->code == ErrorCode::Timeout);
+    }
+
     // Calls time out on a machine whose link is full, and nobody can say what fills it.
     void trafficIsCountedByPurpose()
     {
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -22,6 +22,8 @@
         StreamReaderOptions options { .stream = stream, .address = settings.storeAddress, .wait = stream == Stream::Configuration ? configurationWait : usualWait };
         if (stream == Stream::Jobs)
             options.gather = jobsGather;
+        if (stream == Stream::Plans)
+            options.wait = 0;
         if (stream == Stream::Claims && settings.processorShare < enoughToPlan)
             options.gather = weakClaimsGather;
         return options;
@@ -59,6 +61,7 @@
     , configurationReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Configuration), *this)
     , jobsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Jobs), *this)
     , claimsReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Claims), *this)
+    , plansReader(this->client, protocols.store, clock, readerOptions(this->settings, Stream::Plans), *this)
     , election(electionOptions(this->settings), clock.now())
     , deliveries(this->settings.peerAddress, [this] { this->client.wake(); })
     , carrier(this->jobs, this->deliveries, clock, [this](std::uint64_t session) { return this->channelFor(session); })
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -69,7 +69,7 @@
     bool ready() const { return this->isReady && !this->draining; }
 
     void recordRead(Stream, const StoreRecord&, Millis now) override;
-    void loadBegun(Stream) override { }
+    void loadBegun(Stream) override;
     void streamConfirmed(Stream, std::int64_t end, Millis confirmedAt, Millis now) override;
     void streamFailed(Stream, const std::string& why, Millis now) override;
 
@@ -93,6 +93,8 @@
     void answerCaller(const GatewayAnswer&);
     void appendRecords(Millis now);
     void runElection(Millis now);
+    bool readyToClaim(Millis now);
+    void sendClaim(const tasks::Election::Append&);
     void openPeerSocket();
     void startDeliveries();
     void watchPlanner(Millis now);
@@ -119,11 +121,13 @@
     Metrics& metrics;
     http::AsyncClient client;
     tasks::JobTable jobs;
+    tasks::PlanTable plans; // As they were when a term of this instance last began.
     Gateway gateway;
     Relay relay;
     StreamReader configurationReader;
     StreamReader jobsReader;
     StreamReader claimsReader;
+    StreamReader plansReader;
     std::map<Stream, bool> reachable;
     tasks::Election election;
     PlannerWatch plannerWatch;
--- a/src/instance/control_loop_limits.h
+++ b/src/instance/control_loop_limits.h
@@ -40,6 +40,9 @@
 // a reading usually takes them.
 inline constexpr Millis weakClaimsTrusted = 4000;
 
+// Whoever claims has read the plans this lately, and reads on from there once it leads.
+inline constexpr Millis plansFresh = 1500;
+
 // The planner forgets whoever has not offered to carry orders for three of these.
 inline constexpr Millis offerEvery = 1000;
 
--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -15,11 +15,19 @@
         return this->configurationRecordRead(record);
     case Stream::Claims:
         return this->claimRecordRead(record, now);
+    case Stream::Plans:
+        return this->plans.apply(record.key, record.value, record.offset);
     case Stream::Workers:
-        return;
+        return; // Read by whoever leads.
     }
 }
 
+void ControlLoop::loadBegun(Stream stream)
+{
+    if (stream == Stream::Plans)
+        this->plans.clear();
+}
+
 void ControlLoop::jobRecordRead(const StoreRecord& record, Millis now)
 {
     const auto change = this->jobs.apply(record.key, record.value, record.offset, now);
@@ -81,6 +89,8 @@
         this->gateway.configurationConfirmed(confirmedAt);
     if (stream == Stream::Claims)
         this->election.caughtUp(end);
+    if (stream == Stream::Plans && this->leadership)
+        this->leadership->plansConfirmed(confirmedAt, now, this->clock.wall());
     if (stream != Stream::Jobs)
         return;
     this->gateway.jobsRead(confirmedAt, now);
--- a/src/instance/control_loop_term.cc
+++ b/src/instance/control_loop_term.cc
@@ -18,10 +18,26 @@
     const bool isWeak = this->settings.processorShare < enoughToPlan;
     if (this->claimUnderWay || (isWeak && !this->election.leads(now) && now - this->claimsReader.confirmedAt() > weakClaimsTrusted))
         return;
-    const std::optional<tasks::Election::Append> append = this->election.step(now);
-    if (!append)
+    if (this->election.wantsToClaim(now) && !this->readyToClaim(now))
         return;
-    http::Call call = this->protocols.store.append(Stream::Claims, { { std::string(claimKey), encodeClaim(append->claim), 0 } }, { .at = append->at, .producer = std::nullopt });
+    if (const std::optional<tasks::Election::Append> append = this->election.step(now))
+        this->sendClaim(*append);
+}
+
+// Over a narrow link the plans take longer to load than a term lasts, and the answer to its
+// renewal waits behind them: claimed first, the term would be lost before it begins, and
+// the next one too.
+bool ControlLoop::readyToClaim(Millis now)
+{
+    const bool isFresh = this->plansReader.loaded() && now - this->plansReader.confirmedAt() <= plansFresh;
+    if (!isFresh)
+        this->plansReader.step(now);
+    return isFresh;
+}
+
+void ControlLoop::sendClaim(const tasks::Election::Append& append)
+{
+    http::Call call = this->protocols.store.append(Stream::Claims, { { std::string(claimKey), encodeClaim(append.claim), 0 } }, { .at = append.at, .producer = std::nullopt });
     call.purpose = "claim";
     call.address = this->settings.storeAddress;
     call.timeout = std::chrono::milliseconds(claimTimeout);
@@ -97,11 +113,13 @@
     if (!this->leadership) {
         const TermServices services { this->client, this->protocols.store, this->protocols.workers, this->roster, this->deliveries, this->clock, this->election, this->settings, this->metrics };
         this->metrics.count("rattan_terms_total", { { "event", "taken" } });
-        this->leadership = std::make_unique<Leadership>(this->election.term(), services, this->jobs);
+        this->leadership = std::make_unique<Leadership>(this->election.term(), services, this->jobs, this->plans);
         this->leadership->applyCatalog(this->catalog);
     }
     this->leadership->step(now, wall);
     this->client.useGroup(0);
+    if (this->leadership->wantsPlans())
+        this->plansReader.step(now);
 }
 
 void ControlLoop::endTerm(const char* why)
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -18,12 +18,6 @@
 
 namespace {
 
-    // The name under which progress is appended; terms are its epochs.
-    constexpr const char* planningProducer = "planner";
-
-    // Answers take milliseconds; longer than this they are taken as lost. Short enough
-    // for a second try within a term.
-    constexpr std::chrono::milliseconds appendTimeout { 800 };
     constexpr std::chrono::milliseconds adviceTimeout { 700 }; // Beyond what the service takes for the question.
 
     constexpr std::chrono::milliseconds connectTimeout { 500 };
@@ -39,13 +33,20 @@
     constexpr Millis forgetEvery = 5000;
     constexpr std::size_t mostForgotten = 100; // 20 a second; 11,000 jobs a day are one in eight seconds.
 
-    constexpr Millis appendRetry = 60; // After an append that the store did not take.
-
     // The list changes with every heartbeat of every worker, so reading on at once
     // would cost a call for each. Twice a second keeps what is seen of a worker
     // that leaves well under the time within which it must get nothing new.
     constexpr Millis listPause = 400;
 
+    std::vector<StoreRecord> storeRecords(const tasks::RecordBatch::Records& records)
+    {
+        std::vector<StoreRecord> made;
+        made.reserve(records.size());
+        for (const auto& [key, value] : records)
+            made.push_back({ key, value, 0 });
+        return made;
+    }
+
     StreamReaderOptions listOptions(const InstanceSettings& settings)
     {
         return { .stream = Stream::Workers, .address = settings.storeAddress, .wait = 0, .pause = listPause, .timeout = 900 };
@@ -65,7 +66,7 @@
 
 } // namespace
 
-Leadership::Leadership(std::int64_t term, TermServices services, const tasks::JobTable& jobs)
+Leadership::Leadership(std::int64_t term, TermServices services, const tasks::JobTable& jobs, const tasks::PlanTable& plans)
     : number(term)
     , services(services)
     , jobs(jobs)
@@ -73,6 +74,9 @@
     , direct(services.client, services.workers, static_cast<int>(term), [this] { return this->stillLeads(); })
     , channel(term, services.roster, this->direct, services.port, services.clock)
     , workerList(services.client, services.store, services.clock, listOptions(services.settings), *this)
+    , jobsStream(Stream::Jobs, term, services.client, services.store, services.clock, services.settings.storeAddress, services.metrics)
+    , plansStream(Stream::Plans, term, services.client, services.store, services.clock, services.settings.storeAddress, services.metrics)
+    , plans(plans)
 {
 }
 
@@ -90,7 +94,7 @@
     if (!this->planner)
         return;
     const tasks::JobEntry* entry = this->jobs.find(change.job);
-    if (!entry || isFinal(entry->progress.state))
+    if (!entry || isFinal(entry->state))
         return;
     if (change.kind == tasks::RecordKind::Job)
         this->planner->jobAccepted(entry->job, now, wall);
@@ -100,45 +104,40 @@
 
 void Leadership::jobsConfirmed(Millis at, Millis now, Millis wall)
 {
-    if (this->planner || this->fencedAt == 0 || at < this->fencedAt)
+    if (this->jobsKnown || this->jobsStream.fencedAt() == 0 || at < this->jobsStream.fencedAt())
+        return;
+    this->jobsKnown = true;
+    this->beginPlanning(now, wall);
+}
+
+void Leadership::plansConfirmed(Millis at, Millis now, Millis wall)
+{
+    if (!this->wantsPlans() || at < this->plansStream.fencedAt())
+        return;
+    this->plansKnown = true;
+    this->beginPlanning(now, wall);
+}
+
+void Leadership::beginPlanning(Millis now, Millis wall)
+{
+    if (this->planner || !this->jobsKnown || !this->plansKnown)
         return;
     tasks::PlannerOptions options;
     options.longestLease = this->services.settings.longestLease;
     options.stopTimeout = this->services.settings.stopTimeout;
     options.advised = !this->services.settings.adviceAddress.empty();
-    this->planner = std::make_unique<tasks::TaskPlanner>(options, this->jobs, now, wall);
+    this->planner = std::make_unique<tasks::TaskPlanner>(options, this->jobs, this->plans, now, wall);
     this->planner->applyCatalog(this->catalog);
     this->listChanged = true;
-    logEvent(events::leading, { { "term", this->number }, { "jobs", this->jobs.all().size() }, { "runs", this->planner->runs() } });
-}
-
-void Leadership::fence(Millis now)
-{
-    if (this->fenceUnderWay || now < this->retryAt)
-        return;
-    http::Call call = this->services.store.append(Stream::Jobs, {}, { .at = std::nullopt, .producer = Producer { planningProducer, this->number, 0 } });
-    call.purpose = "record";
-    call.address = this->services.settings.storeAddress;
-    call.timeout = appendTimeout;
-    call.connectTimeout = connectTimeout;
-    this->fenceUnderWay = true;
-    this->services.client.send(std::move(call), [this](const http::Reply& reply) {
-        this->fenceUnderWay = false;
-        const AppendStatus status = this->services.store.parseAppend(reply).status;
-        const Millis now = this->services.clock.now();
-        if (status == AppendStatus::Appended)
-            this->fencedAt = now;
-        else if (status == AppendStatus::Fenced)
-            this->isLost = true;
-        else
-            this->retryAt = now + appendRetry;
-    });
+    logEvent(events::leading, { { "term", this->number }, { "jobs", this->jobs.all().size() }, { "plans", this->plans.all().size() }, { "runs", this->planner->runs() } });
+    if (this->plans.unreadable() > 0)
+        logEvent(events::recordUnreadable, { { "stream", "plans" }, { "records", this->plans.unreadable() } });
 }
 
 void Leadership::step(Millis now, Millis wall)
 {
-    if (this->fencedAt == 0)
-        this->fence(now);
+    this->jobsStream.step(now);
+    this->plansStream.step(now);
     this->workerList.step(now);
     if (!this->planner || !this->workerList.loaded())
         return;
@@ -150,13 +149,28 @@
     const Millis took = this->services.clock.now() - now;
     if (took >= longRound)
         this->planner->holdRounds(now + took * roundRest);
+    this->stepRecords(now);
     this->carryOut(this->planner->take(now), now);
-    if (this->batch && !this->batchUnderWay && now >= this->retryAt)
-        this->sendBatch();
+    this->jobsStream.step(now);
+    this->plansStream.step(now);
     if (this->stillLeads())
         this->channel.step(this->services.clock.now());
 }
 
+void Leadership::stepRecords(Millis now)
+{
+    if (this->batchUnderWay == 0 || !this->jobsStream.isIdle() || !this->plansStream.isIdle())
+        return;
+    this->planner->recorded(std::exchange(this->batchUnderWay, 0), now);
+}
+
+void Leadership::append(const tasks::RecordBatch& batch)
+{
+    this->batchUnderWay = batch.number;
+    this->jobsStream.append(storeRecords(batch.jobs));
+    this->plansStream.append(storeRecords(batch.plans));
+}
+
 void Leadership::tellWorkers(Millis now)
 {
     this->listChanged = false;
@@ -204,7 +218,7 @@
 
 Millis Leadership::nextWake(Millis now, Millis wall) const
 {
-    return this->planner ? std::min({ this->planner->nextWake(now, wall), this->channel.nextWake(), now + listPause }) : now + appendRetry;
+    return this->planner ? std::min({ this->planner->nextWake(now, wall), this->channel.nextWake(), now + listPause }) : now + listPause;
 }
 
 void Leadership::carryOut(Orders orders, Millis now)
@@ -212,7 +226,7 @@
     for (const tasks::PlanEvent& event : orders.events)
         this->logPlanEvent(event);
     if (!orders.batches.empty())
-        this->batch = std::move(orders.batches.front());
+        this->append(orders.batches.front());
     for (const tasks::StopOrder& order : orders.stops)
         this->sendStop(order);
     for (const tasks::StartOrder& order : orders.starts)
@@ -244,47 +258,6 @@
     });
 }
 
-// A batch goes out again, with the same number, until its fate is known: the
-// store tells a repeat what became of the first.
-void Leadership::sendBatch()
-{
-    std::vector<StoreRecord> records;
-    records.reserve(this->batch->records.size());
-    for (const auto& [key, value] : this->batch->records)
-        records.push_back({ key, value, 0 });
-    http::Call call = this->services.store.append(Stream::Jobs, records,
-        { .at = std::nullopt, .producer = Producer { planningProducer, this->number, this->appendNumber } });
-    call.purpose = "record";
-    call.address = this->services.settings.storeAddress;
-    call.timeout = appendTimeout;
-    call.connectTimeout = connectTimeout;
-    this->batchUnderWay = true;
-    this->services.metrics.count("rattan_store_calls_total", { { "call", "record" } });
-    this->services.client.send(std::move(call), [this](const http::Reply& reply) {
-        this->batchUnderWay = false;
-        const AppendReply answer = this->services.store.parseAppend(reply);
-        const Millis now = this->services.clock.now();
-        switch (answer.status) {
-        case AppendStatus::Appended:
-            ++this->appendNumber;
-            this->planner->recorded(this->batch->number, now);
-            this->batch.reset();
-            return;
-        case AppendStatus::Fenced:
-        case AppendStatus::WrongNumber:
-            // Something else was appended in this epoch, such as a fence carried out
-            // late. A new term starts from what the log holds and numbers anew.
-            logEvent(events::appendFailed, { { "stream", "jobs" }, { "status", nameOf(answer.status) }, { "records", this->batch->records.size() } });
-            this->isLost = true;
-            return;
-        default:
-            break;
-        }
-        this->retryAt = now + appendRetry;
-        logEvent(events::appendFailed, { { "stream", "jobs" }, { "status", nameOf(answer.status) }, { "records", this->batch->records.size() } });
-    });
-}
-
 // An order may wait for seconds behind others that get no answer. A lease from when it is
 // sent would outlive what the planner counts from its decision: it would take the run for
 // over, and start the task a second time while it still runs.
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -7,8 +7,8 @@
 //     term.step(now, wall);          // only while the election says that this instance leads
 //     if (term.lost()) ...
 //
-// In order: fence records of earlier terms; read the log to its end; hand all
-// jobs to a planner; then carry out its orders. When it is destroyed, every call
+// In order: fence records of earlier terms; read the jobs and the plans to where they
+// ended then; hand all of it to a planner; then carry out its orders. When it is destroyed, every call
 // that is under way is broken off; what was sent already may still arrive, which
 // the planner's rules allow for.
 
@@ -19,13 +19,13 @@
 #include "instance/settings.h"
 #include "instance/store_protocol.h"
 #include "instance/stream_reader.h"
+#include "instance/term_stream.h"
 #include "instance/worker_clocks.h"
 #include "tasks/election.h"
 #include "tasks/task_planner.h"
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace rattan::instance {
@@ -45,7 +45,7 @@
 
 class Leadership final : public StreamHandler {
 public:
-    Leadership(std::int64_t term, TermServices, const tasks::JobTable&);
+    Leadership(std::int64_t term, TermServices, const tasks::JobTable&, const tasks::PlanTable&);
     ~Leadership() override;
     Leadership(const Leadership&) = delete;
     Leadership& operator=(const Leadership&) = delete;
@@ -56,11 +56,15 @@
     // Everything appended to the jobs' stream before `at` is in the table.
     void jobsConfirmed(Millis at, Millis now, Millis wall);
 
+    // Everything appended to the stream of plans before `at` is in its table.
+    void plansConfirmed(Millis at, Millis now, Millis wall);
+    bool wantsPlans() const { return this->plansStream.fencedAt() > 0 && !this->plansKnown; }
+
     // True while the term cannot begin until the jobs' stream was read further.
-    bool wantsRead() const { return this->fencedAt > 0 && !this->planner; }
+    bool wantsRead() const { return this->jobsStream.fencedAt() > 0 && !this->jobsKnown; }
 
     void step(Millis now, Millis wall);
-    bool lost() const { return this->isLost || (this->planner && this->planner->deposed()); }
+    bool lost() const { return this->isLost || this->jobsStream.isLost() || this->plansStream.isLost() || (this->planner && this->planner->deposed()); }
     Millis nextWake(Millis now, Millis wall) const;
     std::int64_t term() const { return this->number; }
     bool planning() const { return this->planner != nullptr; }
@@ -76,9 +80,10 @@
     void streamFailed(Stream, const std::string& why, Millis now) override;
 
 private:
-    void fence(Millis now);
+    void beginPlanning(Millis now, Millis wall);
     void carryOut(tasks::Orders, Millis now);
-    void sendBatch();
+    void append(const tasks::RecordBatch&);
+    void stepRecords(Millis now);
     void forgetOldJobs(Millis now);
     void sendStart(const tasks::StartOrder&);
     void sendStop(const tasks::StopOrder&);
@@ -103,12 +108,12 @@
     bool listChanged { false };
     WorkerClocks clocks;
 
-    Millis fencedAt { 0 };
-    bool fenceUnderWay { false };
-    std::optional<tasks::RecordBatch> batch;
-    bool batchUnderWay { false };
-    std::int64_t appendNumber { 1 };
-    Millis retryAt { 0 };
+    TermStream jobsStream;
+    TermStream plansStream;
+    const tasks::PlanTable& plans;
+    bool jobsKnown { false }; // As they were when earlier terms could not append any more,
+    bool plansKnown { false }; // and so are the plans.
+    std::int64_t batchUnderWay { 0 }; // 0: none.
     Millis forgetAt { 0 };
     bool isLost { false };
 };
--- a/src/instance/store_protocol.cc
+++ b/src/instance/store_protocol.cc
@@ -6,7 +6,7 @@
 
 std::string_view nameOf(Stream stream)
 {
-    constexpr std::array<std::string_view, 4> names { "configuration", "workers", "jobs", "claims" };
+    constexpr std::array<std::string_view, 5> names { "configuration", "workers", "jobs", "claims", "plans" };
     return names.at(static_cast<std::size_t>(stream));
 }
 
--- a/src/instance/store_protocol.h
+++ b/src/instance/store_protocol.h
@@ -19,8 +19,9 @@
 enum class Stream {
     Configuration, // The operators' configuration; read only.
     Workers, // What workers say of themselves; read only.
-    Jobs, // Jobs, their cancelling and their progress.
+    Jobs, // Jobs, their cancelling and what callers are shown.
     Claims, // Which instance plans.
+    Plans, // How far jobs are that are not over, for whoever takes over planning.
 };
 
 std::string_view nameOf(Stream);
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -327,10 +327,7 @@
     void progress(JobState state)
     {
         this->readBack();
-        tasks::Progress progress;
-        progress.state = state;
-        progress.started = true;
-        this->table.apply("progress/" + id, tasks::encodeProgress(progress), this->offset++, begin);
+        this->table.apply("state/" + id, tasks::encodeState(state), this->offset++, begin);
     }
 
     void readBack()
--- a/src/tasks/election.h
+++ b/src/tasks/election.h
@@ -63,6 +63,9 @@
     void caughtUp(std::int64_t end);
     void recordRead(const Claim&, std::int64_t offset, Millis now);
 
+    // Whether this process would claim now, if it were ready to plan.
+    bool wantsToClaim(Millis now) const { return !this->underWay && this->end >= 0 && now >= this->nextRenewal && ((!this->holds && this->mayClaim(now)) || (this->holds && !this->resigning && this->lapsed(now))); }
+
     // The next claim to append, at most one at a time.
     std::optional<Append> step(Millis now);
     void appended(AppendOutcome, Millis now);
--- a/src/tasks/job_table.cc
+++ b/src/tasks/job_table.cc
@@ -4,26 +4,22 @@
 
 JobState JobEntry::shown() const
 {
-    if (isFinal(this->progress.state))
-        return this->progress.state;
-    return this->cancelled ? JobState::Cancelled : this->progress.state;
+    if (isFinal(this->state))
+        return this->state;
+    return this->cancelled ? JobState::Cancelled : this->state;
 }
 
 std::optional<JobTable::Change> JobTable::apply(std::string_view key, std::string_view value, std::int64_t offset, Millis now)
 {
     const Attempt<RecordKey> parsed = attempt([&] { return parseKey(key); });
-    if (!parsed.value) {
+    const RecordKind kind = parsed.value ? parsed.value->kind : RecordKind::Learned;
+    if (kind != RecordKind::Job && kind != RecordKind::Cancel && kind != RecordKind::State) {
         ++this->unreadableRecords;
         return std::nullopt;
     }
-    const RecordKind kind = parsed.value->kind;
-    if (kind == RecordKind::Learned) {
-        this->learnedRecord = value;
-        return std::nullopt;
-    }
     JobEntry& entry = this->entries[parsed.value->job];
     std::int64_t& known = kind == RecordKind::Job ? entry.jobOffset : kind == RecordKind::Cancel ? entry.cancelOffset
-                                                                                                 : entry.progressOffset;
+                                                                                                 : entry.stateOffset;
     if (offset <= known)
         return std::nullopt;
     known = offset;
@@ -44,12 +40,12 @@
             return std::nullopt; // A repeat of the submit; the first one counts.
         entry.job = std::make_shared<const Job>(std::move(*job.value));
     } else {
-        Attempt<Progress> progress = attempt([&] { return decodeProgress(value); });
-        if (!progress.value) {
+        const Attempt<JobState> state = attempt([&] { return decodeState(value); });
+        if (!state.value) {
             ++this->unreadableRecords;
             return std::nullopt;
         }
-        entry.progress = std::move(*progress.value);
+        entry.state = *state.value;
     }
     if (entry.finalSince == 0 && isFinal(entry.shown()))
         entry.finalSince = now;
@@ -66,7 +62,7 @@
 {
     std::int64_t count = 0;
     for (const auto& [id, entry] : this->entries) {
-        if (entry.job && entry.job->terms.queue == queue && !entry.progress.started && !isFinal(entry.shown()))
+        if (entry.job && entry.job->terms.queue == queue && entry.shown() == JobState::Queued)
             ++count;
     }
     return count;
--- a/src/tasks/job_table.h
+++ b/src/tasks/job_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // Every job that the log knows of, as last written there: what callers are
-// answered from on each instance, and what a planner starts from. It holds only
+// answered from on each instance, and what a planner places. It holds only
 // what is durable, so an answer given from it is never taken back.
 //
 // Records may come again and out of order (a reload is no snapshot): the one
@@ -20,10 +20,10 @@
 struct JobEntry {
     std::shared_ptr<const Job> job; // Null while only another of its records is known.
     bool cancelled { false };
-    Progress progress;
+    JobState state { JobState::Queued }; // As the planner last recorded it.
     std::int64_t jobOffset { -1 };
     std::int64_t cancelOffset { -1 };
-    std::int64_t progressOffset { -1 };
+    std::int64_t stateOffset { -1 };
     Millis finalSince { 0 }; // Local time at which a final state was first seen; 0: not final.
 
     // What a caller is shown.
@@ -49,15 +49,11 @@
 
     const std::map<std::string, JobEntry, std::less<>>& all() const { return this->entries; }
 
-    // The newest record of what planners have learned; may be empty.
-    const std::string& learned() const { return this->learnedRecord; }
-
     // Records that could not be read, since the start.
     std::int64_t unreadable() const { return this->unreadableRecords; }
 
 private:
     std::map<std::string, JobEntry, std::less<>> entries;
-    std::string learnedRecord;
     std::int64_t unreadableRecords { 0 };
 };
 
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -47,10 +47,14 @@
     std::vector<std::string> workers; // Their ids.
 };
 
-// Progress records that have to be durable before the planner goes on.
+// Records that have to be durable before the planner goes on. The two kinds may become so
+// in any order: either one alone is enough for a job not to run again after its end.
 struct RecordBatch {
+    using Records = std::vector<std::pair<std::string, std::string>>; // Key and value; an empty value drops the key.
+
     std::int64_t number { 0 }; // Counts up from 1.
-    std::vector<std::pair<std::string, std::string>> records; // Key and value; an empty value drops the key.
+    Records jobs; // What every instance reads.
+    Records plans; // What whoever takes over reads.
 };
 
 enum class PlanEventKind {
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -14,9 +14,10 @@
         std::string_view prefix;
     };
 
-    constexpr std::array<KindName, 4> kinds { {
+    constexpr std::array<KindName, 5> kinds { {
         { RecordKind::Job, "job/" },
         { RecordKind::Cancel, "cancel/" },
+        { RecordKind::State, "state/" },
         { RecordKind::Progress, "progress/" },
         { RecordKind::Learned, "learned/" },
     } };
@@ -214,6 +215,18 @@
     });
 }
 
+std::string encodeState(JobState state) { return Json { { "state", nameOf(state) } }.dump(); }
+
+Result<JobState> decodeState(std::string_view value)
+{
+    return decode<JobState>(value, "tasks.state", [](const Json& json) -> Result<JobState> {
+        const auto state = jobStateNamed(json.at("state").get<std::string>());
+        if (!state)
+            return fail(ErrorCode::BadInput, "tasks.state", "", "no state of a job");
+        return *state;
+    });
+}
+
 std::string encodeProgress(const Progress& progress)
 {
     Json units = Json::array();
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -13,15 +13,21 @@
 
 using namespace detail;
 
-TaskPlanner::TaskPlanner(PlannerOptions options, const JobTable& table, Millis now, Millis wall)
+TaskPlanner::TaskPlanner(PlannerOptions options, const JobTable& table, const PlanTable& plans, Millis now, Millis wall)
     : options(options)
     , table(table)
     , catalog(std::make_shared<Catalog>())
 {
-    restoreLearned(table.learned(), this->runTimes, this->speeds);
+    restoreLearned(plans.learned(), this->runTimes, this->speeds);
+    static const Progress nothing;
     for (const auto& [id, entry] : table.all()) {
-        if (entry.job && !isFinal(entry.progress.state))
-            this->adopt(entry, now, wall);
+        const Progress* plan = plans.find(id);
+        if (entry.job && !isFinal(entry.state))
+            this->adopt(entry, plan ? *plan : nothing, now, wall);
+    }
+    for (const auto& [id, plan] : plans.all()) {
+        if (!this->jobs.contains(id))
+            this->plansOver.push_back(id);
     }
 }
 
@@ -31,25 +37,41 @@
     this->changed = true;
 }
 
-void TaskPlanner::adopt(const JobEntry& entry, Millis now, Millis wall)
+void TaskPlanner::adopt(const JobEntry& entry, const Progress& plan, Millis now, Millis wall)
 {
     const Job& job = *entry.job;
     ActiveJob& active = this->jobs[job.id];
     active.job = entry.job;
     active.text = std::make_shared<const std::string>(job.text);
-    active.state = entry.progress.state;
-    active.started = entry.progress.started;
-    active.occurrencesDone = entry.progress.occurrencesDone;
+    active.state = plan.state;
+    active.recordedState = entry.state;
+    active.reason = plan.reason;
+    active.started = plan.started;
+    active.occurrencesDone = plan.occurrencesDone;
     active.nextOccurrence = active.occurrencesDone;
-    for (const UnitProgress& unit : entry.progress.units) {
+    // Its end is in the plan, and the earlier planner was gone before callers could be told.
+    if (isFinal(plan.state)) {
+        this->markDirty(job.id);
+        this->markUrgent();
+        return;
+    }
+    this->adoptUnits(active, plan, now);
+    this->beginDue(active, now, wall);
+    if (entry.cancelled)
+        this->jobCancelled(job.id, now);
+}
+
+void TaskPlanner::adoptUnits(ActiveJob& active, const Progress& plan, Millis now)
+{
+    for (const UnitProgress& unit : plan.units) {
         active.nextOccurrence = std::max(active.nextOccurrence, unit.occurrence + 1);
         if (unit.state == UnitState::Done)
             active.occurrences[unit.occurrence].doneUnits.emplace(unit.step, unit.index);
     }
     for (std::int64_t occurrence = active.occurrencesDone; occurrence < active.nextOccurrence; ++occurrence)
         this->beginOccurrence(active, occurrence, now);
-    for (const UnitProgress& progress : entry.progress.units) {
-        Unit* unit = this->find({ job.id, progress.occurrence, progress.step, progress.index });
+    for (const UnitProgress& progress : plan.units) {
+        Unit* unit = this->find({ active.job->id, progress.occurrence, progress.step, progress.index });
         if (!unit)
             continue;
         unit->run = progress.run;
@@ -58,9 +80,6 @@
         if (progress.state == UnitState::Running)
             this->adoptRun(*unit, progress, now);
     }
-    this->beginDue(active, now, wall);
-    if (entry.cancelled)
-        this->jobCancelled(job.id, now);
 }
 
 void TaskPlanner::adoptRun(Unit& unit, const UnitProgress& progress, Millis now)
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -30,6 +30,7 @@
 #include "tasks/domain_doubts.h"
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
+#include "tasks/plan_table.h"
 #include "tasks/run_times.h"
 #include "tasks/unit.h"
 #include "tasks/worker_speeds.h"
@@ -52,8 +53,9 @@
 
 class TaskPlanner {
 public:
-    // Takes over every job of the table that is not over.
-    TaskPlanner(PlannerOptions, const JobTable&, Millis now, Millis wall);
+    // Takes over every job of the table that is not over, from where the earlier planner's
+    // records leave it. The table is looked at later on too.
+    TaskPlanner(PlannerOptions, const JobTable&, const PlanTable&, Millis now, Millis wall);
 
     void applyCatalog(std::shared_ptr<const Catalog>);
     void jobAccepted(const std::shared_ptr<const Job>&, Millis now, Millis wall);
@@ -101,7 +103,8 @@
     using ActiveJob = detail::ActiveJob;
 
     // Jobs and their units.
-    void adopt(const JobEntry&, Millis now, Millis wall);
+    void adopt(const JobEntry&, const Progress&, Millis now, Millis wall);
+    void adoptUnits(ActiveJob&, const Progress&, Millis now);
     void adoptRun(Unit&, const UnitProgress&, Millis now);
     void beginDue(ActiveJob&, Millis now, Millis wall);
     void beginOccurrence(ActiveJob&, std::int64_t occurrence, Millis now);
@@ -168,6 +171,8 @@
     bool recordDue(Millis now);
     Progress progressOf(const ActiveJob&) const;
     void makeBatch(Millis now, Orders&);
+    void recordJob(const std::string& id, RecordBatch&);
+    void recordForgotten(RecordBatch&);
     void makePolls(Millis now, Orders&);
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
     bool pollDue(const Worker&, Millis now) const;
@@ -192,6 +197,8 @@
     std::set<std::string> finished; // Over in this term; a late repeat changes nothing.
 
     std::vector<std::string> toForget;
+    std::vector<std::string> plansOver; // Of jobs whose end is recorded; their plans are not needed any more.
+    std::vector<std::string> endedInBatch;
     std::set<std::string> dirty; // Jobs whose record is behind.
     Millis recordBy { noRecord }; // When what is dirty has to be recorded.
     static constexpr Millis noRecord = std::numeric_limits<Millis>::max();
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -88,29 +88,13 @@
     }
     RecordBatch batch;
     batch.number = ++this->batchNumber;
-    for (const std::string& id : this->dirty) {
-        const auto found = this->jobs.find(id);
-        if (found == this->jobs.end())
-            continue;
-        batch.records.emplace_back(keyText({ RecordKind::Progress, id }), encodeProgress(this->progressOf(found->second)));
-        if (isFinal(found->second.state)) {
-            if (this->finished.size() >= mostFinished)
-                this->finished.clear();
-            this->finished.insert(id);
-            this->forgetAdvice(id);
-            this->jobs.erase(found);
-        }
-    }
+    for (const std::string& id : this->dirty)
+        this->recordJob(id, batch);
     if (now >= this->learnedAt + learnedEvery) {
         this->learnedAt = now;
-        batch.records.emplace_back(keyText({ RecordKind::Learned, "" }), encodeLearned(this->runTimes, this->speeds));
-    }
-    // The job's own record goes last: it alone tells that there was a job.
-    for (const std::string& id : this->toForget) {
-        for (const RecordKind kind : { RecordKind::Cancel, RecordKind::Progress, RecordKind::Job })
-            batch.records.emplace_back(keyText({ kind, id }), "");
+        batch.plans.emplace_back(keyText({ RecordKind::Learned, "" }), encodeLearned(this->runTimes, this->speeds));
     }
-    this->toForget.clear();
+    this->recordForgotten(batch);
     this->dirty.clear();
     this->recordBy = noRecord;
     this->startsInBatch = std::move(this->startsToRecord);
@@ -119,6 +103,41 @@
     orders.batches.push_back(std::move(batch));
 }
 
+void TaskPlanner::recordJob(const std::string& id, RecordBatch& batch)
+{
+    const auto found = this->jobs.find(id);
+    if (found == this->jobs.end())
+        return;
+    ActiveJob& active = found->second;
+    batch.plans.emplace_back(keyText({ RecordKind::Progress, id }), encodeProgress(this->progressOf(active)));
+    if (active.state != active.recordedState)
+        batch.jobs.emplace_back(keyText({ RecordKind::State, id }), encodeState(active.state));
+    active.recordedState = active.state;
+    if (!isFinal(active.state))
+        return;
+    if (this->finished.size() >= mostFinished)
+        this->finished.clear();
+    this->finished.insert(id);
+    this->endedInBatch.push_back(id);
+    this->forgetAdvice(id);
+    this->jobs.erase(found);
+}
+
+// A plan goes only once the end of its job is recorded where every instance reads it:
+// without either the job would begin again. Of what is forgotten the job's own record goes
+// last: it alone tells that there was a job.
+void TaskPlanner::recordForgotten(RecordBatch& batch)
+{
+    for (const std::string& id : this->plansOver)
+        batch.plans.emplace_back(keyText({ RecordKind::Progress, id }), "");
+    this->plansOver.clear();
+    for (const std::string& id : this->toForget) {
+        for (const RecordKind kind : { RecordKind::Cancel, RecordKind::State, RecordKind::Job })
+            batch.jobs.emplace_back(keyText({ kind, id }), "");
+    }
+    this->toForget.clear();
+}
+
 void TaskPlanner::recorded(std::int64_t batch, Millis now)
 {
     if (!this->batchUnderWay || batch != this->batchNumber)
@@ -133,6 +152,8 @@
             worker->ackDueBy = now + longestAckDelay;
     }
     this->endsInBatch.clear();
+    this->plansOver.insert(this->plansOver.end(), this->endedInBatch.begin(), this->endedInBatch.end());
+    this->endedInBatch.clear();
     for (const auto& [id, run] : this->startsInBatch) {
         const auto worker = this->workers.find(id);
         if (worker == this->workers.end())
--- a/src/tasks/testing/learning_test.cc
+++ b/src/tasks/testing/learning_test.cc
@@ -3,6 +3,7 @@
 
 #include "tasks/job_table.h"
 #include "tasks/learned.h"
+#include "tasks/plan_table.h"
 #include "tasks/queue_order.h"
 #include "tasks/worker_trust.h"
 
@@ -163,11 +164,17 @@
         std::int64_t offset = 0;
         for (const char* value : { "", "5", "{", "[]", "{\"steps\":5}", "{\"steps\":[{}],\"terms\":{}}" })
             table.apply("job/a", value, offset++, 1);
-        for (const char* value : { "5", "{", "{\"state\":5}", "{\"state\":\"running\",\"units\":[[1]]}" })
-            table.apply("progress/a", value, offset++, 1);
+        for (const char* value : { "5", "{", "{\"state\":5}", "{\"state\":\"sleeping\"}" })
+            table.apply("state/a", value, offset++, 1);
         table.apply("what/a", "{}", offset++, 1);
         CPPUNIT_ASSERT(!table.find("a"));
         CPPUNIT_ASSERT(table.unreadable() >= 9);
+        PlanTable plans;
+        for (const char* value : { "5", "{", "{\"state\":5}", "{\"state\":\"running\",\"units\":[[1]]}" })
+            plans.apply("progress/a", value, offset++);
+        plans.apply("what/a", "{}", offset++);
+        CPPUNIT_ASSERT(!plans.find("a"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 5 }, plans.unreadable());
     }
 
     // After a reload, records come again that were read before, and older ones after
@@ -178,14 +185,19 @@
         Job job;
         job.steps.push_back({});
         table.apply("job/a", encodeJob(job), 1, 1);
-        Progress done;
-        done.state = JobState::Completed;
-        table.apply("progress/a", encodeProgress(done), 5, 1);
-        table.apply("progress/a", encodeProgress({ .state = JobState::Running }), 3, 1);
+        table.apply("state/a", encodeState(JobState::Completed), 5, 1);
+        table.apply("state/a", encodeState(JobState::Running), 3, 1);
         CPPUNIT_ASSERT(table.find("a")->shown() == JobState::Completed);
         table.apply("job/a", encodeJob(job), 9, 1); // A repeat of the submit.
         table.apply("cancel/a", encodeCancel(), 10, 1);
         CPPUNIT_ASSERT(table.find("a")->shown() == JobState::Completed);
+        PlanTable plans;
+        plans.apply("progress/a", encodeProgress({ .state = JobState::Completed }), 5);
+        plans.apply("progress/a", encodeProgress({ .state = JobState::Running }), 3);
+        CPPUNIT_ASSERT(plans.find("a")->state == JobState::Completed);
+        plans.apply("progress/a", "", 6);
+        plans.apply("progress/a", encodeProgress({ .state = JobState::Running }), 4);
+        CPPUNIT_ASSERT(!plans.find("a"));
     }
 };
 
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -14,7 +14,7 @@
     planning.longestLease = this->options.lease;
     planning.stopTimeout = this->options.stopTime;
     planning.advised = true;
-    this->planner = std::make_unique<TaskPlanner>(planning, this->table, this->now, this->now);
+    this->planner = std::make_unique<TaskPlanner>(planning, this->table, this->plans, this->now, this->now);
     this->planner->applyCatalog(this->catalog);
     this->planner->workersSeen(this->sightings(), this->now);
 }
@@ -156,12 +156,23 @@
 void VirtualSite::record(const RecordBatch& batch)
 {
     const int mine = this->generation;
-    this->at(this->now + this->between(5, 20), [this, batch, mine] {
-        if (mine != this->generation)
-            return; // Its epoch was fenced before it arrived.
-        for (const auto& [key, value] : batch.records)
-            this->write(key, value);
-        this->planner->recorded(batch.number, this->now);
+    const Millis jobsAt = this->now + this->between(5, 20);
+    const Millis plansAt = this->now + this->between(5, 20);
+    this->at(jobsAt, [this, batch, mine] {
+        for (const auto& [key, value] : batch.jobs) {
+            if (mine == this->generation) // Otherwise its epoch was fenced before it arrived.
+                this->write(key, value);
+        }
+    });
+    this->at(plansAt, [this, batch, mine] {
+        for (const auto& [key, value] : batch.plans) {
+            if (mine == this->generation)
+                this->plans.apply(key, value, this->offset++);
+        }
+    });
+    this->at(std::max(jobsAt, plansAt) + 1, [this, batch, mine] {
+        if (mine == this->generation)
+            this->planner->recorded(batch.number, this->now);
     });
 }
 
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -58,6 +58,7 @@
     std::vector<PlanEvent> planEvents; // All that planners told for the log.
     std::unique_ptr<TaskPlanner> planner;
     JobTable table;
+    PlanTable plans;
 
     // A planner of a later term takes over.
     void newPlanner();
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -78,6 +78,7 @@
     std::shared_ptr<const Job> job;
     std::shared_ptr<const std::string> text;
     JobState state { JobState::Queued };
+    JobState recordedState { JobState::Queued }; // What instances have been told.
     bool started { false };
     std::string reason;
     std::int64_t occurrencesDone { 0 };
