Search for evictions rack by rack, and let turns of a planner rest

Cause: a search for runs to stop for a gang of one rack looked at all 1,100 workers for each member and each of 92 racks, up to six times a round; whether a unit could ever be placed was asked by a sorted search over all workers for each unit of a round. Each turn of a planner also walks over all workers and runs, whatever woke it.

Change: a search looks at the workers of its rack only; whether a unit fits at all is counted until it does; the best worker for a single task is found without sorting; tasks of a step are ranked once; a planner's turn is followed by a rest of twice its length, and answers gather meanwhile.

--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -23,7 +23,8 @@
     constexpr std::chrono::milliseconds connectTimeout { 500 };
 
     constexpr Millis longRound = 4; // Shorter ones are within what the clock shows.
-    constexpr Millis roundRest = 4; // Rounds take a fourth of the processor time at most.
+    constexpr Millis roundRest = 4; // Rounds take a fourth of the processor time at most,
+    constexpr Millis turnRest = 2; // and turns a third.
 
     constexpr Millis adviceQueue = 5; // Questions that may be before one, and itself.
 
@@ -143,18 +144,28 @@
         return;
     if (this->listChanged)
         this->tellWorkers(now);
+    this->stepRecords(now);
+    if (now >= this->nextTurn)
+        this->plan(now, wall);
+    this->jobsStream.step(now);
+    this->plansStream.step(now);
+    if (this->stillLeads())
+        this->channel.step(this->services.clock.now());
+}
+
+// Each turn looks at every worker. Beside a thousand of them, and with answers that arrive
+// all the time, turns would take all of the processor; answers share one instead.
+void Leadership::plan(Millis now, Millis wall)
+{
     this->forgetOldJobs(now);
     this->planner->step(now, wall);
     // On a weak machine rounds must not keep the term from being renewed.
     const Millis took = this->services.clock.now() - now;
     if (took >= longRound)
         this->planner->holdRounds(now + took * roundRest);
-    this->stepRecords(now);
     this->carryOut(this->planner->take(now), now);
-    this->jobsStream.step(now);
-    this->plansStream.step(now);
-    if (this->stillLeads())
-        this->channel.step(this->services.clock.now());
+    const Millis ended = this->services.clock.now();
+    this->nextTurn = ended + (ended - now) * turnRest;
 }
 
 void Leadership::stepRecords(Millis now)
@@ -218,7 +229,10 @@
 
 Millis Leadership::nextWake(Millis now, Millis wall) const
 {
-    return this->planner ? std::min({ this->planner->nextWake(now, wall), this->channel.nextWake(), now + listPause }) : now + listPause;
+    if (!this->planner)
+        return now + listPause;
+    const Millis nextPlan = std::max(this->planner->nextWake(now, wall), this->nextTurn);
+    return std::min({ nextPlan, this->channel.nextWake(), now + listPause });
 }
 
 void Leadership::carryOut(Orders orders, Millis now)
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -81,6 +81,7 @@
 
 private:
     void beginPlanning(Millis now, Millis wall);
+    void plan(Millis now, Millis wall);
     void carryOut(tasks::Orders, Millis now);
     void append(const tasks::RecordBatch&);
     void stepRecords(Millis now);
@@ -115,6 +116,7 @@
     bool plansKnown { false }; // and so are the plans.
     std::int64_t batchUnderWay { 0 }; // 0: none.
     Millis forgetAt { 0 };
+    Millis nextTurn { 0 }; // Of the planner.
     bool isLost { false };
 };
 
--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -3,30 +3,34 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <string_view>
 
 namespace rattan::tasks {
 
 namespace {
 
-    // What each worker offers while the plan grows.
+    // Workers by their place in the snapshot.
+    using Workers = std::vector<std::size_t>;
+
+    // What some workers offer while the plan grows.
     class Draft {
     public:
-        Draft(const Snapshot& snapshot, const PlacementRequest& request, const LostWork& lostWork)
+        Draft(const Snapshot& snapshot, const PlacementRequest& request, const LostWork& lostWork, const Workers& workers)
             : snapshot(snapshot)
             , request(request)
             , lostWork(lostWork)
-            , room(snapshot.workers.size())
-            , placed(snapshot.workers.size(), 0)
+            , workers(workers)
+            , placed(workers.size(), 0)
         {
-            for (std::size_t i = 0; i < snapshot.workers.size(); ++i)
-                this->room[i] = snapshot.workers[i].afterStops;
+            for (const std::size_t index : workers)
+                this->room.push_back(snapshot.workers[index].afterStops);
         }
 
-        // Places every member on workers that `allowed` admits, cheapest first.
-        std::optional<EvictionPlan> fill(const std::string* rack)
+        // Places every member, cheapest first.
+        std::optional<EvictionPlan> fill()
         {
             for (std::int64_t member = 0; member < this->request.members; ++member) {
-                if (!this->placeOne(rack))
+                if (!this->placeOne())
                     return std::nullopt;
             }
             return std::move(this->plan);
@@ -34,17 +38,19 @@
 
     private:
         struct Option {
-            std::size_t index { 0 };
+            std::size_t index { 0 }; // Among the workers of this draft.
             double cost { 0 };
             std::vector<UnitKey> victims;
         };
 
-        bool placeOne(const std::string* rack)
+        const SnapshotWorker& workerAt(std::size_t i) const { return this->snapshot.workers[this->workers[i]]; }
+
+        bool placeOne()
         {
             std::optional<Option> best;
-            for (std::size_t i = 0; i < this->snapshot.workers.size(); ++i) {
-                const SnapshotWorker& worker = this->snapshot.workers[i];
-                if ((rack && worker.rack != *rack) || worker.oneMore || !this->snapshot.suits(worker, this->request) || !this->belowLimit(i))
+            for (std::size_t i = 0; i < this->workers.size(); ++i) {
+                const SnapshotWorker& worker = this->workerAt(i);
+                if (worker.oneMore || !this->snapshot.suits(worker, this->request) || !this->belowLimit(i))
                     continue;
                 std::optional<Option> option = this->optionOn(i);
                 if (option && (!best || option->cost < best->cost))
@@ -55,7 +61,7 @@
             for (const UnitKey& victim : best->victims)
                 this->stop(victim);
             this->plan.lostWork += best->cost;
-            this->plan.places.push_back(best->index);
+            this->plan.places.push_back(this->workers[best->index]);
             this->room[best->index] -= this->request.each;
             ++this->placed[best->index];
             return true;
@@ -67,7 +73,7 @@
                 return true;
             std::int64_t already = this->placed[i];
             if (this->request.siblings)
-                already += std::count(this->request.siblings->begin(), this->request.siblings->end(), this->snapshot.workers[i].id);
+                already += std::count(this->request.siblings->begin(), this->request.siblings->end(), this->workerAt(i).id);
             return already < this->request.mostPerWorker;
         }
 
@@ -82,7 +88,7 @@
                 double cost;
             };
             std::vector<Candidate> candidates;
-            for (const Allocation& allocation : this->snapshot.workers[i].allocations) {
+            for (const Allocation& allocation : this->workerAt(i).allocations) {
                 if (allocation.ending || this->stopped.contains(allocation.unit))
                     continue;
                 const double cost = this->lostWork(allocation.unit);
@@ -109,8 +115,8 @@
         {
             this->stopped.insert(victim);
             this->plan.victims.push_back(victim);
-            for (std::size_t i = 0; i < this->snapshot.workers.size(); ++i) {
-                for (const Allocation& allocation : this->snapshot.workers[i].allocations) {
+            for (std::size_t i = 0; i < this->workers.size(); ++i) {
+                for (const Allocation& allocation : this->workerAt(i).allocations) {
                     if (allocation.unit == victim && !allocation.ending)
                         this->room[i] += allocation.room;
                 }
@@ -120,33 +126,39 @@
         const Snapshot& snapshot;
         const PlacementRequest& request;
         const LostWork& lostWork;
+        const Workers& workers;
         std::vector<Room> room;
         std::vector<std::int64_t> placed;
         std::set<UnitKey> stopped;
         EvictionPlan plan;
     };
 
+    // The workers among which a plan may choose freely: those of one rack, or all.
+    std::vector<Workers> choicesFor(const Snapshot& snapshot, const PlacementRequest& request)
+    {
+        const bool oneRack = request.rack.empty() && request.sameRack && request.members > 1;
+        std::map<std::string_view, Workers> groups;
+        for (std::size_t i = 0; i < snapshot.workers.size(); ++i) {
+            const std::string& rack = snapshot.workers[i].rack;
+            if (request.rack.empty() || rack == request.rack)
+                groups[oneRack ? std::string_view(rack) : std::string_view()].push_back(i);
+        }
+        std::vector<Workers> choices;
+        for (auto& [rack, workers] : groups)
+            choices.push_back(std::move(workers));
+        return choices;
+    }
+
 } // namespace
 
 std::optional<EvictionPlan> planEviction(const Snapshot& snapshot, const PlacementRequest& request, const LostWork& lostWork, double mostLost)
 {
-    std::set<std::string> racks;
-    if (!request.rack.empty()) {
-        racks.insert(request.rack);
-    } else if (request.sameRack && request.members > 1) {
-        for (const SnapshotWorker& worker : snapshot.workers)
-            racks.insert(worker.rack);
-    }
     std::optional<EvictionPlan> best;
-    const auto consider = [&](const std::string* rack) {
-        std::optional<EvictionPlan> plan = Draft(snapshot, request, lostWork).fill(rack);
+    for (const Workers& workers : choicesFor(snapshot, request)) {
+        std::optional<EvictionPlan> plan = Draft(snapshot, request, lostWork, workers).fill();
         if (plan && plan->lostWork <= mostLost && (!best || plan->lostWork < best->lostWork))
             best = std::move(plan);
-    };
-    if (racks.empty())
-        consider(nullptr);
-    for (const std::string& rack : racks)
-        consider(&rack);
+    }
     return best;
 }
 
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <limits>
 #include <map>
+#include <string_view>
 #include <tuple>
 
 namespace rattan::tasks {
@@ -138,6 +139,8 @@
     }
     if (total < request.members)
         return std::nullopt;
+    if (request.members == 1)
+        return Places { std::min_element(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.leftover < b.leftover; })->index };
     std::stable_sort(choices.begin(), choices.end(), [](const Choice& a, const Choice& b) { return a.leftover < b.leftover; });
     Places places;
     for (const Choice& choice : choices) {
@@ -209,7 +212,21 @@
 
 std::optional<Places> Snapshot::findAfterStops(const PlacementRequest& request) const { return this->find(request, View::AfterStops); }
 
-bool Snapshot::couldEverFit(const PlacementRequest& request) const { return this->find(request, View::Empty).has_value(); }
+// Asked for every unit of a round, so it looks no further than it must.
+bool Snapshot::couldEverFit(const PlacementRequest& request) const
+{
+    const bool oneRack = request.rack.empty() && request.sameRack && request.members > 1;
+    std::map<std::string_view, std::int64_t> members; // By rack, or of all.
+    for (const SnapshotWorker& worker : this->workers) {
+        if (!request.rack.empty() && worker.rack != request.rack)
+            continue;
+        std::int64_t& sum = members[oneRack ? std::string_view(worker.rack) : std::string_view()];
+        sum += this->fits(worker, request, View::Empty);
+        if (sum >= request.members)
+            return true;
+    }
+    return false;
+}
 
 bool Snapshot::couldFitUnpolled(const PlacementRequest& request) const
 {
@@ -278,6 +295,21 @@
         this->workers[index].afterStops -= request.each;
 }
 
+void Snapshot::markEnding(const UnitKey& unit, const std::vector<Incarnation>& incarnations)
+{
+    for (const Incarnation& incarnation : incarnations) {
+        const auto worker = std::lower_bound(this->workers.begin(), this->workers.end(), incarnation.id, [](const SnapshotWorker& row, const std::string& id) { return row.id < id; });
+        if (worker == this->workers.end() || worker->id != incarnation.id)
+            continue;
+        for (Allocation& allocation : worker->allocations) {
+            if (allocation.unit != unit || allocation.ending)
+                continue;
+            allocation.ending = true;
+            worker->afterStops += allocation.room;
+        }
+    }
+}
+
 void Snapshot::reserve(const PlacementRequest& request)
 {
     // When would each worker have room for one member, if nothing new started?
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -86,7 +86,7 @@
 
 class Snapshot {
 public:
-    std::vector<SnapshotWorker> workers;
+    std::vector<SnapshotWorker> workers; // By their ids, rising.
 
     // Workers that have not answered this planner yet and on which nothing is known to
     // run: nothing can be placed there, but very likely soon.
@@ -108,6 +108,9 @@
     void take(const PlacementRequest&, const Places&); // Starts now.
     void promise(const PlacementRequest&, const Places&); // Starts when runs being stopped have ended.
 
+    // The unit is being stopped on these workers.
+    void markEnding(const UnitKey&, const std::vector<Incarnation>&);
+
     // Keeps room for a unit that has to wait until running ones end by themselves:
     // whatever starts there must end before, or leave that room.
     void reserve(const PlacementRequest&);
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -15,6 +15,12 @@
 
 using namespace detail;
 
+namespace {
+
+    bool isSameStep(const UnitKey& a, const UnitKey& b) { return a.step == b.step && a.occurrence == b.occurrence && a.job == b.job; }
+
+} // namespace
+
 struct TaskPlanner::Candidate {
     Unit* unit;
     QueueKey queueKey;
@@ -258,6 +264,12 @@
         Unit& unit = this->units.at(key);
         if (unit.notBefore > now)
             continue;
+        // Tasks of a step that saved nothing are alike, and there may be hundreds.
+        const Candidate* before = candidates.empty() ? nullptr : &candidates.back();
+        if (before && unit.saved == 0 && before->unit->saved == 0 && isSameStep(before->unit->key, key)) {
+            candidates.push_back({ &unit, before->queueKey, before->waitedSince });
+            continue;
+        }
         const ActiveJob& active = this->jobs.at(key.job);
         const Job& job = *active.job;
         Demand demand;
@@ -284,7 +296,7 @@
     const UnitKey* blocked = nullptr; // A step of which a unit found no place.
     for (Candidate& candidate : candidates) {
         Unit& unit = *candidate.unit;
-        if (blocked && blocked->job == unit.key.job && blocked->occurrence == unit.key.occurrence && blocked->step == unit.key.step)
+        if (blocked && isSameStep(*blocked, unit.key))
             continue; // Its units request for the same, so the next finds none either.
         const std::string& service = unit.job->terms.service;
         auto snapshot = snapshots.find(service);
@@ -401,15 +413,8 @@
         Unit& stopped = this->units.at(victim);
         this->emit(PlanEventKind::UnitEvicted, victim, stopped.run, "", fmt::format("for {}, {:.0f} core-seconds lost", unit.key.job, this->lostWork(stopped, now)));
         ++stopped.evictions;
+        snapshot.markEnding(victim, stopped.workers);
         this->stopUnit(stopped, now);
-        for (SnapshotWorker& worker : snapshot.workers) {
-            for (Allocation& allocation : worker.allocations) {
-                if (allocation.unit == victim && !allocation.ending) {
-                    allocation.ending = true;
-                    worker.afterStops += allocation.room;
-                }
-            }
-        }
     }
     snapshot.promise(request, plan->places);
     return true;
