Take no orders for a delivery thread that has ended

An error of its event loop would have left orders in a ring that nobody reads; each would have counted as sent, without an answer, until its limit. They are refused at once, and reach workers from this instance.

--- a/src/delivery/delivery_thread.cc
+++ b/src/delivery/delivery_thread.cc
@@ -361,6 +361,7 @@
         started(port, "");
         loop.run();
     } catch (const kj::Exception& problem) {
+        this->failed = true;
         if (!isAnnounced)
             started(0, problem.getDescription().cStr());
     }
@@ -368,7 +369,7 @@
 
 bool DeliveryThread::push(Command command)
 {
-    if (!this->thread.joinable() || !this->commands.tryPush(std::move(command)))
+    if (!this->thread.joinable() || this->failed || !this->commands.tryPush(std::move(command)))
         return false;
     const std::uint64_t one = 1;
     static_cast<void>(write(this->waker, &one, sizeof(one))); // Fails only if it has been woken already.
--- a/src/delivery/delivery_thread.h
+++ b/src/delivery/delivery_thread.h
@@ -42,6 +42,9 @@
 
     std::optional<DeliveryEvent> next();
 
+    // Whether the thread has ended although nobody stopped it; nothing is taken then.
+    bool hasFailed() const { return this->failed; }
+
     // With the port that was chosen for port 0.
     const std::string& address() const { return this->listenAddress; }
 
@@ -63,6 +66,7 @@
     BoundedRing<DeliveryEvent> events;
     int waker { -1 }; // An eventfd that ends the thread's wait.
     std::atomic<bool> stopping { false };
+    std::atomic<bool> failed { false };
     std::thread thread;
 };
 
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -136,6 +136,7 @@
     delivery::OrderCarrier carrier;
     delivery::RelayRoster roster;
     Millis offerAt { 0 };
+    bool deliveriesFailed { false };
     std::unique_ptr<Leadership> leadership;
     std::shared_ptr<const tasks::Catalog> catalog;
 
--- a/src/instance/control_loop_delivery.cc
+++ b/src/instance/control_loop_delivery.cc
@@ -16,6 +16,7 @@
         return;
     if (const auto error = attemptVoid([&] { return this->deliveries.start(); }))
         logEvent(events::carriesNothing, { { "address", this->settings.peerAddress }, { "why", error->message } });
+    this->deliveriesFailed = this->deliveries.hasFailed();
 }
 
 // Orders of a session are a group of calls of their own; terms have the numbers above 0.
@@ -27,6 +28,10 @@
 
 void ControlLoop::takeDeliveries(Millis now)
 {
+    if (this->deliveries.hasFailed() && !this->deliveriesFailed) {
+        this->deliveriesFailed = true;
+        logEvent(events::carriesNothing, { { "address", this->settings.peerAddress }, { "why", "its thread has ended" } });
+    }
     while (const auto event = this->deliveries.next())
         std::visit([&](const auto& row) { this->delivered(row, now); }, *event);
     this->carrier.step(now);
@@ -49,7 +54,7 @@
 void ControlLoop::offerRelay(Millis now)
 {
     const bool knowsJobs = this->jobsReader.loaded() && now - this->jobsReader.confirmedAt() <= freshEnoughToCarry;
-    if (now < this->offerAt || !knowsJobs || this->draining || this->election.leads(now))
+    if (now < this->offerAt || !knowsJobs || this->deliveriesFailed || this->draining || this->election.leads(now))
         return;
     const std::string planner = this->peerOf(this->election.newestClaim().holder);
     if (planner.empty())
