--- a/src/delivery/direct_channel.cc
+++ b/src/delivery/direct_channel.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-    // A start or stop without an answer is sent again after this. Far above the way
-    // there and back; three tries find within 0.7 s that a worker is out of reach.
+    // A start or stop without an answer is sent again after this: far above the way there
+    // and back.
     constexpr std::chrono::milliseconds orderTimeout { 230 };
     constexpr std::chrono::milliseconds pollTimeout { 800 }; // Beyond what the poll may wait.
     constexpr std::chrono::milliseconds pollConnectTimeout { 500 };
--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -3,8 +3,7 @@
 // which sockets it waits for, and epoll tells which of them have something; only
 // those are handed back to it. So an answer costs the same beside ten waiting calls
 // and beside three thousand, where curl_multi_perform() would ask the kernel about
-// every one of them: 0.4 ms of processor time for an answer beside 400 calls, by the
-// thread clock in async_client_test.cc, against 0.03 ms here.
+// every one of them.
 //
 // Time limits are kept here and not by libcurl, which looks at the time before it
 // looks at the socket: once its thread has stood still for longer than a timeout, it
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -40,10 +40,8 @@
     Millis countTrusted { 1800 }; // The number of waiting jobs may be two seconds old.
     // Who asks for the state of a running job hears this much later that it still
     // runs, or hears of its end as soon as it is known here. Callers ask when they expect
-    // the end, and again after a pause: the end is known here some 50 ms after it
+    // the end, and again after a pause: the end is known here shortly after it
     // happened, and one who was told "running" just before learns of it only then.
-    // Measured with callers that pause 250 ms: they hear of an end 31 ms after it in the
-    // median, 253 ms when answered at once.
     Millis endAwaited { 200 };
     Millis storeTrusted { 1200 }; // A store that has been silent for longer is taken as out of reach.
 };
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -23,8 +23,8 @@
     constexpr std::chrono::milliseconds connectTimeout { 500 };
 
     constexpr Millis longRound = 4; // Shorter ones are within what the clock shows.
-    constexpr Millis roundRest = 4; // Rounds take a fourth of the processor time at most,
-    constexpr Millis turnRest = 2; // and turns a third.
+    constexpr int roundRest = 4; // Times a round's length: rounds take a fifth of the processor time at most,
+    constexpr int turnRest = 2; // and turns a third.
 
     constexpr Millis adviceQueue = 5; // Questions that may be before one, and itself.
 
--- a/src/instance/stream_reader.cc
+++ b/src/instance/stream_reader.cc
@@ -39,9 +39,8 @@
 }
 
 // The first read after a failure does not wait: it would confirm only when its wait is
-// over that nothing has changed. Where the store comes back after an outage of four
-// seconds, the operators' configuration counted as unknown, and every caller with a key was
-// turned away, for 1.6 s more.
+// over that nothing has changed. Until then the operators' configuration counts as unknown,
+// and every caller with a key is turned away.
 bool StreamReader::waitsNow() const { return this->options.pause == 0 && this->failurePause == 0; }
 
 void StreamReader::probe()
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Times and bounds of a TaskPlanner, each with the reason for its size.
+// Times and bounds of a TaskPlanner.
 
 #include "tasks/job.h"
 
@@ -16,13 +16,12 @@
 // poll has a price and an end is told at once anyway.
 inline constexpr Millis pollWait = 2000;
 
-// Polls sent before the caller has its turn again. One costs 0.15 ms of a core, so
-// these take an eighth of a core 60 ms: a term of a second can still be renewed
-// while thousands of workers are being asked.
+// Polls sent before the caller has its turn again: the term has to be renewed while
+// thousands of workers are being asked.
 inline constexpr std::size_t mostPollsAtOnce = 48;
 
-// Of workers that nothing waits for, after a takeover: 800 a second with their answers
-// take 40% of a half core, and the rest is left for what runs.
+// Of workers that nothing waits for, after a takeover; the rest of the processor is left
+// for what runs.
 inline constexpr std::size_t mostIdlePollsAtOnce = 8;
 inline constexpr Millis idlePollsPause = 10;
 
@@ -50,8 +49,8 @@
 inline constexpr Millis firstOrderPause = 50;
 
 // A start without an answer is sent again: a worker that has the run already says so,
-// and an earlier try that comes late finds the run there, or ended. With one order in
-// twenty lost, one gang in six would be stopped and begun anew for one member.
+// and an earlier try that comes late finds the run there, or ended. Otherwise a whole gang
+// would be stopped and begun anew for the lost order of one member.
 inline constexpr int mostStarts = 3;
 
 // A run whose progress stands still for this long, or for this share of its
@@ -70,7 +69,7 @@
 inline constexpr int mostReservations = 16;
 
 // Searches for runs to stop in one round, each over all workers and what runs
-// there: about 0.3 ms at 350 workers. What is left waits for the next round.
+// there. What is left waits for the next round.
 inline constexpr int mostEvictionSearches = 6;
 
 // Core-seconds that a job outside its guarantee may cost others to start at once.
@@ -94,7 +93,7 @@
 inline constexpr Millis longestRecordDelay = 250;
 
 // What was learned is written down with other records, at most this often: a
-// planner that takes over loses a few runs' worth, and a record is 1.5 KB.
+// planner that takes over loses a few runs' worth.
 inline constexpr Millis learnedEvery = 2000;
 
 // Workers named in one question to an advice service: as many as a wide step needs, and
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -26,6 +26,7 @@
 // the caller's timeout. Not thread-safe.
 
 #include "tasks/advice.h"
+#include "tasks/candidate.h"
 #include "tasks/catalog.h"
 #include "tasks/domain_doubts.h"
 #include "tasks/job_table.h"
@@ -101,6 +102,7 @@
     using Worker = detail::WorkerState;
     using PlacedRun = detail::PlacedRun;
     using ActiveJob = detail::ActiveJob;
+    using Candidate = detail::Candidate;
 
     // Jobs and their units.
     void adopt(const JobEntry&, const Progress&, Millis now, Millis wall);
@@ -144,7 +146,6 @@
     Worker* slowestMember(const Unit&);
     void clearLeaving(Millis now);
     void markGuaranteed();
-    struct Candidate;
     std::vector<Candidate> rank(Millis now, Millis wall);
     PlacementRequest requestOf(const Unit&) const;
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
--- /dev/null
+++ b/src/tasks/task_planner_evictions.cc
@@ -0,0 +1,92 @@
+// Which runs a unit may stop to get room, and what they lose.
+
+#include "tasks/eviction.h"
+#include "tasks/planner_limits.h"
+#include "tasks/task_planner.h"
+
+#include <fmt/format.h>
+
+namespace rattan::tasks {
+
+using namespace detail;
+
+// What would have to be done again, in core-seconds. A run that saves its
+// progress does so when it is stopped, and loses next to nothing.
+double TaskPlanner::lostWork(const Unit& unit, Millis now) const
+{
+    constexpr double restartSeconds = 0.3;
+    const double weight = weightOf(unit.step().each) * static_cast<double>(unit.members());
+    if (unit.startedAt == 0)
+        return weight * restartSeconds;
+    const double ran = static_cast<double>(now - unit.startedAt) / 1000.0;
+    return weight * (unit.step().savesProgress ? restartSeconds : ran + restartSeconds);
+}
+
+// Core-seconds of others' work that may be thrown away so that a unit which is
+// not guaranteed begins now.
+double TaskPlanner::worthLosing(const Unit& unit) const
+{
+    if (unit.job->terms.priority == 0)
+        return mostLostWork;
+    const double work = weightOf(unit.step().each) * static_cast<double>(unit.members() * this->expectedRun(unit)) / 1000.0;
+    return work * mostLostShare;
+}
+
+bool TaskPlanner::mayEvict(const Candidate& candidate, Millis now)
+{
+    if (candidate.queueKey.useless && !candidate.queueKey.guaranteed)
+        return false;
+    if (candidate.unit->job->terms.priority == 0)
+        return true;
+    const Millis patientUntil = candidate.queueKey.latestStart - evictionLead;
+    if (now >= patientUntil)
+        return true;
+    this->roundDueBy = this->roundDueBy == 0 ? patientUntil : std::min(this->roundDueBy, patientUntil);
+    return false;
+}
+
+bool TaskPlanner::tryEvict(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
+{
+    Unit& unit = *candidate.unit;
+    const bool guaranteed = candidate.queueKey.guaranteed;
+    const std::int64_t priority = unit.job->terms.priority;
+    const auto lost = [&](const UnitKey& key) {
+        const auto found = this->units.find(key);
+        if (found == this->units.end())
+            return -1.0;
+        const ActiveJob& active = this->jobs.at(key.job);
+        if (active.guaranteed || (!guaranteed && active.job->terms.priority <= priority))
+            return -1.0;
+        // Else the same unit, begun anew each time, would always be the cheapest.
+        const bool saves = found->second.step().savesProgress;
+        return this->lostWork(found->second, now) * (saves ? 1.0 : static_cast<double>(1 + found->second.evictions));
+    };
+    constexpr double noBound = std::numeric_limits<double>::max();
+    const double bound = guaranteed ? noBound : this->worthLosing(unit);
+    const auto plan = planEviction(snapshot, request, lost, noBound);
+    if (!plan || plan->lostWork > bound) {
+        this->tellRefusal(unit, plan ? EvictionRefusal::TooMuchLost : EvictionRefusal::NoRoom, plan ? plan->lostWork : 0, bound);
+        return false;
+    }
+    for (const UnitKey& victim : plan->victims) {
+        Unit& stopped = this->units.at(victim);
+        this->emit(PlanEventKind::UnitEvicted, victim, stopped.run, "", fmt::format("for {}, {:.0f} core-seconds lost", unit.key.job, this->lostWork(stopped, now)));
+        ++stopped.evictions;
+        snapshot.markEnding(victim, stopped.workers);
+        this->stopUnit(stopped, now);
+    }
+    snapshot.promise(request, plan->places);
+    return true;
+}
+
+// An urgent unit that waits is the first thing asked about afterwards.
+void TaskPlanner::tellRefusal(Unit& unit, EvictionRefusal refusal, double cost, double bound)
+{
+    if (unit.refusal == refusal)
+        return;
+    unit.refusal = refusal;
+    std::string why = refusal == EvictionRefusal::NoRoom ? "no runs that it may stop make room" : fmt::format("the cheapest choice loses {:.0f} core-seconds, {:.0f} are allowed", cost, bound);
+    this->emit(PlanEventKind::UnitWaits, unit.key, unit.run, "", std::move(why));
+}
+
+} // namespace rattan::tasks
