--- a/src/delivery/relay_roster.cc
+++ b/src/delivery/relay_roster.cc
@@ -128,6 +128,7 @@
     std::erase_if(this->offers, [&](const auto& row) { return now - row.second.heardAt > offerHolds + lostPause; });
     const std::vector<const RelayOffer*> usable = this->usable(now);
     std::vector<std::string> peers;
+    peers.reserve(usable.size());
     for (const RelayOffer* relay : usable)
         peers.push_back(relay->peer);
     if (!this->isStale && peers == this->candidates)
--- a/src/delivery/testing/relay_roster_test.cc
+++ b/src/delivery/testing/relay_roster_test.cc
@@ -155,6 +155,7 @@
     std::vector<WorkerPlace> places(int count) const
     {
         std::vector<WorkerPlace> found;
+        found.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             found.push_back({ fmt::format("w{}", i), this->domainOf(i) });
         return found;
--- a/src/delivery/testing/relayed_channel_test.cc
+++ b/src/delivery/testing/relayed_channel_test.cc
@@ -86,6 +86,7 @@
         this->roster.emplace(weak);
         this->offer();
         std::vector<WorkerPlace> places;
+        places.reserve(workerCount);
         for (int i = 0; i < workerCount; ++i)
             places.push_back({ fmt::format("w{}", i), "here" });
         this->roster->setWorkers(places);
