Count the tasks of a spread step once a round

Cause: for each task of a step that allows few tasks a worker, the workers of all its other tasks were listed, and that list was searched for each worker, in each search: the cube of the step's width.

Change: running tasks of a step are counted by worker, once a round, and counted on as tasks are placed.

Test: SpreadingTest.

--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -72,8 +72,10 @@
             if (this->request.mostPerWorker <= 0)
                 return true;
             std::int64_t already = this->placed[i];
-            if (this->request.siblings)
-                already += std::count(this->request.siblings->begin(), this->request.siblings->end(), this->workerAt(i).id);
+            if (this->request.siblings) {
+                const auto siblings = this->request.siblings->find(this->workerAt(i).id);
+                already += siblings == this->request.siblings->end() ? 0 : siblings->second;
+            }
             return already < this->request.mostPerWorker;
         }
 
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -49,6 +49,12 @@
         return list && std::find(list->begin(), list->end(), text) != list->end();
     }
 
+    std::int64_t countAt(const WorkerCounts& counts, const std::string& worker)
+    {
+        const auto found = counts.find(worker);
+        return found == counts.end() ? 0 : found->second;
+    }
+
     enum class Pace {
         Slow,
         Usual,
@@ -105,7 +111,7 @@
     if (request.mostPerWorker > 0) {
         std::int64_t already = 0;
         if (request.siblings && view != View::Empty)
-            already = std::count(request.siblings->begin(), request.siblings->end(), worker.id);
+            already = countAt(*request.siblings, worker.id);
         count = std::min(count, std::max<std::int64_t>(request.mostPerWorker - already, 0));
     }
     if (worker.oneMore && view != View::Empty)
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -23,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace rattan::tasks {
@@ -53,6 +54,9 @@
     Room leftThen; // Of what is free by then, after the promise.
 };
 
+// How many of something each worker has; by id.
+using WorkerCounts = std::unordered_map<std::string, std::int64_t>;
+
 // What a unit asks for.
 struct PlacementRequest {
     std::int64_t members { 1 };
@@ -63,7 +67,7 @@
     std::int64_t mostPerWorker { 0 };
     const std::set<std::string>* allowed { nullptr }; // The only workers that may be used; null: any.
     const std::vector<std::string>* avoid { nullptr }; // Workers that must not be used.
-    const std::vector<std::string>* siblings { nullptr }; // Workers of running tasks of the step, once for each.
+    const WorkerCounts* siblings { nullptr }; // Running tasks of the step, by worker.
     Millis expected { 0 }; // Run time.
     bool urgent { false }; // Goes to kept workers first.
     double leastSpeed { 0 }; // Slower workers,
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -152,6 +152,7 @@
     bool mayEvict(const Candidate&, Millis now);
     bool tryEvict(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void tellRefusal(Unit&, detail::EvictionRefusal, double cost, double bound);
+    WorkerCounts siblingsOf(const UnitKey&) const;
     void decide(Millis now, Millis wall);
     std::int64_t urgentDemand(const std::string& service, Millis now);
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -16,6 +16,12 @@
 
 namespace {
 
+    void count(WorkerCounts& counts, const std::vector<Incarnation>& workers)
+    {
+        for (const Incarnation& incarnation : workers)
+            ++counts[incarnation.id];
+    }
+
     bool isSameStep(const UnitKey& a, const UnitKey& b) { return a.step == b.step && a.occurrence == b.occurrence && a.job == b.job; }
 
 } // namespace
@@ -257,6 +263,16 @@
     return candidates;
 }
 
+// Counted once for all units of a step, of which there may be hundreds.
+WorkerCounts TaskPlanner::siblingsOf(const UnitKey& key) const
+{
+    WorkerCounts counts;
+    for (auto other = this->units.lower_bound({ key.job, key.occurrence, key.step, wholeGang }); other != this->units.end() && isSameStep(other->first, key); ++other) {
+        count(counts, other->second.workers);
+    }
+    return counts;
+}
+
 void TaskPlanner::decide(Millis now, Millis wall)
 {
     std::map<std::string, Snapshot> snapshots;
@@ -265,6 +281,8 @@
     std::map<std::string, FailedRequests> failedRequests;
     int evictionSearches = 0;
     const UnitKey* blocked = nullptr; // A step of which a unit found no place.
+    const UnitKey* counted = nullptr; // Of the step that `siblings` tells of.
+    WorkerCounts siblings;
     for (Candidate& candidate : candidates) {
         Unit& unit = *candidate.unit;
         if (blocked && isSameStep(*blocked, unit.key))
@@ -282,13 +300,10 @@
             allowed = this->allowedWorkers(this->advice[{ unit.key.job, unit.key.occurrence, unit.key.step }], snapshot->second, now);
             request.allowed = &allowed;
         }
-        std::vector<std::string> siblings;
         if (request.mostPerWorker > 0) {
-            for (auto other = this->units.lower_bound({ unit.key.job, unit.key.occurrence, unit.key.step, wholeGang });
-                 other != this->units.end() && other->first.job == unit.key.job && other->first.occurrence == unit.key.occurrence && other->first.step == unit.key.step; ++other) {
-                for (const Incarnation& incarnation : other->second.workers)
-                    siblings.push_back(incarnation.id);
-            }
+            if (!counted || !isSameStep(*counted, unit.key))
+                siblings = this->siblingsOf(unit.key);
+            counted = &unit.key;
             request.siblings = &siblings;
         }
         if (hasPolicy && !this->isAdvised(unit, snapshot->second, request, now))
@@ -304,8 +319,11 @@
         const bool plain = request.mostPerWorker == 0 && unit.avoid.empty() && !hasPolicy;
         FailedRequests& failed = failedRequests[service];
         const bool hopeless = failed.cover(request);
-        if (!hopeless && this->tryPlace(candidate, snapshot->second, request, now))
+        if (!hopeless && this->tryPlace(candidate, snapshot->second, request, now)) {
+            if (request.siblings)
+                count(siblings, unit.workers);
             continue;
+        }
         // Stopping others throws work away; the idle workers that a planner which has
         // just taken over has not heard yet answer within a fraction of a second.
         const bool roomIsNear = !snapshot->second.unpolled.empty() && snapshot->second.couldFitUnpolled(request);
--- a/src/tasks/testing/placing_test.cc
+++ b/src/tasks/testing/placing_test.cc
@@ -89,7 +89,7 @@
         PlacementRequest spread = ask(4, 1);
         spread.mostPerWorker = 2;
         CPPUNIT_ASSERT(idsOf(snapshot, snapshot.findFree(spread)) == (Ids { "a", "a", "b", "b" }));
-        const std::vector<std::string> running { "a" };
+        const WorkerCounts running { { "a", 1 } };
         spread.siblings = &running;
         CPPUNIT_ASSERT(!snapshot.findFree(spread));
         PlacementRequest avoiding = ask(1, 1);
