--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -146,6 +146,7 @@
                 groups[oneRack ? std::string_view(rack) : std::string_view()].push_back(i);
         }
         std::vector<Workers> choices;
+        choices.reserve(groups.size());
         for (auto& [rack, workers] : groups)
             choices.push_back(std::move(workers));
         return choices;
