Report each run that is lost with its worker

A line run_lost now tells why nothing more will be heard of a run, how long ago its start was confirmed, and how many runs its worker had: with it the hypotheses on what counts, and what is placed beside what, can be told apart.

--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -60,8 +60,8 @@
 
     std::string_view nameOf(PlanEventKind kind)
     {
-        constexpr std::array<std::string_view, 12> names { "unit_placed", "unit_evicted", "unit_done", "unit_retried", "unit_stalled",
-            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits" };
+        constexpr std::array<std::string_view, 13> names { "unit_placed", "unit_evicted", "unit_done", "unit_retried", "unit_stalled",
+            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits", "run_lost" };
         return names.at(static_cast<std::size_t>(kind));
     }
 
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -70,6 +70,7 @@
     WorkerGone,
     WorkerDistrusted,
     UnitWaits, // It may stop others, and stops none.
+    RunLost, // No end was reported: its worker is gone or has not answered for a whole lease.
 };
 
 // A decision or a change of what the planner believes, for the log.
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -124,6 +124,7 @@
     // Runs and workers.
     void place(Unit&, const std::vector<std::string>& workers, Millis now);
     void stopUnit(Unit&, Millis now);
+    void runLost(Worker&, const RunRef&, const char* why, std::optional<RunEnd>, Millis now);
     void memberGone(Worker&, const RunRef&, std::optional<RunEnd>, const std::string& checkpoint, Millis now);
     void applyEnd(Worker&, const EndedTask&, Millis now);
     void acceptLateDone(const RunRef&, Millis now);
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -69,7 +69,7 @@
     for (const auto& [run, placedRun] : worker.placedRuns)
         lost.push_back(run);
     for (const RunRef& run : lost)
-        this->memberGone(worker, run, std::nullopt, "", now);
+        this->runLost(worker, run, "its worker has ended", std::nullopt, now);
     const WorkerSighting seen = worker.seen;
     worker = Worker {};
     worker.seen = seen;
@@ -108,7 +108,7 @@
         }
     }
     for (const RunRef& run : lost)
-        this->memberGone(worker, run, std::nullopt, "", now);
+        this->runLost(worker, run, "its worker has started again", std::nullopt, now);
     for (auto& [run, placedRun] : worker.placedRuns) {
         Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
         if (!unit)
@@ -394,6 +394,17 @@
     this->changed = true;
 }
 
+// A run of which nothing more will be heard: the log has to tell a crash under a task from
+// an eviction, and what ran beside it.
+void TaskPlanner::runLost(Worker& worker, const RunRef& ref, const char* why, std::optional<RunEnd> end, Millis now)
+{
+    const RunRef run = ref;
+    const PlacedRun& placedRun = worker.placedRuns.at(run);
+    const std::string confirmed = placedRun.confirmedAt > 0 ? fmt::format("confirmed {} ms ago", now - placedRun.confirmedAt) : "never confirmed";
+    this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.seen.incarnation.id, fmt::format("{}, {}, {} runs there", why, confirmed, worker.placedRuns.size()));
+    this->memberGone(worker, run, end, "", now);
+}
+
 void TaskPlanner::memberGone(Worker& worker, const RunRef& ref, std::optional<RunEnd> end, const std::string& checkpoint, Millis now)
 {
     const RunRef run = ref;
@@ -442,7 +453,7 @@
             continue;
         this->emit(PlanEventKind::WorkerLapsed, {}, 0, id, fmt::format("{} runs, no answer for a whole lease", over.size()));
         for (const RunRef& run : over)
-            this->memberGone(worker, run, RunEnd::Lapsed, "", now);
+            this->runLost(worker, run, "its lease is over", RunEnd::Lapsed, now);
         worker.known = false; // What runs there now, a poll has to tell.
     }
 }
