Tests of tasks that crash their workers, and of workers that shrink, failing

The virtual site learns both: a task may crash each worker that starts it, another worker comes to that address three seconds later under another id; a worker's capacity may change while it runs. Its judge checks that no task is started three times more after three workers crashed under it, that no job is shown as failed without cause, and that no start brings a worker over a capacity that the list must have shown.

--- /dev/null
+++ b/src/tasks/testing/crash_test.cc
@@ -0,0 +1,135 @@
+#include "tasks/task_planner.h"
+
+#include "tasks/testing/virtual_site.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace rattan;
+using namespace rattan::tasks;
+using rattan::tasks::testing::VirtualSite;
+
+namespace {
+
+constexpr Room one { 10000, 50000, 1 };
+constexpr Room whole { 10000, 10000, 8 };
+constexpr Millis crashAfter = 10;
+
+Job jobOf(const std::string& id, std::int64_t count, Room each, Millis time)
+{
+    Job job;
+    job.id = id;
+    job.workspace = std::string("a"); // GCC 12 warns wrongly where a literal of one letter is assigned.
+    job.terms = { .queue = "q", .service = "s", .priority = 1, .mostAttempts = 4, .stretch = 3, .latencyTarget = 1000 };
+    job.text = "work";
+    job.steps.push_back({ .count = count, .each = each, .estimate = time });
+    return job;
+}
+
+class CrashTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CrashTest);
+    CPPUNIT_TEST(aTaskThatCrashesItsWorkersIsGivenUp);
+    CPPUNIT_TEST(crashesAreCountedAcrossTakeovers);
+    CPPUNIT_TEST(aGangWhoseMemberCrashesItsWorkersIsGivenUp);
+    CPPUNIT_TEST(tasksBesideOneThatCrashesWorkersEndWell);
+    CPPUNIT_TEST(nothingIsStartedOnAWorkerThatHasShrunkMeanwhile);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a task that takes down one worker after the other, since runs that end
+    // with their worker are not attempts.
+    void aTaskThatCrashesItsWorkersIsGivenUp()
+    {
+        VirtualSite site({ .seed = 50, .failures = 0 });
+        site.newPlanner();
+        site.crashesWorkers("bad", crashAfter);
+        site.submit(jobOf("bad", 3, one, 2000));
+        CPPUNIT_ASSERT(site.runUntilOver(60000));
+        this->assertGivenUp(site);
+    }
+
+    // Guards against a count of crashes that a planner takes with it when it dies.
+    void crashesAreCountedAcrossTakeovers()
+    {
+        VirtualSite site({ .seed = 51, .failures = 0 });
+        site.crashesWorkers("bad", crashAfter);
+        site.newPlanner();
+        site.submit(jobOf("bad", 1, one, 2000));
+        while (!site.allOver() && site.now < 90000) {
+            site.run(site.now + 1500);
+            site.killPlanner();
+            site.newPlanner();
+        }
+        this->assertGivenUp(site);
+    }
+
+    // Guards against counting by gang and run only, or by the members that other workers stopped.
+    void aGangWhoseMemberCrashesItsWorkersIsGivenUp()
+    {
+        VirtualSite site({ .seed = 52, .failures = 0 });
+        site.newPlanner();
+        site.crashesWorkers("bad", crashAfter);
+        Job gang = jobOf("bad", 4, whole, 2000);
+        gang.steps.front().gang = true;
+        site.submit(gang);
+        CPPUNIT_ASSERT(site.runUntilOver(60000));
+        this->assertGivenUp(site);
+    }
+
+    // Guards against jobs that are given up, or lose worker after worker, because they are
+    // placed beside a task that crashes its workers again and again.
+    void tasksBesideOneThatCrashesWorkersEndWell()
+    {
+        VirtualSite site({ .seed = 53, .failures = 0 });
+        site.newPlanner();
+        site.crashesWorkers("bad", crashAfter);
+        for (int i = 0; i < 6; ++i)
+            site.submit(jobOf(fmt::format("good{}", i), 2, one, 3000));
+        site.submit(jobOf("bad", 1, one, 2000));
+        CPPUNIT_ASSERT(site.runUntilOver(60000));
+        this->assertGivenUp(site);
+        for (int i = 0; i < 6; ++i) {
+            CPPUNIT_ASSERT(site.stateOf(fmt::format("good{}", i)) == JobState::Completed);
+            CPPUNIT_ASSERT(site.runsOf(fmt::format("good{}", i)) <= 4);
+        }
+    }
+
+    // Guards against starts that were decided before a worker shrank and sent after, when
+    // their record had become durable.
+    void nothingIsStartedOnAWorkerThatHasShrunkMeanwhile()
+    {
+        VirtualSite site({ .seed = 54, .workers = 1, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.delayRecords(6000);
+        site.submit(jobOf("wide", 1, whole, 1000));
+        site.run(2200);
+        site.resize("w00", { 64000, 256000, 4 });
+        site.run(9000);
+        site.delayRecords(0);
+        site.run(12000);
+        this->assertSound(site);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.runsOf("wide"));
+        site.resize("w00", { 128000, 512000, 8 });
+        CPPUNIT_ASSERT(site.runUntilOver(60000));
+        this->assertSound(site);
+    }
+
+private:
+    void assertSound(const VirtualSite& site)
+    {
+        CPPUNIT_ASSERT_MESSAGE(site.broken.empty() ? "" : site.broken.front(), site.broken.empty());
+    }
+
+    void assertGivenUp(const VirtualSite& site)
+    {
+        this->assertSound(site);
+        CPPUNIT_ASSERT(site.stateOf("bad") == JobState::Failed);
+        constexpr std::int64_t mostCrashes = 3;
+        CPPUNIT_ASSERT(site.crashesUnder("bad") <= mostCrashes);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashTest);
+
+} // namespace
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -156,12 +156,16 @@
 void VirtualSite::record(const RecordBatch& batch)
 {
     const int mine = this->generation;
-    const Millis jobsAt = this->now + this->between(5, 20);
-    const Millis plansAt = this->now + this->between(5, 20);
+    const Millis jobsAt = this->now + this->recordsWait + this->between(5, 20);
+    const Millis plansAt = this->now + this->recordsWait + this->between(5, 20);
     this->at(jobsAt, [this, batch, mine] {
         for (const auto& [key, value] : batch.jobs) {
-            if (mine == this->generation) // Otherwise its epoch was fenced before it arrived.
-                this->write(key, value);
+            if (mine != this->generation)
+                continue; // Its epoch was fenced before it arrived.
+            this->write(key, value);
+            const auto parsed = attempt([&, text = key] { return parseKey(text); });
+            if (parsed.value && parsed.value->kind == RecordKind::State && this->stateOf(parsed.value->job) == JobState::Failed)
+                this->judgeFailed(parsed.value->job);
         }
     });
     this->at(plansAt, [this, batch, mine] {
@@ -193,21 +197,27 @@
     const double lost = this->options.lostOrders;
     const double deaf = lost + this->options.lostAnswers;
     const double late = deaf + this->options.lateOrders;
-    if (worker.cut || luck < lost) {
+    if (worker.crashed) {
+        constexpr Millis refusedAfter = 5;
+        told(Reply(), this->now + (worker.replaced ? refusedAfter : timeout));
+    } else if (worker.cut || luck < lost) {
         told(Reply(), this->now + timeout);
     } else if (luck < deaf) {
-        this->at(this->now + this->between(1, 8), [carry] { carry(); });
+        this->at(this->now + this->between(1, 8), [this, id, carry] {
+            if (!this->workers.at(id).crashed)
+                carry();
+        });
         told(Reply(), this->now + timeout);
     } else if (luck < late) {
         // It waits at the worker, and is gone if that crashes meanwhile.
         this->at(this->now + this->between(2000, 12000), [this, id, carry, born = worker.born] {
-            if (this->workers.at(id).born == born)
+            if (this->workers.at(id).born == born && !this->workers.at(id).crashed)
                 carry();
         });
         told(Reply(), this->now + timeout);
     } else {
         this->at(this->now + this->between(1, 8), [this, id, carry, told] {
-            if (!this->workers.at(id).cut)
+            if (!this->workers.at(id).cut && !this->workers.at(id).crashed)
                 told(carry(), this->now + this->between(1, 8));
             else
                 told(Reply(), this->now + timeout);
@@ -233,7 +243,8 @@
     this->send(
         order.worker.id, [this, order, term, until] { return std::optional(this->carryStart(order, term, until)); },
         [this, order](const std::optional<StartAnswer>& answer) {
-            this->planner->startAnswered(order.worker, order.run, answer.value_or(StartAnswer::NoAnswer), this->now);
+            const StartAnswer without = this->workers.at(order.worker.id).replaced ? StartAnswer::OtherIncarnation : StartAnswer::NoAnswer;
+            this->planner->startAnswered(order.worker, order.run, answer.value_or(without), this->now);
         });
 }
 
@@ -280,7 +291,7 @@
                 if (report)
                     this->planner->pollAnswered(order.worker, sentAt, order.beside, *report, this->now);
                 else
-                    this->planner->pollFailed(order.worker, order.beside, WorkerFault::NoAnswer, this->now);
+                    this->planner->pollFailed(order.worker, order.beside, this->workers.at(order.worker.id).replaced ? WorkerFault::OtherIncarnation : WorkerFault::NoAnswer, this->now);
             });
     });
 }
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -7,7 +7,8 @@
 // What must always hold is checked here by what the workers do, not by what the
 // planner believes: no worker over its room, no task twice at a time or again
 // after its end was acknowledged, no step before those that it depends on, no
-// task begun again after its last attempt.
+// task begun again after its last attempt or for long after three workers have
+// crashed under it, no job shown as failed without cause.
 
 #include "tasks/task_planner.h"
 
@@ -86,6 +87,21 @@
     // The worker crashes and comes back under its id, running nothing.
     void restart(const std::string& id);
 
+    // The worker crashes; some seconds later another one is there at its address.
+    void crash(const std::string& id);
+
+    // The first task of this job crashes each worker that starts it, this long after its start.
+    void crashesWorkers(const std::string& job, Millis after) { this->crashing[job] = after; }
+
+    // Workers that crashed under the first task of a job.
+    std::int64_t crashesUnder(const std::string& job) const;
+
+    // The capacity of a worker changes; its entry in the list shows it half a second later.
+    void resize(const std::string& id, Room capacity);
+
+    // Records become durable this much later.
+    void delayRecords(Millis wait) { this->recordsWait = wait; }
+
     void run(Millis until);
 
     // Runs until every job is over, at most until then.
@@ -139,9 +155,16 @@
         bool stalls { false };
         bool failsAll { false };
         bool leaving { false };
+        bool crashed { false };
+        bool replaced { false }; // Another worker is there at its address.
+        bool listed { true };
+        Room capacityBefore; // Of before it was resized last.
+        Millis resizedAt { 0 };
     };
 
     void addWorker(const std::string& id);
+    void addWorker(const std::string& id, const std::string& rack);
+    void loseRuns(Worker&, const std::string& id);
 
     std::vector<WorkerSighting> sightings() const;
 
@@ -172,6 +195,8 @@
     const Step& stepOf(const TaskRef& task) const { return this->jobs.at(task.job).steps[static_cast<std::size_t>(task.step)]; }
 
     void judgeStart(const StartOrder& order, const Worker& worker);
+    void judgeRoom(const StartOrder& order, const Worker& worker);
+    void judgeFailed(const std::string& job);
 
     void breach(const std::string& what, const StartOrder& order);
 
@@ -197,6 +222,11 @@
 
     SiteOptions options;
     Millis startsWait { 0 };
+    Millis recordsWait { 0 };
+    std::map<std::string, Millis> crashing; // Jobs whose first task crashes its worker, and how long after its start.
+    std::map<TaskRef, std::int64_t> crashes; // Workers that crashed under a task.
+    std::map<TaskRef, std::int64_t> startsAfterCrashes; // After the third.
+    std::map<UnitKey, std::set<std::int64_t>> failedRuns;
     std::shared_ptr<const Catalog> catalog;
     std::map<std::string, Worker> workers;
     std::map<std::string, Job> jobs;
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -13,10 +13,9 @@
 void VirtualSite::restart(const std::string& id)
 {
     Worker& worker = this->workers.at(id);
-    for (const auto& [ref, run] : worker.running)
-        this->tell(ref, id, "lost by a restart");
-    worker.running.clear();
-    worker.ended.clear();
+    if (worker.crashed)
+        return;
+    this->loseRuns(worker, id);
     worker.endNumber = 0;
     worker.lapsedEnds.clear();
     worker.token = 0;
@@ -25,11 +24,64 @@
     this->at(this->now + 500, [this] { this->relist(); });
 }
 
+void VirtualSite::loseRuns(Worker& worker, const std::string& id)
+{
+    for (const auto& [ref, run] : worker.running) {
+        this->tell(ref, id, "lost by a crash");
+        ++this->crashes[ref.task];
+    }
+    worker.running.clear();
+    worker.ended.clear();
+}
+
+void VirtualSite::crash(const std::string& id)
+{
+    constexpr Millis absence = 3000;
+    constexpr Millis listedFor = 4500;
+    Worker& worker = this->workers.at(id);
+    if (worker.crashed)
+        return;
+    worker.crashed = true;
+    this->loseRuns(worker, id);
+    this->at(this->now + absence, [this, id] {
+        Worker& before = this->workers.at(id);
+        before.replaced = true;
+        const std::string next = fmt::format("w{:02}", this->workers.size());
+        this->addWorker(next, before.rack);
+        this->workers.at(next).born = this->now;
+        this->relist();
+    });
+    this->at(this->now + listedFor, [this, id] {
+        this->workers.at(id).listed = false;
+        this->relist();
+    });
+}
+
+std::int64_t VirtualSite::crashesUnder(const std::string& job) const
+{
+    const auto found = this->crashes.find({ job, 0, 0, 0 });
+    return found == this->crashes.end() ? 0 : found->second;
+}
+
+void VirtualSite::resize(const std::string& id, Room capacity)
+{
+    Worker& worker = this->workers.at(id);
+    worker.capacityBefore = worker.capacity;
+    worker.capacity = capacity;
+    worker.resizedAt = this->now;
+    this->at(this->now + 500, [this] { this->relist(); });
+}
+
 void VirtualSite::addWorker(const std::string& id)
 {
-    Worker worker;
     constexpr int perRack = 4;
-    worker.rack = fmt::format("r{}", this->workers.size() / perRack);
+    this->addWorker(id, fmt::format("r{}", this->workers.size() / perRack));
+}
+
+void VirtualSite::addWorker(const std::string& id, const std::string& rack)
+{
+    Worker worker;
+    worker.rack = rack;
     this->workers.emplace(id, worker);
 }
 
@@ -37,6 +89,8 @@
 {
     std::vector<WorkerSighting> seen;
     for (const auto& [id, worker] : this->workers) {
+        if (!worker.listed)
+            continue;
         WorkerSighting sighting;
         sighting.incarnation = { id, worker.born };
         sighting.address = id;
@@ -92,6 +146,13 @@
     run.room = step.each;
     run.fails = worker.failsAll || this->chance() < this->options.failures;
     worker.running.emplace(order.run, run);
+    const auto crashes = this->crashing.find(task.job);
+    if (crashes != this->crashing.end() && task.step == 0 && task.index == 0) {
+        this->at(this->now + crashes->second, [this, id = order.worker.id, ref = order.run] {
+            if (this->workers.at(id).running.contains(ref))
+                this->crash(id);
+        });
+    }
     return StartAnswer::Started;
 }
 
@@ -101,11 +162,7 @@
     ++this->starts[task.job];
     const Job& job = this->jobs.at(task.job);
     const Step& step = this->stepOf(task);
-    Room used = step.each;
-    for (const auto& [ref, run] : worker.running)
-        used += run.room;
-    if (!used.within(worker.capacity))
-        this->breach("over room", order);
+    this->judgeRoom(order, worker);
     for (const auto& [id, other] : this->workers) {
         for (const auto& [ref, run] : other.running) {
             if (ref.task == task)
@@ -123,6 +180,35 @@
     }
     if (static_cast<std::int64_t>(this->failedNoted[task].size()) >= job.terms.mostAttempts)
         this->breach("after its last attempt", order);
+    constexpr std::int64_t toBeGivenUp = 3;
+    if (const auto crashed = this->crashes.find(task); crashed != this->crashes.end() && crashed->second >= toBeGivenUp && ++this->startsAfterCrashes[task] >= toBeGivenUp)
+        this->breach("three times more after three crashes", order);
+}
+
+// A start is held against a smaller capacity only once the list must have shown it.
+void VirtualSite::judgeRoom(const StartOrder& order, const Worker& worker)
+{
+    constexpr Millis knownAfter = 4500;
+    Room used = this->stepOf(order.run.task).each;
+    for (const auto& [ref, run] : worker.running)
+        used += run.room;
+    const bool isKnown = worker.resizedAt == 0 || this->now >= worker.resizedAt + knownAfter;
+    if (!used.within(worker.capacity) && (isKnown || !used.within(worker.capacityBefore)))
+        this->breach("over room", order);
+}
+
+void VirtualSite::judgeFailed(const std::string& id)
+{
+    constexpr std::int64_t enoughCrashes = 2;
+    for (const auto& [task, crashed] : this->crashes) {
+        if (task.job == id && crashed >= enoughCrashes)
+            return;
+    }
+    for (const auto& [unit, runs] : this->failedRuns) {
+        if (unit.job == id && static_cast<std::int64_t>(runs.size()) >= this->jobs.at(id).terms.mostAttempts)
+            return;
+    }
+    this->broken.push_back(fmt::format("{} ms: failed without cause: {}", this->now, id));
 }
 
 void VirtualSite::breach(const std::string& what, const StartOrder& order)
@@ -231,6 +317,8 @@
     const bool saves = this->stepOf(ref.task).savesProgress;
     worker.ended.push_back({ ++worker.endNumber, ref, end, saves && end != RunEnd::Done ? run.checkpoint : "" });
     ++this->ends[end];
+    if (end == RunEnd::Failed)
+        this->failedRuns[{ ref.task.job, ref.task.occurrence, ref.task.step, run.members > 1 ? wholeGang : ref.task.index }].insert(ref.run);
     if (run.members > 1)
         this->gone.emplace(std::tuple { ref.task.job, ref.task.occurrence, ref.task.step, ref.run }, end == RunEnd::Done);
     if (end == RunEnd::Done) {
