Ask again about workers that failed a gang when its policy leaves no others

What callers saw: a job that is never over. A gang of five in a queue with a policy failed on two of the six workers that it may use. It passes over these; the advice service was only asked about workers that the gang does not pass over; the tickets of the two ran out, and when the step was found to have no other choice, they were not among those allowed any more.

--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -20,6 +20,8 @@
 
 namespace rattan::tasks {
 
+struct SnapshotWorker;
+
 struct StepKey {
     std::string job;
     std::int64_t occurrence { 0 };
@@ -62,4 +64,15 @@
     std::map<Incarnation, Verdict> verdicts;
 };
 
+namespace detail {
+
+    // A worker that the advice service can be asked about.
+    struct Askable {
+        const SnapshotWorker* worker { nullptr };
+        bool near { false }; // In the rack of the data.
+        bool free { false }; // For a member, now.
+    };
+
+} // namespace detail
+
 } // namespace rattan::tasks
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -164,6 +164,7 @@
 
     // Advice on where a step may run.
     std::set<std::string> allowedWorkers(const StepAdvice&, const Snapshot&, Millis now) const;
+    std::vector<detail::Askable> askable(const StepAdvice&, const Snapshot&, const PlacementRequest&, Millis now) const;
     bool isAdvised(const Unit&, const Snapshot&, PlacementRequest&, Millis now);
     const std::string* ticketFor(const UnitKey&, const Incarnation&, Millis now) const;
     void forgetAdvice(const std::string& job);
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -16,12 +16,6 @@
 
     StepKey stepOf(const UnitKey& unit) { return { unit.job, unit.occurrence, unit.step }; }
 
-    struct Askable {
-        const SnapshotWorker* worker;
-        bool near; // In the rack of the data.
-        bool free; // For a member, now.
-    };
-
 } // namespace
 
 const std::string* TaskPlanner::ticketFor(const UnitKey& unit, const Incarnation& incarnation, Millis now) const
@@ -40,13 +34,9 @@
     return allowed;
 }
 
-// Whether the unit can be placed, or waited for, on the workers that `request.allowed`
-// holds; else the advice service is asked about others.
-bool TaskPlanner::isAdvised(const Unit& unit, const Snapshot& snapshot, PlacementRequest& request, Millis now)
+// Workers that could take a member and of which it is not known whether they may.
+std::vector<Askable> TaskPlanner::askable(const StepAdvice& known, const Snapshot& snapshot, const PlacementRequest& request, Millis now) const
 {
-    StepAdvice& known = this->advice[stepOf(unit.key)];
-    if (snapshot.findFree(request))
-        return true;
     std::vector<Askable> open;
     PlacementRequest anywhere = request;
     anywhere.allowed = nullptr;
@@ -56,6 +46,21 @@
             continue;
         open.push_back({ &worker, worker.rack == request.rack, request.each.within(worker.free) && request.each.within(worker.afterStops) });
     }
+    return open;
+}
+
+// Whether the unit can be placed, or waited for, on the workers that `request.allowed`
+// holds; else the advice service is asked about others.
+bool TaskPlanner::isAdvised(const Unit& unit, const Snapshot& snapshot, PlacementRequest& request, Millis now)
+{
+    StepAdvice& known = this->advice[stepOf(unit.key)];
+    if (snapshot.findFree(request))
+        return true;
+    std::vector<Askable> open = this->askable(known, snapshot, request, now);
+    if (open.empty() && known.underWay.empty() && !snapshot.couldEverFit(request)) {
+        request.avoid = nullptr; // Its policy leaves no others.
+        open = this->askable(known, snapshot, request, now);
+    }
     if (!request.rack.empty() && std::none_of(open.begin(), open.end(), [](const Askable& candidate) { return candidate.near; }) && !snapshot.couldEverFit(request))
         request.rack.clear(); // None of its rack may run it.
     if (snapshot.findFree(request))
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(stepsWithAPolicyRunWhereTheyMay);
     CPPUNIT_TEST(ticketsThatRanOutAreAskedForAgain);
     CPPUNIT_TEST(aPolicyOutlivesATakeover);
+    CPPUNIT_TEST(workersThatFailedAGangAreAskedForWhenItsPolicyLeavesNoOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -555,6 +556,26 @@
         assertSound(site);
     }
 
+    // Guards against a gang that waits for ever: it passes over workers that failed it, the
+    // advice service is not asked about these again, and the others that it may use are too few.
+    void workersThatFailedAGangAreAskedForWhenItsPolicyLeavesNoOthers()
+    {
+        VirtualSite site({ .seed = 57, .failures = 0 });
+        site.newPlanner();
+        Job advised = gang("g1", 5, whole, 5000);
+        advised.terms.advice = { 20, 3, 2000 };
+        for (const char* id : { "w00", "w02" })
+            site.failAll(id, true);
+        site.submit(advised);
+        while (site.countEnds(RunEnd::Failed) < 2 && site.now < 30000)
+            site.run(site.now + 50);
+        for (const char* id : { "w00", "w02" })
+            site.failAll(id, false);
+        CPPUNIT_ASSERT(site.runUntilOver(site.now + 60000));
+        CPPUNIT_ASSERT(site.stateOf("g1") == JobState::Completed);
+        assertSound(site);
+    }
+
     // Tickets are not recorded: who takes over has to ask again, and must not start
     // anything without.
     void aPolicyOutlivesATakeover()
