Give up tasks that crash their workers, and keep them apart until then

Cause: the planner counts runs that end "failed". A run that ends with its worker was no attempt: it went back to the queue as if it had been evicted. Nothing of it was recorded, so a planner that took over could not have known either.

Change: CrashHistory keeps for each task which runs ended with their worker, and what that proves: a crash soon after the start, one later, one while nothing else ran there, or none that is sure (start never confirmed, or a worker that is silent and no longer listed). It is part of a job's record, which is durable before the next start. A task whose worker crashed under it starts next where nothing else runs, with other suspects of its own job only, until it is seen to have been alive for a second. Two crashes are enough if the second task was alone there; three if two were early; two more runs after any three. A worker that was leaving has not crashed.

--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -50,7 +50,7 @@
             std::optional<Option> best;
             for (std::size_t i = 0; i < this->workers.size(); ++i) {
                 const SnapshotWorker& worker = this->workerAt(i);
-                if (worker.oneMore || !this->snapshot.suits(worker, this->request) || !this->belowLimit(i))
+                if (worker.oneMore || !this->snapshot.suits(worker, this->request) || !this->snapshot.respectsIsolation(worker, this->request) || !this->belowLimit(i))
                     continue;
                 std::optional<Option> option = this->optionOn(i);
                 if (option && (!best || option->cost < best->cost))
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -89,6 +89,15 @@
     return !contains(request.avoid, worker.id);
 }
 
+bool Snapshot::respectsIsolation(const SnapshotWorker& worker, const PlacementRequest& request) const
+{
+    if (request.isolatedFor.empty())
+        return worker.isolatedFor.empty();
+    if (request.isolation)
+        return request.isolation->contains(worker.id);
+    return worker.isolatedFor.empty() && worker.allocations.empty() && worker.free == worker.capacity;
+}
+
 bool Snapshot::respectsPromise(const SnapshotWorker& worker, const PlacementRequest& request, std::int64_t count) const
 {
     if (!worker.promisedFrom || this->now + request.expected <= *worker.promisedFrom)
@@ -102,6 +111,8 @@
         return 0;
     if (view != View::Empty && (worker.speed < request.leastSpeed || worker.speed > request.mostSpeed))
         return 0;
+    if (view != View::Empty && !this->respectsIsolation(worker, request))
+        return 0;
     const bool closed = worker.closed && !request.urgent && worker.rack != request.rack;
     if (closed && view != View::Empty)
         return 0;
@@ -290,6 +301,7 @@
         worker.afterStops -= request.each;
         if (worker.promisedFrom && this->now + request.expected > *worker.promisedFrom)
             worker.leftThen -= request.each;
+        worker.isolatedFor = request.isolatedFor;
         if (worker.oneMore)
             worker.afterStops = {};
     }
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -44,6 +44,7 @@
     Room capacity;
     Room free;
     Room afterStops;
+    std::string isolatedFor; // The job whose suspect tasks run there alone; empty: none.
     bool oneMore { false }; // On trial: takes one unit and no more.
     bool kept { false }; // For urgent units; others go there last,
     bool closed { false }; // or not at all.
@@ -66,6 +67,8 @@
     bool sameRack { false };
     std::int64_t mostPerWorker { 0 };
     const std::set<std::string>* allowed { nullptr }; // The only workers that may be used; null: any.
+    std::string isolatedFor; // Goes only where nothing but suspect tasks of this job runs; empty: anywhere else.
+    const std::set<std::string>* isolation { nullptr }; // Workers on which such tasks run; null: none yet.
     const std::vector<std::string>* avoid { nullptr }; // Workers that must not be used.
     const WorkerCounts* siblings { nullptr }; // Running tasks of the step, by worker.
     Millis expected { 0 }; // Run time.
@@ -131,6 +134,9 @@
 
     bool suits(const SnapshotWorker&, const PlacementRequest&) const;
 
+    // Keeps suspect tasks and all others apart.
+    bool respectsIsolation(const SnapshotWorker&, const PlacementRequest&) const;
+
 private:
     enum class View {
         Free,
--- a/src/tasks/progress.h
+++ b/src/tasks/progress.h
@@ -7,6 +7,7 @@
 // recorded with its workers before its first start is sent, so that no run can
 // exist that a successor does not know of.
 
+#include "tasks/crash_history.h"
 #include "tasks/job.h"
 
 #include <optional>
@@ -65,6 +66,9 @@
     UnitState state { UnitState::Waiting };
     std::string checkpoint; // The newest one; empty: none.
     std::vector<Incarnation> workers; // While Running: one a member, in the order of their index.
+    std::vector<CrashedRun> crashes; // Runs that ended with their worker.
+    bool suspect { false }; // It may crash the next worker as well.
+    std::vector<std::int64_t> begun; // While Running: members that surely began; kept only after a crash.
 
     bool operator==(const UnitProgress&) const = default;
 };
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -118,6 +118,14 @@
         for (const Incarnation& incarnation : unit.workers)
             workers.push_back(Json::array({ incarnation.id, incarnation.born }));
         row.push_back(std::move(workers));
+        if (unit.crashes.empty())
+            return row;
+        Json crashes = Json::array();
+        for (const CrashedRun& crashed : unit.crashes)
+            crashes.push_back(Json::array({ crashed.run, crashed.task, static_cast<int>(crashed.evidence) }));
+        row.push_back(std::move(crashes));
+        row.push_back(unit.suspect);
+        row.push_back(unit.begun);
         return row;
     }
 
@@ -136,6 +144,12 @@
             for (const Json& incarnation : row.at(7))
                 unit.workers.push_back({ incarnation.at(0).get<std::string>(), incarnation.at(1).get<Millis>() });
         }
+        if (row.size() > 10) {
+            for (const Json& crashed : row.at(8))
+                unit.crashes.push_back({ crashed.at(0).get<std::int64_t>(), crashed.at(1).get<std::int64_t>(), static_cast<CrashEvidence>(crashed.at(2).get<int>()) });
+            unit.suspect = row.at(9).get<bool>();
+            unit.begun = row.at(10).get<std::vector<std::int64_t>>();
+        }
         return unit;
     }
 
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -7,7 +7,9 @@
 #include "tasks/learned.h"
 #include "tasks/planner_limits.h"
 
+#include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace rattan::tasks {
 
@@ -77,6 +79,9 @@
         unit->run = progress.run;
         unit->failedRuns.insert(progress.failedRuns.begin(), progress.failedRuns.end());
         unit->checkpoint = progress.checkpoint;
+        for (const CrashedRun& crashed : progress.crashes)
+            unit->crashes.add(crashed);
+        unit->suspect = progress.suspect;
         if (progress.state == UnitState::Running)
             this->adoptRun(*unit, progress, now);
     }
@@ -89,6 +94,8 @@
     unit.left = static_cast<std::int64_t>(progress.workers.size());
     unit.placedAt = now;
     unit.adopted = true;
+    if (unit.suspect)
+        this->isolatedUnits.insert(unit.key);
     this->waitingUnits.erase(unit.key);
     for (std::size_t member = 0; member < progress.workers.size(); ++member) {
         const Incarnation& incarnation = progress.workers[member];
@@ -107,6 +114,7 @@
         PlacedRun placedRun { .run = { unit.task(static_cast<std::int64_t>(member)), unit.run }, .unit = unit.key };
         placedRun.inherited = true;
         placedRun.phase = RunPhase::Starting;
+        placedRun.begun = std::find(progress.begun.begin(), progress.begun.end(), static_cast<std::int64_t>(member)) != progress.begun.end();
         placedRun.room = this->roomOf(placedRun.run.task);
         worker.used += placedRun.room;
         worker.placedRuns.emplace(placedRun.run, placedRun);
@@ -199,6 +207,7 @@
             placedRun->second.stray = true;
     }
     this->waitingUnits.erase(key);
+    this->isolatedUnits.erase(key);
     this->units.erase(found);
 
     const UnitKey done = key;
@@ -254,10 +263,22 @@
     unit.startedAt = 0;
     unit.waitingSince = now;
     unit.notBefore = failed ? now + retryPause : now;
+    this->isolatedUnits.erase(unit.key);
     this->waitingUnits.insert(unit.key);
     this->markDirty(unit.key.job);
     this->changed = true;
     this->emit(PlanEventKind::UnitRetried, unit.key, unit.run, "", failed ? "failed" : "ended early");
+    if (unit.crashes.isExhausted(unit.run))
+        this->exhausted.insert(unit.key);
+}
+
+void TaskPlanner::giveUpExhausted(Millis now)
+{
+    for (const UnitKey& key : std::exchange(this->exhausted, {})) {
+        const Unit* unit = this->find(key);
+        if (unit && unit->crashes.isExhausted(unit->run))
+            this->finishJob(unit->job->id, JobState::Failed, fmt::format("step {}: {} workers crashed under its tasks", key.step, unit->crashes.size()), now);
+    }
 }
 
 // Counted by the number of the run, whether or not anybody still waits for it: an
@@ -296,6 +317,7 @@
         Unit unit = std::move(next->second);
         next = this->units.erase(next);
         this->waitingUnits.erase(unit.key);
+        this->isolatedUnits.erase(unit.key);
         this->abandonRun(unit, now);
     }
 }
@@ -389,6 +411,8 @@
     for (const auto& [key, unit] : this->units) {
         if ((unit.state == UnitState::Waiting) != this->waitingUnits.contains(key))
             found.push_back("the queue is not the set of waiting units: " + key.job);
+        if (this->isolatedUnits.contains(key) && (unit.state != UnitState::Running || !unit.suspect))
+            found.push_back("isolated without being suspect: " + key.job);
     }
     return found;
 }
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -18,6 +18,8 @@
 //    term: from then on it refuses orders of earlier terms.
 //  * A start without an answer keeps its room and its task until a poll shows the
 //    run, or shows that a stop came first, or every lease there is over.
+//  * A worker that crashes under a task is recorded with the task before it starts again.
+//    After a few such crashes its job is given up, whoever plans by then.
 //  * Ends are acknowledged to workers, and jobs shown as over, only when the
 //    record that says so is durable.
 //
@@ -103,6 +105,7 @@
     using PlacedRun = detail::PlacedRun;
     using ActiveJob = detail::ActiveJob;
     using Candidate = detail::Candidate;
+    using RunLoss = detail::RunLoss;
 
     // Jobs and their units.
     void adopt(const JobEntry&, const Progress&, Millis now, Millis wall);
@@ -116,6 +119,7 @@
     void runOver(Unit&, Millis now);
     void learn(const Unit&, Millis now);
     void countFailure(const RunRef&, Millis now);
+    void giveUpExhausted(Millis now);
     void finishJob(const std::string& id, JobState, std::string reason, Millis now);
     void dropUnits(const std::string& id, Millis now);
     void abandonRun(const Unit&, Millis now);
@@ -124,7 +128,11 @@
     // Runs and workers.
     void place(Unit&, const std::vector<std::string>& workers, Millis now);
     void stopUnit(Unit&, Millis now);
-    void runLost(Worker&, const RunRef&, const char* why, std::optional<RunEnd>, Millis now);
+    void runLost(Worker&, const RunRef&, RunLoss, Millis now);
+    void countCrash(const Worker&, const PlacedRun&, RunLoss);
+    void crashed(const PlacedRun&, CrashEvidence);
+    bool hasSurvivedStart(const Unit&);
+    void clearSuspicion(Unit&);
     void memberGone(Worker&, const RunRef&, std::optional<RunEnd>, const std::string& checkpoint, Millis now);
     void applyEnd(Worker&, const EndedTask&, Millis now);
     void acceptLateDone(const RunRef&, Millis now);
@@ -154,6 +162,9 @@
     bool tryEvict(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void tellRefusal(Unit&, detail::EvictionRefusal, double cost, double bound);
     WorkerCounts siblingsOf(const UnitKey&) const;
+    std::set<std::string> isolationOf(const std::string& job) const;
+    bool isCheckDue(const PlacedRun&, Millis now) const;
+    Millis nextCheck(Millis now) const;
     void decide(Millis now, Millis wall);
     std::int64_t urgentDemand(const std::string& service, Millis now);
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
@@ -174,6 +185,8 @@
     void markUrgent() { this->recordBy = 0; } // Somebody waits for the next record.
     bool recordDue(Millis now);
     Progress progressOf(const ActiveJob&) const;
+    std::vector<std::int64_t> begunMembers(const Unit&) const;
+    void confirmStart(PlacedRun&, Millis now);
     void makeBatch(Millis now, Orders&);
     void recordJob(const std::string& id, RecordBatch&);
     void recordForgotten(RecordBatch&);
@@ -181,7 +194,7 @@
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
     bool pollDue(const Worker&, Millis now) const;
     void poll(Worker&, Millis now, Orders&) const;
-    void pollBeside(Worker&, Orders&) const;
+    void pollBeside(Worker&, Millis now, Orders&) const;
     void pollDoubted(Worker&, Millis now, Orders&);
     void pollIdle(const std::vector<Worker*>&, Millis now, Orders&);
     void makeStops(Millis now, Orders&);
@@ -193,6 +206,8 @@
     std::map<std::string, ActiveJob> jobs;
     std::map<UnitKey, Unit> units; // Of jobs that are not over.
     std::set<UnitKey> waitingUnits;
+    std::set<UnitKey> exhausted; // To be given up with their jobs.
+    std::set<UnitKey> isolatedUnits; // Suspect, and running where nothing else does.
     std::map<std::string, Worker> workers; // By id; the newest incarnation.
     DomainDoubts domainDoubts;
     RunTimes runTimes;
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -38,11 +38,30 @@
         row.state = unit.state;
         row.checkpoint = unit.checkpoint;
         row.workers = unit.workers;
+        row.crashes = unit.crashes.all();
+        row.suspect = unit.suspect;
+        if (!row.crashes.empty())
+            row.begun = this->begunMembers(unit);
         progress.units.push_back(std::move(row));
     }
     return progress;
 }
 
+std::vector<std::int64_t> TaskPlanner::begunMembers(const Unit& unit) const
+{
+    std::vector<std::int64_t> members;
+    for (std::size_t i = 0; i < unit.workers.size(); ++i) {
+        const auto member = static_cast<std::int64_t>(i);
+        const auto worker = this->workers.find(unit.workers[i].id);
+        if (worker == this->workers.end())
+            continue;
+        const auto placedRun = worker->second.placedRuns.find({ unit.task(member), unit.run });
+        if (placedRun != worker->second.placedRuns.end() && placedRun->second.begun)
+            members.push_back(member);
+    }
+    return members;
+}
+
 // Starts and final states are waited for and recorded at once. An end that only
 // brings a job further is not; a few of them share a record, which every
 // instance has to read.
@@ -193,12 +212,30 @@
     orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, 0, 0, false, true });
 }
 
-void TaskPlanner::pollBeside(Worker& worker, Orders& orders) const
+// A suspect task keeps a worker to itself until it is seen to have survived its start.
+bool TaskPlanner::isCheckDue(const PlacedRun& placedRun, Millis now) const
+{
+    return placedRun.phase == RunPhase::Running && !placedRun.isProven() && now >= placedRun.confirmedAt + provenAfter && this->isolatedUnits.contains(placedRun.unit);
+}
+
+Millis TaskPlanner::nextCheck(Millis now) const
+{
+    Millis next = std::numeric_limits<Millis>::max();
+    for (const UnitKey& key : this->isolatedUnits) {
+        const Millis checkAt = this->units.at(key).startedAt + provenAfter;
+        if (checkAt > now)
+            next = std::min(next, checkAt);
+    }
+    return next;
+}
+
+void TaskPlanner::pollBeside(Worker& worker, Millis now, Orders& orders) const
 {
     if (!worker.pollUnderWay || worker.quickPollUnderWay)
         return;
     for (const auto& [run, placedRun] : worker.placedRuns) {
-        if (placedRun.phase != RunPhase::Starting || placedRun.stopAnsweredAt == 0 || placedRun.stopAnsweredAt < worker.pollSentAt)
+        const bool awaitsSettling = placedRun.phase == RunPhase::Starting && placedRun.stopAnsweredAt > 0 && placedRun.stopAnsweredAt >= worker.pollSentAt;
+        if (!awaitsSettling && (worker.silent || !this->isCheckDue(placedRun, now)))
             continue;
         worker.quickPollUnderWay = true;
         orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, 0, 0, false, true });
@@ -238,7 +275,7 @@
     for (auto& [id, worker] : this->workers) {
         if (worker.seen.address.empty() || (!worker.listed && worker.placedRuns.empty()))
             continue; // Of one known only from a record, the list has to tell where it is.
-        this->pollBeside(worker, orders);
+        this->pollBeside(worker, now, orders);
         this->pollDoubted(worker, now, orders);
         if (!this->pollDue(worker, now))
             continue;
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -29,6 +29,7 @@
 void TaskPlanner::step(Millis now, Millis wall)
 {
     this->expire(now);
+    this->giveUpExhausted(now);
     for (auto& [id, active] : this->jobs) {
         if (!isFinal(active.state))
             this->beginDue(active, now, wall);
@@ -58,6 +59,7 @@
         if (!isFinal(active.state) && active.nextOccurrence < active.job->occurrences())
             next = std::min(next, now + std::max<Millis>(active.job->dueAt(active.nextOccurrence) - wall, 0));
     }
+    next = std::min(next, this->nextCheck(now));
     if (this->idlePollsFrom > now)
         next = std::min(next, this->idlePollsFrom);
     for (const auto& [id, worker] : this->workers) {
@@ -207,6 +209,8 @@
             const bool ending = placedRun.stray || placedRun.stopWanted;
             if (ending)
                 place.afterStops += placedRun.room;
+            if (this->isolatedUnits.contains(placedRun.unit))
+                place.isolatedFor = placedRun.unit.job;
             const auto unit = this->units.find(placedRun.unit);
             const Millis endsAt = ending || unit == this->units.end() ? now + this->options.stopTimeout : this->expectedEnd(unit->second, now);
             place.allocations.push_back({ placedRun.unit, placedRun.room, endsAt, ending });
@@ -273,6 +277,18 @@
     return counts;
 }
 
+// The workers that suspect tasks of a job have to themselves. One job's are tried together,
+// so that it costs one worker at a time whichever of them is to blame.
+std::set<std::string> TaskPlanner::isolationOf(const std::string& job) const
+{
+    std::set<std::string> ids;
+    for (auto next = this->isolatedUnits.lower_bound({ job, 0, 0, wholeGang }); next != this->isolatedUnits.end() && next->job == job; ++next) {
+        for (const Incarnation& incarnation : this->units.at(*next).workers)
+            ids.insert(incarnation.id);
+    }
+    return ids;
+}
+
 void TaskPlanner::decide(Millis now, Millis wall)
 {
     std::map<std::string, Snapshot> snapshots;
@@ -294,6 +310,12 @@
             snapshot->second.keep(this->urgentDemand(service, now));
         }
         PlacementRequest request = this->requestOf(unit);
+        std::set<std::string> isolation;
+        if (unit.suspect && now - unit.waitingSince < longestIsolationWait) {
+            request.isolatedFor = unit.key.job;
+            isolation = this->isolationOf(unit.key.job);
+            request.isolation = isolation.empty() ? nullptr : &isolation;
+        }
         std::set<std::string> allowed;
         const bool hasPolicy = this->options.advised && unit.job->terms.advice.valid > 0;
         if (hasPolicy) {
@@ -316,7 +338,7 @@
         if (!snapshot->second.couldEverFit(request)) {
             request.avoid = nullptr; // Rather one that failed it than none.
         }
-        const bool plain = request.mostPerWorker == 0 && unit.avoid.empty() && !hasPolicy;
+        const bool plain = request.isolatedFor.empty() && request.mostPerWorker == 0 && unit.avoid.empty() && !hasPolicy;
         FailedRequests& failed = failedRequests[service];
         const bool hopeless = failed.cover(request);
         if (!hopeless && this->tryPlace(candidate, snapshot->second, request, now)) {
@@ -324,6 +346,8 @@
                 count(siblings, unit.workers);
             continue;
         }
+        if (!request.isolatedFor.empty())
+            continue; // Its siblings may find a place, and none is kept for it.
         // Stopping others throws work away; the idle workers that a planner which has
         // just taken over has not heard yet answer within a fraction of a second.
         const bool roomIsNear = !snapshot->second.unpolled.empty() && snapshot->second.couldFitUnpolled(request);
@@ -353,6 +377,8 @@
         const Step& step = unit.step();
         unit.placedFar = (!step.dataRack.empty() && request.rack.empty()) || (step.sameRack && !request.sameRack);
         this->place(unit, chosen, now);
+        if (!request.isolatedFor.empty())
+            this->isolatedUnits.insert(unit.key);
         return true;
     }
     if (const auto places = snapshot.findAfterStops(request)) {
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -5,12 +5,21 @@
 #include "tasks/task_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 
 namespace rattan::tasks {
 
 using namespace detail;
 
+namespace {
+
+    constexpr std::array<std::string_view, 3> lossNames { "its worker has ended", "its worker has started again", "its lease is over" };
+
+} // namespace
+
+std::string_view detail::nameOf(RunLoss loss) { return lossNames.at(static_cast<std::size_t>(loss)); }
+
 TaskPlanner::Worker* TaskPlanner::find(const Incarnation& incarnation)
 {
     const auto found = this->workers.find(incarnation.id);
@@ -69,7 +78,7 @@
     for (const auto& [run, placedRun] : worker.placedRuns)
         lost.push_back(run);
     for (const RunRef& run : lost)
-        this->runLost(worker, run, "its worker has ended", std::nullopt, now);
+        this->runLost(worker, run, RunLoss::WorkerEnded, now);
     const WorkerSighting seen = worker.seen;
     worker = Worker {};
     worker.seen = seen;
@@ -96,6 +105,7 @@
     for (const EndedTask& end : report.ended)
         listed.insert(end.run);
     std::vector<RunRef> lost;
+    std::vector<PlacedRun> unconfirmed;
     for (auto& [run, placedRun] : worker.placedRuns) {
         if (placedRun.phase == RunPhase::Running && !listed.contains(run)) {
             // One that was confirmed after the poll was sent may be of this incarnation.
@@ -105,10 +115,14 @@
             placedRun.inherited = false;
             placedRun.stopWanted = true;
             placedRun.stopAnsweredAt = 0;
+            unconfirmed.push_back(placedRun);
         }
     }
+    // They may have begun and been lost; one that turns up after all is not counted.
+    for (const PlacedRun& placedRun : unconfirmed)
+        this->countCrash(worker, placedRun, RunLoss::WorkerRestarted);
     for (const RunRef& run : lost)
-        this->runLost(worker, run, "its worker has started again", std::nullopt, now);
+        this->runLost(worker, run, RunLoss::WorkerRestarted, now);
     for (auto& [run, placedRun] : worker.placedRuns) {
         Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
         if (!unit)
@@ -233,13 +247,15 @@
         return;
     }
     PlacedRun& placedRun = found->second;
-    if (placedRun.phase != RunPhase::Running) {
-        placedRun.phase = RunPhase::Running;
-        placedRun.confirmedAt = now;
-    }
+    if (placedRun.phase != RunPhase::Running)
+        this->confirmStart(placedRun, now);
+    placedRun.listedAt = now;
     Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
     if (!unit || unit->run != running.run.run)
         return;
+    unit->crashes.retract(running.run.run, running.run.task.index);
+    if (unit->suspect && this->hasSurvivedStart(*unit))
+        this->clearSuspicion(*unit);
     const double progress = static_cast<double>(running.percent) / 100.0;
     if (unit->startedAt == 0) {
         unit->startedAt = now;
@@ -259,6 +275,29 @@
     unit->heardAt = now;
 }
 
+// Once a worker has crashed under a unit, a planner that takes over has to know whether
+// the next one did as well, or was never reached.
+void TaskPlanner::confirmStart(PlacedRun& placedRun, Millis now)
+{
+    placedRun.phase = RunPhase::Running;
+    placedRun.confirmedAt = now;
+    placedRun.begun = true;
+    if (const Unit* unit = this->find(placedRun.unit); unit && unit->crashes.size() > 0)
+        this->markDirty(placedRun.unit.job);
+}
+
+bool TaskPlanner::hasSurvivedStart(const Unit& unit)
+{
+    for (std::size_t member = 0; member < unit.workers.size(); ++member) {
+        Worker* worker = this->find(unit.workers[member]);
+        const RunRef run { unit.task(static_cast<std::int64_t>(member)), unit.run };
+        const auto placedRun = worker ? worker->placedRuns.find(run) : std::map<RunRef, PlacedRun>::iterator();
+        if (!worker || placedRun == worker->placedRuns.end() || !placedRun->second.isProven())
+            return false;
+    }
+    return true;
+}
+
 double TaskPlanner::leastProgress(const Unit& unit)
 {
     double least = 1;
@@ -313,8 +352,7 @@
         answer = StartAnswer::NoAnswer;
     switch (answer) {
     case StartAnswer::Started:
-        placedRun.phase = RunPhase::Running;
-        placedRun.confirmedAt = now;
+        this->confirmStart(placedRun, now);
         worker->silent = false;
         worker->heardAt = now;
         if (unit && unit->startedAt == 0) {
@@ -396,13 +434,55 @@
 
 // A run of which nothing more will be heard: the log has to tell a crash under a task from
 // an eviction, and what ran beside it.
-void TaskPlanner::runLost(Worker& worker, const RunRef& ref, const char* why, std::optional<RunEnd> end, Millis now)
+void TaskPlanner::runLost(Worker& worker, const RunRef& ref, RunLoss loss, Millis now)
 {
     const RunRef run = ref;
-    const PlacedRun& placedRun = worker.placedRuns.at(run);
+    const auto found = worker.placedRuns.find(run);
+    if (found == worker.placedRuns.end())
+        return;
+    const PlacedRun placedRun = found->second;
     const std::string confirmed = placedRun.confirmedAt > 0 ? fmt::format("confirmed {} ms ago", now - placedRun.confirmedAt) : "never confirmed";
-    this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.seen.incarnation.id, fmt::format("{}, {}, {} runs there", why, confirmed, worker.placedRuns.size()));
-    this->memberGone(worker, run, end, "", now);
+    this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.seen.incarnation.id, fmt::format("{}, {}, {} runs there", nameOf(loss), confirmed, worker.placedRuns.size()));
+    this->countCrash(worker, placedRun, loss);
+    this->memberGone(worker, run, loss == RunLoss::LeaseOver ? std::optional(RunEnd::Lapsed) : std::nullopt, "", now);
+}
+
+// A worker that was leaving has left. One whose lease is over may be cut off; only if it is
+// not listed any more may it have crashed.
+void TaskPlanner::countCrash(const Worker& worker, const PlacedRun& placedRun, RunLoss loss)
+{
+    if (worker.seen.leaving || placedRun.phase == RunPhase::Recording || (loss == RunLoss::LeaseOver && worker.listed))
+        return;
+    const Unit* unit = this->find(placedRun.unit);
+    CrashEvidence evidence = CrashEvidence::Early;
+    if (loss == RunLoss::LeaseOver || !placedRun.begun)
+        evidence = CrashEvidence::Unproven;
+    else if (placedRun.isProven())
+        evidence = CrashEvidence::Late;
+    else if (unit && !unit->adopted && unit->run == placedRun.run.run && this->isolatedUnits.contains(placedRun.unit))
+        evidence = CrashEvidence::Alone;
+    this->crashed(placedRun, evidence);
+}
+
+void TaskPlanner::crashed(const PlacedRun& placedRun, CrashEvidence evidence)
+{
+    Unit* unit = this->find(placedRun.unit);
+    if (!unit || !unit->crashes.add({ placedRun.run.run, placedRun.run.task.index, evidence }))
+        return;
+    this->markDirty(unit->key.job);
+    unit->suspect = unit->suspect || evidence != CrashEvidence::Late;
+    if (unit->crashes.isExhausted(unit->run))
+        this->exhausted.insert(unit->key);
+}
+
+// Of a task that lasts, crashes before it served say nothing of those after.
+void TaskPlanner::clearSuspicion(Unit& unit)
+{
+    this->isolatedUnits.erase(unit.key);
+    unit.suspect = false;
+    if (unit.step().longRunning)
+        unit.crashes.clear();
+    this->changed = true;
 }
 
 void TaskPlanner::memberGone(Worker& worker, const RunRef& ref, std::optional<RunEnd> end, const std::string& checkpoint, Millis now)
@@ -453,7 +533,7 @@
             continue;
         this->emit(PlanEventKind::WorkerLapsed, {}, 0, id, fmt::format("{} runs, no answer for a whole lease", over.size()));
         for (const RunRef& run : over)
-            this->runLost(worker, run, "its lease is over", RunEnd::Lapsed, now);
+            this->runLost(worker, run, RunLoss::LeaseOver, now);
         worker.known = false; // What runs there now, a poll has to tell.
     }
 }
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -2,6 +2,7 @@
 
 // What a planner keeps of a unit, of a job and of a worker. See task_planner.h.
 
+#include "tasks/crash_history.h"
 #include "tasks/placing.h"
 #include "tasks/progress.h"
 #include "tasks/worker.h"
@@ -33,6 +34,8 @@
     std::set<std::int64_t> failedRuns; // By number: the same end may be told again by its worker.
     std::string checkpoint;
     double saved { 0 }; // Share of the work that the checkpoint holds, 0 to 1.
+    CrashHistory crashes;
+    bool suspect { false }; // Its last run crashed its worker, as far as is known; it starts where nothing else runs.
     std::vector<Incarnation> workers; // Of the present run, one a member.
 
     // Of the present run.
@@ -94,12 +97,25 @@
     Running, // Seen, or its start confirmed.
 };
 
+// A run that is listed this long after its start was confirmed has survived it.
+inline constexpr Millis provenAfter = 1000;
+
+// How it is known that a run is over of which no end was reported.
+enum class RunLoss {
+    WorkerEnded, // Another worker is there in place of its own.
+    WorkerRestarted,
+    LeaseOver,
+};
+
+std::string_view nameOf(RunLoss);
+
 // A run on a worker, from the decision to place it until it surely takes no room.
 struct PlacedRun {
     RunRef run;
     UnitKey unit;
     bool stray { false }; // Its unit has gone on without it.
     bool inherited { false }; // Started, if at all, by an earlier planner.
+    bool begun { false }; // Surely.
     Room room;
     RunPhase phase { RunPhase::Recording };
     bool stopWanted { false };
@@ -109,7 +125,11 @@
     int startsSent { 0 };
     Millis stopAnsweredAt { 0 }; // The worker will not start it any more.
     Millis confirmedAt { 0 };
+    Millis listedAt { 0 }; // When its worker last told of it.
     double progress { 0 }; // As last heard, 0 to 1.
+
+    // It has been alive for so long that it is not going to crash its worker by starting.
+    bool isProven() const { return this->phase == RunPhase::Running && this->listedAt - this->confirmedAt >= provenAfter; }
 };
 
 struct WorkerState {
