Send no start to a worker that has shrunk since it was chosen

What callers saw: nothing yet; LIMIT with a capacity that shrinks is new. A start is decided by the capacity that the list shows, and sent when its record is durable, which takes seconds while the store is slow; and one without an answer is sent again. Meanwhile the worker may have shrunk.

Change: before a start is sent, for the first time or again, the runs of its worker must be within the capacity that the list shows now; else its unit goes back to the queue. nothingIsStartedOnAWorkerThatHasShrunkMeanwhile failed before ("8020 ms: over room") and passes.

The judge of the virtual site held a start against the capacity before the last change only. It now takes all capacities of the last 4.5 s; a start over each of them is a breach as before.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -191,6 +191,7 @@
     void recordJob(const std::string& id, RecordBatch&);
     void recordForgotten(RecordBatch&);
     void makePolls(Millis now, Orders&);
+    static bool isWithinCapacity(const Worker&);
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
     bool pollDue(const Worker&, Millis now) const;
     void poll(Worker&, Millis now, Orders&) const;
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -157,6 +157,12 @@
     this->toForget.clear();
 }
 
+// The capacity may have shrunk since the run was placed: a record can take seconds.
+bool TaskPlanner::isWithinCapacity(const Worker& worker)
+{
+    return worker.used.within(worker.seen.capacity);
+}
+
 void TaskPlanner::recorded(std::int64_t batch, Millis now)
 {
     if (!this->batchUnderWay || batch != this->batchNumber)
@@ -183,6 +189,10 @@
         const Unit* unit = this->find(placedRun->second.unit);
         if (!unit)
             continue;
+        if (!isWithinCapacity(worker->second)) {
+            this->memberGone(worker->second, run, std::nullopt, "", now);
+            continue;
+        }
         placedRun->second.phase = RunPhase::Starting;
         this->sendStart(worker->second, placedRun->second, *unit, now);
     }
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -363,7 +363,7 @@
     case StartAnswer::NoAnswer:
         this->fellSilent(*worker, now);
         worker->nextPollAt = now;
-        if (unit && !unit->stopping && placedRun.startsSent < mostStarts)
+        if (unit && !unit->stopping && placedRun.startsSent < mostStarts && isWithinCapacity(*worker))
             return this->sendStart(*worker, placedRun, *unit, now);
         placedRun.stopWanted = true;
         if (unit)
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -158,8 +158,7 @@
         bool crashed { false };
         bool replaced { false }; // Another worker is there at its address.
         bool listed { true };
-        Room capacityBefore; // Of before it was resized last.
-        Millis resizedAt { 0 };
+        std::vector<std::pair<Millis, Room>> formerCapacities; // And when each was replaced.
     };
 
     void addWorker(const std::string& id);
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -66,9 +66,8 @@
 void VirtualSite::resize(const std::string& id, Room capacity)
 {
     Worker& worker = this->workers.at(id);
-    worker.capacityBefore = worker.capacity;
+    worker.formerCapacities.emplace_back(this->now, worker.capacity);
     worker.capacity = capacity;
-    worker.resizedAt = this->now;
     this->at(this->now + 500, [this] { this->relist(); });
 }
 
@@ -192,8 +191,10 @@
     Room used = this->stepOf(order.run.task).each;
     for (const auto& [ref, run] : worker.running)
         used += run.room;
-    const bool isKnown = worker.resizedAt == 0 || this->now >= worker.resizedAt + knownAfter;
-    if (!used.within(worker.capacity) && (isKnown || !used.within(worker.capacityBefore)))
+    bool isAllowed = used.within(worker.capacity);
+    for (const auto& [replacedAt, capacity] : worker.formerCapacities)
+        isAllowed = isAllowed || (this->now < replacedAt + knownAfter && used.within(capacity));
+    if (!isAllowed)
         this->breach("over room", order);
 }
 
