Count workers that are lost under a job as its failed attempts, in rattan-planner too

A job that takes one worker after the other along came back without end, while the same loss reported by the driver (member_lost) was counted.

A worker lost within the first minute of an attempt, the time within which a member's failure is blamed on the start already, now counts. aJobUnderWhichWorkersAreLostIsGivenUp failed before (8 of 8 workers lost, no end) and passes; workersLostLateAreNoFailuresOfTheJob holds before and after.

--- a/src/decide/engine_events.cc
+++ b/src/decide/engine_events.cc
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace rattan::decide::detail {
 
@@ -269,6 +270,7 @@
 {
     const StopReason reason = job.stopReason;
     const bool wasOrdered = job.ending();
+    const bool lostWorkerEarly = std::exchange(job.lostWorkerEarly, false);
     this->vacate(job);
     // Whether a member ran before the stop arrived cannot be told.
     job.everStarted = true;
@@ -283,6 +285,8 @@
         this->finish(job, Outcome::Failed, "used more memory than it asked for, also after it was throttled");
     } else if (!job.spec.idempotent && job.everStarted) {
         this->finish(job, Outcome::Failed, "stopped, and may not be started twice");
+    } else if (lostWorkerEarly && ++job.failures >= job.spec.attempts) {
+        this->finish(job, Outcome::Failed, fmt::format("{} attempts failed; under the last one a worker was lost", job.failures));
     } else if (this->fault != Fault::LoseJob) {
         job.notBefore = reason == StopReason::Incomplete ? this->now + this->options.firstRetryDelay : this->now;
         this->enqueue(job);
--- a/src/decide/engine_workers.cc
+++ b/src/decide/engine_workers.cc
@@ -7,12 +7,6 @@
 
 namespace rattan::decide::detail {
 
-namespace {
-
-    constexpr Millis steadyAfter = 60000; // A member lost after this long is not blamed on the start.
-
-} // namespace
-
 void Engine::on(const WorkerSeen& seen)
 {
     if (seen.worker >= mostWorkers)
@@ -65,8 +59,10 @@
     const std::vector<JobId> gangs = this->workers[lost.worker].gangs;
     for (const JobId id : gangs) {
         JobRecord& job = this->jobs.at(id);
-        if (job.state != JobState::Stopping)
-            this->stop(job, StopReason::Incomplete);
+        if (job.state == JobState::Stopping)
+            continue;
+        job.lostWorkerEarly = this->now - job.startedAt < steadyAfter;
+        this->stop(job, StopReason::Incomplete);
     }
 }
 
--- a/src/decide/job_record.h
+++ b/src/decide/job_record.h
@@ -11,6 +11,8 @@
 
 namespace rattan::decide::detail {
 
+inline constexpr Millis steadyAfter = 60000; // A member lost after this long is not blamed on the start.
+
 enum class OveruseStage {
     None,
     Throttled,
@@ -41,6 +43,7 @@
     Millis startedAt { 0 };
     Millis answerBy { 0 };
     StopReason stopReason { StopReason::Cancelled };
+    bool lostWorkerEarly { false }; // The present attempt is stopped for a worker that was lost soon after the start.
     double savedProgress { 0 };
 
     std::int64_t evictions { 0 };
--- a/src/decide/testing/decider_test.cc
+++ b/src/decide/testing/decider_test.cc
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(aJobThatFailsEverywhereBlamesNoWorker);
     CPPUNIT_TEST(anUnansweredStartIsStoppedAndRetried);
     CPPUNIT_TEST(aPausedDeciderStartsNothing);
+    CPPUNIT_TEST(aJobUnderWhichWorkersAreLostIsGivenUp);
+    CPPUNIT_TEST(workersLostLateAreNoFailuresOfTheJob);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Amounts bigWorker { 8, 128, 524288 };
@@ -152,6 +154,28 @@
         assertSound(domain);
     }
 
+    // Guards against a job that takes one worker after the other along: a stop for want of a
+    // worker is no attempt, and the job comes back without end.
+    void aJobUnderWhichWorkersAreLostIsGivenUp()
+    {
+        FakeDomain domain({});
+        addWorkers(domain, 8);
+        domain.tell(gang(1, 1, 8));
+        CPPUNIT_ASSERT_EQUAL(domain.specs[1].attempts, this->loseWorkersUnder(domain, 1, 1000));
+        CPPUNIT_ASSERT(domain.finals[1].front().outcome == Outcome::Failed);
+        assertSound(domain);
+    }
+
+    void workersLostLateAreNoFailuresOfTheJob()
+    {
+        FakeDomain domain({});
+        addWorkers(domain, 8);
+        domain.tell(gang(1, 1, 8));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 8 }, this->loseWorkersUnder(domain, 1, 120000));
+        CPPUNIT_ASSERT(domain.finals[1].empty());
+        assertSound(domain);
+    }
+
     // A planner that takes over finds gangs at the workers before the log has
     // told of their jobs. Treated as free, their accelerators would be given
     // again; treated as foreign, running work would be lost.
@@ -255,6 +279,23 @@
         CPPUNIT_ASSERT(domain.runs(1));
         assertSound(domain);
     }
+
+private:
+    // Each time it has run for so long; returns how many workers were lost.
+    std::int64_t loseWorkersUnder(FakeDomain& domain, JobId job, Millis after)
+    {
+        constexpr Millis untilRetry = 60000;
+        std::int64_t lost = 0;
+        for (; domain.runs(job); ++lost) {
+            domain.answerStart(job);
+            domain.now += after;
+            domain.tell(WorkerLost { domain.gangs.at(job).start.placements.front().worker });
+            domain.answerStop(job);
+            domain.now += untilRetry;
+            domain.tell(Tick {});
+        }
+        return lost;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeciderTest);
