Give up on takeover what had crashed too many workers already

A planner that died after the record of the last crash and before that of the job's end left a waiting unit behind; who took over started it once more. Found by reading the diff; guarded by crashesThatAreEnoughAreNotForgotten, which failed before (one unit waiting) and passes.

--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -85,8 +85,7 @@
 // A run that would end this shortly before its worker leaves is moved instead.
 inline constexpr Millis leaveMargin = 200;
 
-// A suspect task waits this long for a worker of its own; then it starts beside others
-// rather than wait for long.
+// A suspect task waits this long for a worker of its own, then starts beside others.
 inline constexpr Millis longestIsolationWait = 2000;
 
 // What a run takes of which nothing is known: more than any worker has.
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -84,6 +84,8 @@
         unit->suspect = progress.suspect;
         if (progress.state == UnitState::Running)
             this->adoptRun(*unit, progress, now);
+        else if (unit->crashes.isExhausted(unit->run))
+            this->exhausted.insert(unit->key); // The earlier planner died before it gave the job up.
     }
 }
 
--- a/src/tasks/testing/placing_test.cc
+++ b/src/tasks/testing/placing_test.cc
@@ -54,9 +54,28 @@
     CPPUNIT_TEST(evictionCountsGangsOnce);
     CPPUNIT_TEST(evictionRespectsItsBound);
     CPPUNIT_TEST(findsAPlaceWheneverThereIsOne);
+    CPPUNIT_TEST(suspectTasksAndOthersAreKeptApart);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a task that crashes its workers being placed beside others.
+    void suspectTasksAndOthersAreKeptApart()
+    {
+        Snapshot snapshot;
+        snapshot.workers = { worker("busy", "r", 4), worker("idle", "r"), worker("other", "r", 2) };
+        PlacementRequest suspect = ask(1, 1);
+        suspect.isolatedFor = "j";
+        const auto places = snapshot.findFree(suspect);
+        CPPUNIT_ASSERT(idsOf(snapshot, places) == Ids { "idle" });
+        snapshot.take(suspect, *places);
+        CPPUNIT_ASSERT(idsOf(snapshot, snapshot.findFree(ask(1, 4))) == Ids { "busy" });
+        CPPUNIT_ASSERT(!snapshot.findFree(ask(1, 5)));
+        CPPUNIT_ASSERT(!snapshot.findFree(suspect));
+        const std::set<std::string> isolation { "idle" };
+        suspect.isolation = &isolation;
+        CPPUNIT_ASSERT(idsOf(snapshot, snapshot.findFree(suspect)) == Ids { "idle" });
+    }
+
     void smallTasksLeaveWholeWorkersFree()
     {
         const Snapshot snapshot { .workers = { worker("a", "r1"), worker("b", "r1", 3), worker("c", "r1", 5) } };
--- a/src/tasks/testing/takeover_test.cc
+++ b/src/tasks/testing/takeover_test.cc
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(anEndThatOnlyThePlanTells);
     CPPUNIT_TEST(anEndThatOnlyTheStateTells);
     CPPUNIT_TEST(aPlanGoesOnlyWhenTheEndIsRecorded);
+    CPPUNIT_TEST(crashesThatAreEnoughAreNotForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +65,18 @@
         CPPUNIT_ASSERT(this->tells(second.batches.at(0).plans, "progress/a", ""));
     }
 
+    // Guards against one more start of a task that crashes its workers, because its planner
+    // died after the record of the last crash and before it gave the job up.
+    void crashesThatAreEnoughAreNotForgotten()
+    {
+        UnitProgress unit { .run = 2, .crashes = { { 1, 0, CrashEvidence::Early }, { 2, 0, CrashEvidence::Alone } }, .suspect = true };
+        this->plans.apply("progress/a", encodeProgress({ .state = JobState::Running, .started = true, .units = { unit } }), 2);
+        TaskPlanner planner({}, this->table, this->plans, now, now);
+        planner.step(now, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), planner.waiting());
+        CPPUNIT_ASSERT(this->tells(planner.take(now).batches.at(0).jobs, "state/a", encodeState(JobState::Failed)));
+    }
+
 private:
     bool tells(const RecordBatch::Records& records, const std::string& key, const std::string& value) const
     {
