Send a gang's unsent start again instead of stopping the gang

What callers saw: gangs that are stopped and begun anew seconds later, with all workers sound.

Cause: a start without an answer is sent up to three times, while one that surely never left (its relay was lost, or had not read the job's text within 300 ms) ended the run at once, and with one member gone a gang is stopped whole.

Change: such a start of a gang's member is sent again as well, up to the same three times, by then straight or through another relay. A single task still goes elsewhere at once. An earlier try counts as perhaps carried out only if it had no answer.

--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -348,8 +348,9 @@
     this->changed = true;
     // What an earlier try may still bring about is not undone by the answer to a later one.
     const bool settles = answer == StartAnswer::Started || answer == StartAnswer::OtherIncarnation || answer == StartAnswer::Old;
-    if (placedRun.startsSent > 1 && !settles)
+    if (placedRun.startLost && !settles)
         answer = StartAnswer::NoAnswer;
+    const bool maySendAgain = unit && !unit->stopping && placedRun.startsSent < mostStarts && isWithinCapacity(*worker);
     switch (answer) {
     case StartAnswer::Started:
         this->confirmStart(placedRun, now);
@@ -363,7 +364,8 @@
     case StartAnswer::NoAnswer:
         this->fellSilent(*worker, now);
         worker->nextPollAt = now;
-        if (unit && !unit->stopping && placedRun.startsSent < mostStarts && isWithinCapacity(*worker))
+        placedRun.startLost = true;
+        if (maySendAgain)
             return this->sendStart(*worker, placedRun, *unit, now);
         placedRun.stopWanted = true;
         if (unit)
@@ -375,6 +377,9 @@
     case StartAnswer::NotSent:
         this->fellSilent(*worker, now);
         worker->nextPollAt = now;
+        // A single task is sooner begun elsewhere; of a gang all members would be stopped.
+        if (maySendAgain && unit->members() > 1)
+            return this->sendStart(*worker, placedRun, *unit, now);
         break;
     case StartAnswer::NoTicket:
         if (const auto known = this->advice.find({ run.task.job, run.task.occurrence, run.task.step }); known != this->advice.end())
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(aRestartedWorkerStartsAnew);
     CPPUNIT_TEST(endsOfTheNextIncarnationAreNotAcknowledgedUnread);
     CPPUNIT_TEST(aLostStartIsSentAgain);
+    CPPUNIT_TEST(aGangIsNotStoppedForAStartThatWasNotSent);
     CPPUNIT_TEST(aDomainThatIsCutOffIsFoundOutByTwoStarts);
     CPPUNIT_TEST(aStalledWorkerLosesItsTasks);
     CPPUNIT_TEST(aGangOfUnequalMembersIsLeftAlone);
@@ -304,6 +305,21 @@
         assertSound(site);
     }
 
+    // Guards against a whole gang that is stopped and begun anew because the order of one
+    // member never left: its relay was lost, or had not read the job yet.
+    void aGangIsNotStoppedForAStartThatWasNotSent()
+    {
+        VirtualSite site({ .seed = 58, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.keepBack(2);
+        site.submit(gang("g1", 8, whole, 1000));
+        CPPUNIT_ASSERT(site.runUntilOver(10000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 8 }, site.runsOf("g1"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.countEnds(RunEnd::Stopped));
+        assertSound(site);
+    }
+
     // The network loses one order in ten, or its answer. Of a gang of eight more than half
     // lose a member's start so; begun anew each time, an urgent job is late for one
     // lost message.
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -227,6 +227,14 @@
 
 void VirtualSite::start(const StartOrder& order)
 {
+    if (this->startsKeptBack > 0) {
+        --this->startsKeptBack;
+        this->at(this->now + 5, [this, order, mine = this->generation] {
+            if (mine == this->generation && this->planner)
+                this->planner->startAnswered(order.worker, order.run, StartAnswer::NotSent, this->now);
+        });
+        return;
+    }
     if (this->startsWait == 0)
         return this->sendStart(order);
     this->at(this->now + this->startsWait, [this, order, mine = this->generation] {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -76,6 +76,9 @@
     // Starts are sent this much after they were decided, as those are that wait behind others.
     void delayStarts(Millis wait) { this->startsWait = wait; }
 
+    // So many of the next starts do not leave the planner's instance.
+    void keepBack(int starts) { this->startsKeptBack = starts; }
+
     // A call of the planner before, which has not heard yet that another follows it,
     // renews the lease of a worker that the other one has not reached.
     void renewByEarlierPlanner(const std::string& id) { this->workers.at(id).leaseUntil = this->now + this->options.lease; }
@@ -222,6 +225,7 @@
     SiteOptions options;
     Millis startsWait { 0 };
     Millis recordsWait { 0 };
+    int startsKeptBack { 0 };
     std::map<std::string, Millis> crashing; // Jobs whose first task crashes its worker, and how long after its start.
     std::map<TaskRef, std::int64_t> crashes; // Workers that crashed under a task.
     std::map<TaskRef, std::int64_t> startsAfterCrashes; // After the third.
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -123,6 +123,7 @@
     Millis nextStopAt { 0 }; // Not sent again before then.
     Millis stopPause { 0 }; // After a stop without an answer.
     int startsSent { 0 };
+    bool startLost { false }; // One of them had no answer, and may be carried out yet.
     Millis stopAnsweredAt { 0 }; // The worker will not start it any more.
     Millis confirmedAt { 0 };
     Millis listedAt { 0 }; // When its worker last told of it.
