--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,6 +1,7 @@
 // Jobs and their units: what a job's records, its cancelling and the ends of its
-// runs make of it. Workers are in task_planner_workers.cc, the choice of what
-// runs where in task_planner_rounds.cc, and orders in task_planner_orders.cc.
+// runs make of it. Workers are in task_planner_workers.cc, runs that are lost with them in
+// task_planner_crashes.cc, the choice of what runs where in task_planner_rounds.cc, and
+// orders in task_planner_orders.cc.
 
 #include "tasks/task_planner.h"
 
@@ -9,7 +10,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <utility>
 
 namespace rattan::tasks {
 
@@ -274,15 +274,6 @@
         this->exhausted.insert(unit.key);
 }
 
-void TaskPlanner::giveUpExhausted(Millis now)
-{
-    for (const UnitKey& key : std::exchange(this->exhausted, {})) {
-        const Unit* unit = this->find(key);
-        if (unit && unit->crashes.isExhausted(unit->run))
-            this->finishJob(unit->job->id, JobState::Failed, fmt::format("step {}: {} workers crashed under its tasks", key.step, unit->crashes.size()), now);
-    }
-}
-
 // Counted by the number of the run, whether or not anybody still waits for it: an
 // end may be told long after its run was given up as lost, or a second time to a
 // planner that has taken over.
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -119,7 +119,6 @@
     void runOver(Unit&, Millis now);
     void learn(const Unit&, Millis now);
     void countFailure(const RunRef&, Millis now);
-    void giveUpExhausted(Millis now);
     void finishJob(const std::string& id, JobState, std::string reason, Millis now);
     void dropUnits(const std::string& id, Millis now);
     void abandonRun(const Unit&, Millis now);
@@ -128,11 +127,6 @@
     // Runs and workers.
     void place(Unit&, const std::vector<std::string>& workers, Millis now);
     void stopUnit(Unit&, Millis now);
-    void runLost(Worker&, const RunRef&, RunLoss, Millis now);
-    void countCrash(const Worker&, const PlacedRun&, RunLoss);
-    void crashed(const PlacedRun&, CrashEvidence);
-    bool hasSurvivedStart(const Unit&);
-    void clearSuspicion(Unit&);
     void memberGone(Worker&, const RunRef&, std::optional<RunEnd>, const std::string& checkpoint, Millis now);
     void applyEnd(Worker&, const EndedTask&, Millis now);
     void acceptLateDone(const RunRef&, Millis now);
@@ -149,6 +143,19 @@
     Room roomOf(const TaskRef&) const;
     UnitKey unitOf(const TaskRef&) const;
 
+    // Runs lost with their workers, and tasks that may be the cause.
+    void runLost(Worker&, const RunRef&, RunLoss, Millis now);
+    void countCrash(const Worker&, const PlacedRun&, RunLoss);
+    void addCrash(const PlacedRun&, CrashEvidence);
+    bool hasSurvivedStart(const Unit&);
+    void clearSuspicion(Unit&);
+    void giveUpExhausted(Millis now);
+    std::vector<std::int64_t> begunMembers(const Unit&) const;
+    void confirmStart(PlacedRun&, Millis now);
+    std::set<std::string> isolationOf(const std::string& job) const;
+    bool isCheckDue(const PlacedRun&, Millis now) const;
+    Millis nextCheck(Millis now) const;
+
     // Decisions of a round.
     void expire(Millis now);
     void noticeStalls(Millis now);
@@ -162,9 +169,6 @@
     bool tryEvict(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void tellRefusal(Unit&, detail::EvictionRefusal, double cost, double bound);
     WorkerCounts siblingsOf(const UnitKey&) const;
-    std::set<std::string> isolationOf(const std::string& job) const;
-    bool isCheckDue(const PlacedRun&, Millis now) const;
-    Millis nextCheck(Millis now) const;
     void decide(Millis now, Millis wall);
     std::int64_t urgentDemand(const std::string& service, Millis now);
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
@@ -185,8 +189,6 @@
     void markUrgent() { this->recordBy = 0; } // Somebody waits for the next record.
     bool recordDue(Millis now);
     Progress progressOf(const ActiveJob&) const;
-    std::vector<std::int64_t> begunMembers(const Unit&) const;
-    void confirmStart(PlacedRun&, Millis now);
     void makeBatch(Millis now, Orders&);
     void recordJob(const std::string& id, RecordBatch&);
     void recordForgotten(RecordBatch&);
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -47,21 +47,6 @@
     return progress;
 }
 
-std::vector<std::int64_t> TaskPlanner::begunMembers(const Unit& unit) const
-{
-    std::vector<std::int64_t> members;
-    for (std::size_t i = 0; i < unit.workers.size(); ++i) {
-        const auto member = static_cast<std::int64_t>(i);
-        const auto worker = this->workers.find(unit.workers[i].id);
-        if (worker == this->workers.end())
-            continue;
-        const auto placedRun = worker->second.placedRuns.find({ unit.task(member), unit.run });
-        if (placedRun != worker->second.placedRuns.end() && placedRun->second.begun)
-            members.push_back(member);
-    }
-    return members;
-}
-
 // Starts and final states are waited for and recorded at once. An end that only
 // brings a job further is not; a few of them share a record, which every
 // instance has to read.
@@ -222,23 +207,6 @@
     orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, 0, 0, false, true });
 }
 
-// A suspect task keeps a worker to itself until it is seen to have survived its start.
-bool TaskPlanner::isCheckDue(const PlacedRun& placedRun, Millis now) const
-{
-    return placedRun.phase == RunPhase::Running && !placedRun.isProven() && now >= placedRun.confirmedAt + provenAfter && this->isolatedUnits.contains(placedRun.unit);
-}
-
-Millis TaskPlanner::nextCheck(Millis now) const
-{
-    Millis next = std::numeric_limits<Millis>::max();
-    for (const UnitKey& key : this->isolatedUnits) {
-        const Millis checkAt = this->units.at(key).startedAt + provenAfter;
-        if (checkAt > now)
-            next = std::min(next, checkAt);
-    }
-    return next;
-}
-
 void TaskPlanner::pollBeside(Worker& worker, Millis now, Orders& orders) const
 {
     if (!worker.pollUnderWay || worker.quickPollUnderWay)
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -277,18 +277,6 @@
     return counts;
 }
 
-// The workers that suspect tasks of a job have to themselves. One job's are tried together,
-// so that it costs one worker at a time whichever of them is to blame.
-std::set<std::string> TaskPlanner::isolationOf(const std::string& job) const
-{
-    std::set<std::string> ids;
-    for (auto next = this->isolatedUnits.lower_bound({ job, 0, 0, wholeGang }); next != this->isolatedUnits.end() && next->job == job; ++next) {
-        for (const Incarnation& incarnation : this->units.at(*next).workers)
-            ids.insert(incarnation.id);
-    }
-    return ids;
-}
-
 void TaskPlanner::decide(Millis now, Millis wall)
 {
     std::map<std::string, Snapshot> snapshots;
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -5,21 +5,12 @@
 #include "tasks/task_planner.h"
 
 #include <algorithm>
-#include <array>
 #include <fmt/format.h>
 
 namespace rattan::tasks {
 
 using namespace detail;
 
-namespace {
-
-    constexpr std::array<std::string_view, 3> lossNames { "its worker has ended", "its worker has started again", "its lease is over" };
-
-} // namespace
-
-std::string_view detail::nameOf(RunLoss loss) { return lossNames.at(static_cast<std::size_t>(loss)); }
-
 TaskPlanner::Worker* TaskPlanner::find(const Incarnation& incarnation)
 {
     const auto found = this->workers.find(incarnation.id);
@@ -275,29 +266,6 @@
     unit->heardAt = now;
 }
 
-// Once a worker has crashed under a unit, a planner that takes over has to know whether
-// the next one did as well, or was never reached.
-void TaskPlanner::confirmStart(PlacedRun& placedRun, Millis now)
-{
-    placedRun.phase = RunPhase::Running;
-    placedRun.confirmedAt = now;
-    placedRun.begun = true;
-    if (const Unit* unit = this->find(placedRun.unit); unit && unit->crashes.size() > 0)
-        this->markDirty(placedRun.unit.job);
-}
-
-bool TaskPlanner::hasSurvivedStart(const Unit& unit)
-{
-    for (std::size_t member = 0; member < unit.workers.size(); ++member) {
-        Worker* worker = this->find(unit.workers[member]);
-        const RunRef run { unit.task(static_cast<std::int64_t>(member)), unit.run };
-        const auto placedRun = worker ? worker->placedRuns.find(run) : std::map<RunRef, PlacedRun>::iterator();
-        if (!worker || placedRun == worker->placedRuns.end() || !placedRun->second.isProven())
-            return false;
-    }
-    return true;
-}
-
 double TaskPlanner::leastProgress(const Unit& unit)
 {
     double least = 1;
@@ -437,59 +405,6 @@
     this->changed = true;
 }
 
-// A run of which nothing more will be heard: the log has to tell a crash under a task from
-// an eviction, and what ran beside it.
-void TaskPlanner::runLost(Worker& worker, const RunRef& ref, RunLoss loss, Millis now)
-{
-    const RunRef run = ref;
-    const auto found = worker.placedRuns.find(run);
-    if (found == worker.placedRuns.end())
-        return;
-    const PlacedRun placedRun = found->second;
-    const std::string confirmed = placedRun.confirmedAt > 0 ? fmt::format("confirmed {} ms ago", now - placedRun.confirmedAt) : "never confirmed";
-    this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.seen.incarnation.id, fmt::format("{}, {}, {} runs there", nameOf(loss), confirmed, worker.placedRuns.size()));
-    this->countCrash(worker, placedRun, loss);
-    this->memberGone(worker, run, loss == RunLoss::LeaseOver ? std::optional(RunEnd::Lapsed) : std::nullopt, "", now);
-}
-
-// A worker that was leaving has left. One whose lease is over may be cut off; only if it is
-// not listed any more may it have crashed.
-void TaskPlanner::countCrash(const Worker& worker, const PlacedRun& placedRun, RunLoss loss)
-{
-    if (worker.seen.leaving || placedRun.phase == RunPhase::Recording || (loss == RunLoss::LeaseOver && worker.listed))
-        return;
-    const Unit* unit = this->find(placedRun.unit);
-    CrashEvidence evidence = CrashEvidence::Early;
-    if (loss == RunLoss::LeaseOver || !placedRun.begun)
-        evidence = CrashEvidence::Unproven;
-    else if (placedRun.isProven())
-        evidence = CrashEvidence::Late;
-    else if (unit && !unit->adopted && unit->run == placedRun.run.run && this->isolatedUnits.contains(placedRun.unit))
-        evidence = CrashEvidence::Alone;
-    this->crashed(placedRun, evidence);
-}
-
-void TaskPlanner::crashed(const PlacedRun& placedRun, CrashEvidence evidence)
-{
-    Unit* unit = this->find(placedRun.unit);
-    if (!unit || !unit->crashes.add({ placedRun.run.run, placedRun.run.task.index, evidence }))
-        return;
-    this->markDirty(unit->key.job);
-    unit->suspect = unit->suspect || evidence != CrashEvidence::Late;
-    if (unit->crashes.isExhausted(unit->run))
-        this->exhausted.insert(unit->key);
-}
-
-// Of a task that lasts, crashes before it served say nothing of those after.
-void TaskPlanner::clearSuspicion(Unit& unit)
-{
-    this->isolatedUnits.erase(unit.key);
-    unit.suspect = false;
-    if (unit.step().longRunning)
-        unit.crashes.clear();
-    this->changed = true;
-}
-
 void TaskPlanner::memberGone(Worker& worker, const RunRef& ref, std::optional<RunEnd> end, const std::string& checkpoint, Millis now)
 {
     const RunRef run = ref;
