Let a poll tell whether a run began whose start is refused as old

Cause: a start without an answer is sent again after 230 ms. If the first try began the run and the run has ended by then, the worker refuses the second as old, and the planner took the run for one that never was. The end, which the next poll would have shown, came too late.

Change: such a refusal proves that the run will not start any more, as an answered stop does; the next poll settles whether it ran.

--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -342,6 +342,11 @@
     case StartAnswer::OtherIncarnation:
         this->loseIncarnation(*worker, now, "another incarnation answers");
         return;
+    case StartAnswer::Old:
+        // An earlier try may have begun the run, and it may have ended since: a poll tells.
+        placedRun.stopAnsweredAt = now;
+        worker->nextPollAt = now;
+        return;
     case StartAnswer::NotSent:
         this->fellSilent(*worker, now);
         worker->nextPollAt = now;
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(endsOfTheNextIncarnationAreNotAcknowledgedUnread);
     CPPUNIT_TEST(aLostStartIsSentAgain);
     CPPUNIT_TEST(aGangIsNotStoppedForAStartThatWasNotSent);
+    CPPUNIT_TEST(aRunThatEndedBeforeItsStartWasSentAgainIsNotBegunAnew);
     CPPUNIT_TEST(aDomainThatIsCutOffIsFoundOutByTwoStarts);
     CPPUNIT_TEST(aStalledWorkerLosesItsTasks);
     CPPUNIT_TEST(aGangOfUnequalMembersIsLeftAlone);
@@ -238,7 +239,7 @@
         site.run(1500);
         site.submit(job("j1", 1, whole, 60000));
         site.run(1600);
-        site.loseAllAnswers();
+        site.loseAnswers(1);
         site.run(5000);
         const std::string host = site.hostOf("j1", 0);
         site.run(11100); // The start was sent three times, the last time three seconds after its decision.
@@ -305,6 +306,22 @@
         assertSound(site);
     }
 
+    // Guards against a task that runs twice: the answer to its start is lost, it ends, and the
+    // start that is sent again is refused as one that was there before.
+    void aRunThatEndedBeforeItsStartWasSentAgainIsNotBegunAnew()
+    {
+        VirtualSite site({ .seed = 59, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.loseAnswers(1);
+        site.submit(job("j1", 1, one, 100));
+        site.run(2200);
+        site.loseAnswers(0);
+        CPPUNIT_ASSERT(site.runUntilOver(10000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.runsOf("j1"));
+        assertSound(site);
+    }
+
     // Guards against a whole gang that is stopped and begun anew because the order of one
     // member never left: its relay was lost, or had not read the job yet.
     void aGangIsNotStoppedForAStartThatWasNotSent()
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -83,7 +83,7 @@
     // renews the lease of a worker that the other one has not reached.
     void renewByEarlierPlanner(const std::string& id) { this->workers.at(id).leaseUntil = this->now + this->options.lease; }
 
-    void loseAllAnswers() { this->options.lostAnswers = 1; }
+    void loseAnswers(double share) { this->options.lostAnswers = share; }
     void failAll(const std::string& id, bool fails) { this->workers.at(id).failsAll = fails; }
     void leave(const std::string& id);
 
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -124,7 +124,7 @@
     Millis stopPause { 0 }; // After a stop without an answer.
     int startsSent { 0 };
     bool startLost { false }; // One of them had no answer, and may be carried out yet.
-    Millis stopAnsweredAt { 0 }; // The worker will not start it any more.
+    Millis stopAnsweredAt { 0 }; // The worker will not start it any more, as a stop or a start was answered.
     Millis confirmedAt { 0 };
     Millis listedAt { 0 }; // When its worker last told of it.
     double progress { 0 }; // As last heard, 0 to 1.
