--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -57,7 +57,7 @@
     state.lowest = lowest;
 }
 
-void logEvent(const Event& event, std::initializer_list<LogField> fields)
+void logEvent(const Event& event, std::initializer_list<LogField> fields, std::string_view variant)
 {
     LogState& state = logState();
     const std::lock_guard lock(state.mutex);
@@ -73,7 +73,7 @@
         line += fmt::format(" {}={}", field.key, detail::quoted(field.value));
     line += '\n';
     if (state.writer)
-        state.writer->write(event.number, std::move(line));
+        state.writer->write({ event.number, std::string(variant) }, std::move(line));
     else
         std::fwrite(line.data(), 1, line.size(), stderr);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -64,7 +64,11 @@
 // Lines that were left out so far.
 std::uint64_t logLinesLeftOut();
 
-void logEvent(const Event&, std::initializer_list<LogField> = {});
+//
+// In the background each event may have a bounded number of lines a second. Lines with a
+// variant of their own are counted by themselves, so that a rare one is not left out because
+// of a common one.
+void logEvent(const Event&, std::initializer_list<LogField> = {}, std::string_view variant = {});
 
 namespace detail {
 
--- a/src/base/log_writer.cc
+++ b/src/base/log_writer.cc
@@ -50,19 +50,23 @@
 
 LogWriter::~LogWriter() { this->stop(); }
 
-bool LogWriter::withinBudget(std::uint16_t event)
+// The lines of this source in the present second, with this one.
+std::int64_t LogWriter::countLine(const LogSource& source)
 {
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
     const std::lock_guard lock(this->mutex);
-    Budget& budget = this->budgets[event];
+    Budget& budget = this->budgets[source];
     if (budget.second != second)
         budget = { second, 0 };
-    return ++budget.used <= this->options.linesPerSecond;
+    return ++budget.used;
 }
 
-void LogWriter::write(std::uint16_t event, std::string line)
+void LogWriter::write(const LogSource& source, std::string line)
 {
-    if (!this->withinBudget(event) || !this->shared->lines.tryPush(std::move(line)))
+    const std::int64_t used = this->countLine(source);
+    const std::size_t room = used > this->options.rareLines ? this->options.mostLines / 2 : this->options.mostLines;
+    const bool fits = used <= this->options.linesPerSecond && this->shared->lines.size() < room;
+    if (!fits || !this->shared->lines.tryPush(std::move(line)))
         ++this->shared->leftOut;
 }
 
--- a/src/base/log_writer.h
+++ b/src/base/log_writer.h
@@ -4,12 +4,13 @@
 // whoever reads.
 //
 //     LogWriter writer(STDOUT_FILENO, { .mostLines = 4000 });
-//     writer.write(1401, "time=...\n");
+//     writer.write({ 1401, "" }, "time=...\n");
 //     writer.stop();
 //
-// Bounded in three ways: lines that wait, lines of one event in a second, and the
-// time that stop() takes. What was left out is counted and said in a line of its
-// own. Thread-safe.
+// Bounded in three ways: lines that wait, lines of one source in a second, and the time
+// that stop() takes. Of the lines that may wait, half are kept for sources that write
+// little: those explain a failure, and must not be crowded out by routine. What was left
+// out is counted and reported in a line of its own. Thread-safe.
 
 #include "base/ring.h"
 
@@ -25,9 +26,19 @@
 
 namespace rattan {
 
+// What shares a budget: lines of one event, or of one variant of it.
+struct LogSource {
+    std::uint16_t event { 0 };
+    std::string variant;
+
+    // clang-tidy 14 takes the zero that a defaulted comparison is held against for a pointer.
+    auto operator<=>(const LogSource&) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 struct LogWriterOptions {
     std::size_t mostLines { 4000 }; // Waiting; about 1 MB.
-    std::int64_t linesPerSecond { 300 }; // Of one event; a burst of decisions stays below.
+    std::int64_t linesPerSecond { 300 }; // Of one source.
+    std::int64_t rareLines { 30 }; // A source with at most so many lines in a second is rare.
     std::chrono::milliseconds gather { 100 }; // Lines that come within it share a write.
     std::chrono::milliseconds longestStop { 300 };
 };
@@ -39,7 +50,7 @@
     LogWriter(const LogWriter&) = delete;
     LogWriter& operator=(const LogWriter&) = delete;
 
-    void write(std::uint16_t event, std::string line);
+    void write(const LogSource&, std::string line);
 
     // Writes what waits, if the reader takes it in time.
     void stop();
@@ -64,12 +75,12 @@
         std::int64_t used { 0 };
     };
 
-    bool withinBudget(std::uint16_t event);
+    std::int64_t countLine(const LogSource&);
 
     const LogWriterOptions options;
     std::shared_ptr<Shared> shared;
     std::mutex mutex;
-    std::map<std::uint16_t, Budget> budgets;
+    std::map<LogSource, Budget> budgets;
     std::thread thread;
 };
 
--- a/src/base/testing/log_writer_test.cc
+++ b/src/base/testing/log_writer_test.cc
@@ -1,5 +1,6 @@
 #include "base/log_writer.h"
 
+#include <algorithm>
 #include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
@@ -15,6 +16,8 @@
     CPPUNIT_TEST(linesArriveInOrder);
     CPPUNIT_TEST(aReaderThatDoesNotReadHoldsUpNobody);
     CPPUNIT_TEST(anEventHasABudget);
+    CPPUNIT_TEST(aRareVariantIsNotLeftOutForACommonOne);
+    CPPUNIT_TEST(commonLinesLeaveRoomForRareOnes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,8 +38,8 @@
     void linesArriveInOrder()
     {
         LogWriter writer(this->ends[1], { .gather = std::chrono::milliseconds(1) });
-        writer.write(1, "a\n");
-        writer.write(1, "b\n");
+        writer.write({ 1, "" }, "a\n");
+        writer.write({ 1, "" }, "b\n");
         writer.stop();
         std::array<char, 16> text {};
         const ssize_t size = read(this->ends[0], text.data(), text.size());
@@ -52,7 +55,7 @@
         LogWriter writer(this->ends[1], { .mostLines = 100, .linesPerSecond = lines, .gather = std::chrono::milliseconds(0), .longestStop = std::chrono::milliseconds(20) });
         const std::string line(1000, 'x');
         for (int i = 0; i < lines; ++i)
-            writer.write(1, line + "\n");
+            writer.write({ 1, "" }, line + "\n");
         CPPUNIT_ASSERT(writer.leftOut() > 0);
         writer.stop();
         // Lets the writer's thread end before the pipe is closed.
@@ -64,14 +67,47 @@
     {
         LogWriter writer(this->ends[1], { .linesPerSecond = 10 });
         for (int i = 0; i < 100; ++i)
-            writer.write(1, "a\n");
-        writer.write(2, "b\n");
+            writer.write({ 1, "" }, "a\n");
+        writer.write({ 2, "" }, "b\n");
         // A second may have passed between two lines, hardly more.
         CPPUNIT_ASSERT(writer.leftOut() >= 70);
         writer.stop();
     }
 
+    // Guards against a rare decision that is missing in the log because others of the same
+    // event had used up its budget.
+    void aRareVariantIsNotLeftOutForACommonOne()
+    {
+        constexpr int common = 100;
+        LogWriter writer(this->ends[1], { .linesPerSecond = 10, .gather = std::chrono::milliseconds(1) });
+        for (int i = 0; i < common; ++i)
+            writer.write({ 1, "common" }, "a\n");
+        writer.write({ 1, "rare" }, "b\n");
+        writer.stop();
+        CPPUNIT_ASSERT(this->readAll().find('b') != std::string::npos);
+    }
+
+    // Guards against routine lines that fill the queue of a slow reader before a rare one comes.
+    void commonLinesLeaveRoomForRareOnes()
+    {
+        constexpr int common = 1000;
+        LogWriter writer(this->ends[1], { .mostLines = 100, .linesPerSecond = common, .rareLines = 5, .gather = std::chrono::milliseconds(200) });
+        for (int i = 0; i < common; ++i)
+            writer.write({ 1, "common" }, "a\n");
+        CPPUNIT_ASSERT(writer.leftOut() > 0);
+        writer.write({ 1, "rare" }, "b\n");
+        writer.stop();
+        CPPUNIT_ASSERT(this->readAll().find('b') != std::string::npos);
+    }
+
 private:
+    std::string readAll()
+    {
+        std::array<char, 65536> text {};
+        const ssize_t size = read(this->ends[0], text.data(), text.size());
+        return { text.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0)) };
+    }
+
     std::array<int, 2> ends {};
 };
 
--- a/src/ctl/job_story.cc
+++ b/src/ctl/job_story.cc
@@ -50,8 +50,10 @@
             return fmt::format("{} of job {} is stopped for it", runOf(fields), field(fields, "job"));
         if (kind == "unit_evicted")
             return fmt::format("{} is stopped ({})", runOf(fields), why);
-        if (kind == "unit_done")
-            return fmt::format("{} has ended well on {}", runOf(fields), worker);
+        if (kind == "tasks_placed")
+            return fmt::format("first runs of step {} are placed ({})", field(fields, "unit"), why);
+        if (kind == "guarantee_waits")
+            return fmt::format("{} waits though guaranteed ({})", field(fields, "unit"), why);
         if (kind == "unit_retried")
             return fmt::format("{} is over ({}); it waits again", runOf(fields), why);
         if (kind == "unit_stalled")
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -22,6 +22,11 @@
 
     constexpr std::chrono::milliseconds connectTimeout { 500 };
 
+    // Starts of urgent work are due within little more than a second.
+    constexpr Millis slowOrder = 300;
+    constexpr Millis slowRecord = 200;
+    constexpr Millis slowRound = 50;
+
     constexpr Millis longRound = 4; // Shorter ones are within what the clock shows.
     constexpr int roundRest = 4; // Times a round's length: rounds take a fifth of the processor time at most,
     constexpr int turnRest = 2; // and turns a third.
@@ -60,8 +65,8 @@
 
     std::string_view nameOf(PlanEventKind kind)
     {
-        constexpr std::array<std::string_view, 13> names { "unit_placed", "unit_evicted", "unit_done", "unit_retried", "unit_stalled",
-            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits", "run_lost" };
+        constexpr std::array<std::string_view, 15> names { "unit_placed", "tasks_placed", "unit_evicted", "units_done", "unit_retried", "unit_stalled",
+            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits", "guarantee_waits", "run_lost" };
         return names.at(static_cast<std::size_t>(kind));
     }
 
@@ -163,6 +168,8 @@
     const Millis took = this->services.clock.now() - now;
     if (took >= longRound)
         this->planner->holdRounds(now + took * roundRest);
+    if (took >= slowRound)
+        this->logRound(took);
     this->carryOut(this->planner->take(now), now);
     const Millis ended = this->services.clock.now();
     this->nextTurn = ended + (ended - now) * turnRest;
@@ -172,12 +179,15 @@
 {
     if (this->batchUnderWay == 0 || !this->jobsStream.isIdle() || !this->plansStream.isIdle())
         return;
+    if (now - this->batchSentAt >= slowRecord)
+        logEvent(events::recordSlow, { { "batch", this->batchUnderWay }, { "took_ms", now - this->batchSentAt }, { "term", this->number } });
     this->planner->recorded(std::exchange(this->batchUnderWay, 0), now);
 }
 
 void Leadership::append(const tasks::RecordBatch& batch)
 {
     this->batchUnderWay = batch.number;
+    this->batchSentAt = this->services.clock.now();
     this->jobsStream.append(storeRecords(batch.jobs));
     this->plansStream.append(storeRecords(batch.plans));
 }
@@ -286,6 +296,8 @@
         if (reply.clock)
             this->clocks.heard(order.worker, *reply.clock, now);
         this->services.metrics.count("rattan_orders_total", { { "order", "start" }, { "outcome", std::string(tasks::nameOf(reply.answer)) } });
+        if (now - order.decidedAt >= slowOrder)
+            logEvent(events::orderSlow, { { "order", "start" }, { "run", runText(order.run) }, { "worker", order.worker.id }, { "since_decided_ms", now - order.decidedAt }, { "since_sent_ms", now - sentAt } });
         if (reply.answer != StartAnswer::Started)
             logEvent(events::orderRefused, { { "order", "start" }, { "run", runText(order.run) }, { "worker", order.worker.id }, { "answer", tasks::nameOf(reply.answer) }, { "status", answer.status } });
         this->planner->startAnswered(order.worker, order.run, reply.answer, now);
@@ -335,7 +347,14 @@
 void Leadership::logPlanEvent(const tasks::PlanEvent& event) const
 {
     this->services.metrics.count("rattan_decisions_total", { { "kind", std::string(nameOf(event.kind)) } });
-    logEvent(events::decided, { { "kind", nameOf(event.kind) }, { "job", event.job }, { "unit", event.unit }, { "run", event.run }, { "worker", event.worker }, { "why", event.detail }, { "term", this->number } });
+    const std::string_view kind = nameOf(event.kind);
+    logEvent(events::decided, { { "kind", kind }, { "job", event.job }, { "unit", event.unit }, { "run", event.run }, { "worker", event.worker }, { "why", event.detail }, { "term", this->number } }, kind);
+}
+
+void Leadership::logRound(Millis took) const
+{
+    const tasks::TaskPlanner::Round& round = this->planner->lastRound();
+    logEvent(events::roundSlow, { { "took_ms", took }, { "held_ms", took * (roundRest - 1) }, { "candidates", round.candidates }, { "placed", round.placed }, { "searches", round.searches }, { "eviction_searches", round.evictionSearches }, { "reservations", round.reservations }, { "term", this->number } });
 }
 
 void Leadership::recordRead(Stream, const StoreRecord& record, Millis)
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -93,6 +93,7 @@
     bool stillLeads();
     void tellWorkers(Millis now);
     void sendAdvice(const tasks::AdviceOrder&);
+    void logRound(Millis took) const;
     void logPlanEvent(const tasks::PlanEvent&) const;
 
     const std::int64_t number;
@@ -115,6 +116,7 @@
     bool jobsKnown { false }; // As they were when earlier terms could not append any more,
     bool plansKnown { false }; // and so are the plans.
     std::int64_t batchUnderWay { 0 }; // 0: none.
+    Millis batchSentAt { 0 };
     Millis forgetAt { 0 };
     Millis nextTurn { 0 }; // Of the planner.
     bool isLost { false };
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -59,8 +59,9 @@
 
 enum class PlanEventKind {
     UnitPlaced,
+    TasksPlaced, // First runs of tasks of one step, which are not urgent.
     UnitEvicted,
-    UnitDone,
+    UnitsDone, // All that ended well since the last such event.
     UnitRetried,
     UnitStalled,
     JobFinished,
@@ -70,6 +71,7 @@
     WorkerGone,
     WorkerDistrusted,
     UnitWaits, // It may stop others, and stops none.
+    GuaranteeWaits, // A unit within its workspace's guarantee has not begun; what it waits for.
     RunLost, // No end was reported: its worker is gone or has not answered for a whole lease.
 };
 
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -245,6 +245,16 @@
     return false;
 }
 
+Snapshot::Offered Snapshot::offered(const PlacementRequest& request) const
+{
+    Offered sum;
+    for (const SnapshotWorker& worker : this->workers) {
+        sum.now += this->fits(worker, request, View::Free);
+        sum.afterStops += this->fits(worker, request, View::AfterStops);
+    }
+    return sum;
+}
+
 bool Snapshot::couldFitUnpolled(const PlacementRequest& request) const
 {
     std::int64_t members = 0;
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -130,6 +130,13 @@
     bool couldEverFit(const PlacementRequest&) const;
 
     // True if the workers not asked yet could take the whole unit, were they empty.
+    // Members for which there is room now, and after all stops; wherever they are.
+    struct Offered {
+        std::int64_t now { 0 };
+        std::int64_t afterStops { 0 };
+    };
+    Offered offered(const PlacementRequest&) const;
+
     bool couldFitUnpolled(const PlacementRequest&) const;
 
     bool suits(const SnapshotWorker&, const PlacementRequest&) const;
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -113,8 +113,11 @@
 // A ticket must hold until a start that is decided now has arrived, with its record.
 inline constexpr Millis ticketSpare = 1000;
 
-// Notes kept between two takes; more are dropped rather than hold up decisions.
-inline constexpr std::size_t mostPlanEvents = 400;
+// Events of one kind between two takes; more are dropped rather than hold up decisions.
+inline constexpr std::size_t mostPlanEvents = 200;
+
+// A guaranteed unit that has waited for so long is reported, and again after as long.
+inline constexpr Millis guaranteeWaitReported = 400;
 
 // Names of jobs that ended in this term, against late repeats of their records.
 inline constexpr std::size_t mostFinished = 100'000;
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -199,7 +199,7 @@
     const auto found = this->units.find(key);
     Unit& unit = found->second;
     this->learn(unit, now);
-    this->emit(PlanEventKind::UnitDone, key, unit.run, unit.workers.empty() ? "" : unit.workers.front().id, "");
+    ++this->unitsDone;
     for (std::size_t member = 0; member < unit.workers.size(); ++member) {
         Worker* worker = this->find(unit.workers[member]);
         if (!worker)
@@ -325,7 +325,7 @@
             continue;
         PlacedRun& placedRun = worker->placedRuns.at(run);
         placedRun.stray = true;
-        placedRun.stopWanted = true;
+        placedRun.wantStop(now);
         if (placedRun.phase == RunPhase::Recording)
             this->memberGone(*worker, run, std::nullopt, "", now);
     }
@@ -362,12 +362,6 @@
     return room;
 }
 
-void TaskPlanner::emit(PlanEventKind kind, const UnitKey& key, std::int64_t run, std::string worker, std::string detail)
-{
-    if (this->events.size() < mostPlanEvents)
-        this->events.push_back({ kind, key.job, fmt::format("{}.{}.{}", key.occurrence, key.step, key.index), run, std::move(worker), std::move(detail) });
-}
-
 std::size_t TaskPlanner::runs() const
 {
     std::size_t count = 0;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -85,6 +85,16 @@
     // part of its processor time. Everything else goes on.
     void holdRounds(Millis until) { this->roundsHeldUntil = until; }
 
+    // What the last round of decisions did; for the log of one that took long.
+    struct Round {
+        std::int64_t candidates { 0 }; // Units that waited.
+        std::int64_t placed { 0 };
+        std::int64_t searches { 0 }; // For room that is there, or will be after stops.
+        std::int64_t evictionSearches { 0 };
+        std::int64_t reservations { 0 };
+    };
+    const Round& lastRound() const { return this->round; }
+
     // A worker has heard of a higher term: stop.
     bool deposed() const { return this->isDeposed; }
 
@@ -202,6 +212,9 @@
     void pollIdle(const std::vector<Worker*>&, Millis now, Orders&);
     void makeStops(Millis now, Orders&);
     void emit(PlanEventKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
+    void reportPlaced(const Unit&, Millis now);
+    void reportWait(Candidate&, const Snapshot&, const PlacementRequest&, Millis now);
+    void reportRoutine();
 
     const PlannerOptions options;
     const JobTable& table;
@@ -234,6 +247,9 @@
     std::vector<AdviceOrder> adviceOrders;
     int adviceUnderWay { 0 };
     std::vector<PlanEvent> events;
+    std::map<PlanEventKind, std::size_t> eventCounts; // In `events`.
+    std::int64_t unitsDone { 0 }; // Since the last such event.
+    std::map<StepKey, std::int64_t> tasksPlaced; // Likewise.
     bool isDeposed { false };
     bool changed { true };
     bool pollsLeft { false }; // Due, and more than were sent at once.
@@ -243,6 +259,7 @@
         Millis at { 0 };
     };
     std::map<std::string, Demanded> urgentDemanded; // By service; the highest of late.
+    Round round;
     Millis nextRound { 0 };
     Millis roundsHeldUntil { 0 };
     Millis roundDueBy { 0 }; // When a unit may stop others that waits until then; 0: none.
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -309,8 +309,10 @@
     this->adviceOrders.clear();
     this->makeStops(now, orders);
     this->makePolls(now, orders);
+    this->reportRoutine();
     orders.events = std::move(this->events);
     this->events.clear();
+    this->eventCounts.clear();
     return orders;
 }
 
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -282,6 +282,7 @@
     std::map<std::string, Snapshot> snapshots;
     std::map<std::string, int> reservations;
     std::vector<Candidate> candidates = this->rank(now, wall);
+    this->round = { .candidates = static_cast<std::int64_t>(candidates.size()) };
     std::map<std::string, FailedRequests> failedRequests;
     int evictionSearches = 0;
     const UnitKey* blocked = nullptr; // A step of which a unit found no place.
@@ -341,22 +342,27 @@
         const bool roomIsNear = !snapshot->second.unpolled.empty() && snapshot->second.couldFitUnpolled(request);
         if (!roomIsNear && evictionSearches < mostEvictionSearches && this->mayEvict(candidate, now)) {
             ++evictionSearches;
+            ++this->round.evictionSearches;
             if (this->tryEvict(candidate, snapshot->second, request, now)) {
                 failedRequests.erase(service); // It moved room from one to another.
                 continue;
             }
         }
+        this->reportWait(candidate, snapshot->second, request, now);
         blocked = &unit.key;
         if (plain && !hopeless)
             failed.add(request);
-        if (reservations[service]++ < mostReservations)
+        if (reservations[service]++ < mostReservations) {
+            ++this->round.reservations;
             snapshot->second.reserve(request);
+        }
     }
 }
 
 bool TaskPlanner::tryPlace(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     Unit& unit = *candidate.unit;
+    ++this->round.searches;
     if (const auto places = snapshot.findFreeAtPace(request)) {
         std::vector<std::string> chosen;
         for (const std::size_t index : *places)
@@ -365,12 +371,15 @@
         const Step& step = unit.step();
         unit.placedFar = (!step.dataRack.empty() && request.rack.empty()) || (step.sameRack && !request.sameRack);
         this->place(unit, chosen, now);
+        ++this->round.placed;
+        unit.waitReportedAt = 0;
         if (!request.isolatedFor.empty())
             this->isolatedUnits.insert(unit.key);
         return true;
     }
     if (const auto places = snapshot.findAfterStops(request)) {
         snapshot.promise(request, *places);
+        this->reportWait(candidate, snapshot, request, now);
         return true;
     }
     return false;
@@ -406,7 +415,7 @@
     active.started = true;
     active.state = JobState::Running;
     this->markDirty(unit.key.job);
-    this->emit(PlanEventKind::UnitPlaced, unit.key, unit.run, chosen.front(), fmt::format("waited {} ms, {} members, priority {}{}, declared {} ms", now - unit.waitingSince, chosen.size(), unit.job->terms.priority, active.guaranteed ? ", guaranteed" : "", unit.step().estimate));
+    this->reportPlaced(unit, now);
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -104,7 +104,7 @@
                 lost.push_back(run);
         } else if (placedRun.phase == RunPhase::Starting && !listed.contains(run)) {
             placedRun.inherited = false;
-            placedRun.stopWanted = true;
+            placedRun.wantStop(now);
             placedRun.stopAnsweredAt = 0;
             unconfirmed.push_back(placedRun);
         }
@@ -231,7 +231,7 @@
         PlacedRun stray { .run = running.run, .unit = this->unitOf(running.run.task) };
         stray.stray = true;
         stray.phase = RunPhase::Running;
-        stray.stopWanted = true;
+        stray.wantStop(now);
         stray.room = this->roomOf(running.run.task);
         worker.used += stray.room;
         worker.placedRuns.emplace(running.run, stray);
@@ -335,7 +335,7 @@
         placedRun.startLost = true;
         if (maySendAgain)
             return this->sendStart(*worker, placedRun, *unit, now);
-        placedRun.stopWanted = true;
+        placedRun.wantStop(now);
         if (unit)
             this->stopUnit(*unit, now);
         return;
@@ -401,7 +401,7 @@
         if (!worker || !worker->placedRuns.contains(ref))
             continue;
         PlacedRun& placedRun = worker->placedRuns.at(ref);
-        placedRun.stopWanted = true;
+        placedRun.wantStop(now);
         if (placedRun.phase == RunPhase::Recording)
             unsent.emplace_back(worker, ref);
     }
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -55,6 +55,7 @@
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
     EvictionRefusal refusal { EvictionRefusal::None }; // Last told of, so that each round need not tell it again.
+    Millis waitReportedAt { 0 }; // When the log last told what this unit waits for.
     std::vector<std::string> avoid; // Workers on which a run failed or stalled.
 
     const Step& step() const { return this->job->steps[static_cast<std::size_t>(this->key.step)]; }
@@ -119,6 +120,7 @@
     Room room;
     RunPhase phase { RunPhase::Recording };
     bool stopWanted { false };
+    Millis stopWantedAt { 0 };
     bool stopUnderWay { false };
     Millis nextStopAt { 0 }; // Not sent again before then.
     Millis stopPause { 0 }; // After a stop without an answer.
@@ -129,6 +131,12 @@
     Millis listedAt { 0 }; // When its worker last told of it.
     double progress { 0 }; // As last heard, 0 to 1.
 
+    void wantStop(Millis now)
+    {
+        this->stopWantedAt = this->stopWanted ? this->stopWantedAt : now;
+        this->stopWanted = true;
+    }
+
     // It has been alive for so long that it is not going to crash its worker by starting.
     bool isProven() const { return this->phase == RunPhase::Running && this->listedAt - this->confirmedAt >= provenAfter; }
 };
