--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -27,9 +27,7 @@
     constexpr Millis slowRecord = 200;
     constexpr Millis slowRound = 50;
 
-    constexpr Millis longRound = 4; // Shorter ones are within what the clock shows.
-    constexpr int roundRest = 4; // Times a round's length: rounds take a fifth of the processor time at most,
-    constexpr int turnRest = 2; // and turns a third.
+    constexpr int turnRest = 2; // Times a turn's length: turns take a third of the processor time at most.
 
     constexpr Millis adviceQueue = 5; // Questions that may be before one, and itself.
 
@@ -166,8 +164,7 @@
     this->planner->step(now, wall);
     // On a weak machine rounds must not keep the term from being renewed.
     const Millis took = this->services.clock.now() - now;
-    if (took >= longRound)
-        this->planner->holdRounds(now + took * roundRest);
+    this->planner->stepTook(took, this->services.clock.now());
     if (took >= slowRound)
         this->logRound(took);
     this->carryOut(this->planner->take(now), now);
@@ -354,7 +351,7 @@
 void Leadership::logRound(Millis took) const
 {
     const tasks::TaskPlanner::Round& round = this->planner->lastRound();
-    logEvent(events::roundSlow, { { "took_ms", took }, { "held_ms", took * (roundRest - 1) }, { "candidates", round.candidates }, { "placed", round.placed }, { "searches", round.searches }, { "eviction_searches", round.evictionSearches }, { "reservations", round.reservations }, { "term", this->number } });
+    logEvent(events::roundSlow, { { "took_ms", took }, { "units", round.kind == tasks::RoundKind::Urgent ? "urgent" : "all" }, { "candidates", round.candidates }, { "placed", round.placed }, { "searches", round.searches }, { "eviction_searches", round.evictionSearches }, { "reservations", round.reservations }, { "term", this->number } });
 }
 
 void Leadership::recordRead(Stream, const StoreRecord& record, Millis)
--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -12,18 +12,21 @@
     // Workers by their place in the snapshot.
     using Workers = std::vector<std::size_t>;
 
-    // What some workers offer while the plan grows.
+    // What some workers offer while the plan grows. What a member would cost on a worker is
+    // worked out again only after that worker has changed, so that a wide unit does not
+    // look at all workers anew for each member.
     class Draft {
     public:
         Draft(const Snapshot& snapshot, const PlacementRequest& request, const LostWork& lostWork, const Workers& workers)
             : snapshot(snapshot)
             , request(request)
             , lostWork(lostWork)
-            , workers(workers)
-            , placed(workers.size(), 0)
         {
-            for (const std::size_t index : workers)
-                this->room.push_back(snapshot.workers[index].afterStops);
+            for (const std::size_t index : workers) {
+                const SnapshotWorker& worker = snapshot.workers[index];
+                if (!worker.oneMore && snapshot.suits(worker, request) && snapshot.respectsIsolation(worker, request))
+                    this->offers.push_back({ .index = index, .room = worker.afterStops });
+            }
         }
 
         // Places every member, cheapest first.
@@ -37,90 +40,107 @@
         }
 
     private:
-        struct Option {
-            std::size_t index { 0 }; // Among the workers of this draft.
+        struct Victim {
+            const Allocation* run { nullptr };
             double cost { 0 };
-            std::vector<UnitKey> victims;
         };
 
-        const SnapshotWorker& workerAt(std::size_t i) const { return this->snapshot.workers[this->workers[i]]; }
+        // A worker, and what one more member there costs.
+        struct Offer {
+            std::size_t index { 0 }; // In the snapshot.
+            Room room; // Once all victims so far have ended.
+            std::int64_t placed { 0 };
+            bool isListed { false }; // Of `victims`.
+            std::vector<Victim> victims; // Runs that may be stopped, cheapest first.
+            bool isCosted { false }; // Of what follows.
+            bool fits { false };
+            double cost { 0 };
+            std::vector<const UnitKey*> stops;
+        };
 
         bool placeOne()
         {
-            std::optional<Option> best;
-            for (std::size_t i = 0; i < this->workers.size(); ++i) {
-                const SnapshotWorker& worker = this->workerAt(i);
-                if (worker.oneMore || !this->snapshot.suits(worker, this->request) || !this->snapshot.respectsIsolation(worker, this->request) || !this->belowLimit(i))
-                    continue;
-                std::optional<Option> option = this->optionOn(i);
-                if (option && (!best || option->cost < best->cost))
-                    best = std::move(option);
+            Offer* best = nullptr;
+            for (Offer& offer : this->offers) {
+                if (!offer.isCosted)
+                    this->work(offer);
+                if (offer.fits && (!best || offer.cost < best->cost))
+                    best = &offer;
             }
             if (!best)
                 return false;
-            for (const UnitKey& victim : best->victims)
-                this->stop(victim);
             this->plan.lostWork += best->cost;
-            this->plan.places.push_back(this->workers[best->index]);
-            this->room[best->index] -= this->request.each;
-            ++this->placed[best->index];
+            this->plan.places.push_back(best->index);
+            for (const UnitKey* victim : best->stops)
+                this->stop(victim);
+            best->room -= this->request.each;
+            best->isCosted = false;
+            ++best->placed;
             return true;
         }
 
-        bool belowLimit(std::size_t i) const
+        void work(Offer& offer)
+        {
+            offer.isCosted = true;
+            offer.cost = 0;
+            offer.stops.clear();
+            offer.fits = this->isBelowLimit(offer) && this->findStops(offer);
+        }
+
+        bool isBelowLimit(const Offer& offer) const
         {
             if (this->request.mostPerWorker <= 0)
                 return true;
-            std::int64_t already = this->placed[i];
+            std::int64_t already = offer.placed;
             if (this->request.siblings) {
-                const auto siblings = this->request.siblings->find(this->workerAt(i).id);
+                const auto siblings = this->request.siblings->find(this->snapshot.workers[offer.index].id);
                 already += siblings == this->request.siblings->end() ? 0 : siblings->second;
             }
             return already < this->request.mostPerWorker;
         }
 
-        std::optional<Option> optionOn(std::size_t i) const
+        bool findStops(Offer& offer)
         {
-            Option option { i, 0, {} };
-            Room room = this->room[i];
+            Room room = offer.room;
             if (this->request.each.within(room))
-                return option;
-            struct Candidate {
-                const Allocation* allocation;
-                double cost;
-            };
-            std::vector<Candidate> candidates;
-            for (const Allocation& allocation : this->workerAt(i).allocations) {
-                if (allocation.ending || this->stopped.contains(allocation.unit))
+                return true;
+            if (!offer.isListed)
+                this->listVictims(offer);
+            for (const Victim& victim : offer.victims) {
+                if (this->stopped.contains(victim.run->unit))
                     continue;
-                const double cost = this->lostWork(allocation.unit);
-                if (cost >= 0)
-                    candidates.push_back({ &allocation, cost });
-            }
-            std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
-            std::set<UnitKey> chosen;
-            for (const Candidate& candidate : candidates) {
-                if (this->request.each.within(room))
-                    break;
-                room += candidate.allocation->room;
-                if (chosen.insert(candidate.allocation->unit).second) {
-                    option.cost += candidate.cost;
-                    option.victims.push_back(candidate.allocation->unit);
+                room += victim.run->room;
+                if (std::find(offer.stops.begin(), offer.stops.end(), victim.run->unit) == offer.stops.end()) {
+                    offer.cost += victim.cost;
+                    offer.stops.push_back(victim.run->unit);
                 }
+                if (this->request.each.within(room))
+                    return true;
+            }
+            return false;
+        }
+
+        void listVictims(Offer& offer) const
+        {
+            offer.isListed = true;
+            for (const Allocation& run : this->snapshot.workers[offer.index].allocations) {
+                const double cost = run.ending || !run.unit ? -1 : this->lostWork(run);
+                if (cost >= 0)
+                    offer.victims.push_back({ &run, cost });
             }
-            if (!this->request.each.within(room))
-                return std::nullopt;
-            return option;
+            std::sort(offer.victims.begin(), offer.victims.end(), [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
         }
 
-        void stop(const UnitKey& victim)
+        void stop(const UnitKey* victim)
         {
             this->stopped.insert(victim);
-            this->plan.victims.push_back(victim);
-            for (std::size_t i = 0; i < this->workers.size(); ++i) {
-                for (const Allocation& allocation : this->workerAt(i).allocations) {
-                    if (allocation.unit == victim && !allocation.ending)
-                        this->room[i] += allocation.room;
+            this->plan.victims.push_back(*victim);
+            for (Offer& offer : this->offers) {
+                for (const Allocation& run : this->snapshot.workers[offer.index].allocations) {
+                    if (run.unit != victim || run.ending)
+                        continue;
+                    offer.room += run.room;
+                    offer.isCosted = false;
                 }
             }
         }
@@ -128,10 +148,8 @@
         const Snapshot& snapshot;
         const PlacementRequest& request;
         const LostWork& lostWork;
-        const Workers& workers;
-        std::vector<Room> room;
-        std::vector<std::int64_t> placed;
-        std::set<UnitKey> stopped;
+        std::vector<Offer> offers;
+        std::set<const UnitKey*> stopped;
         EvictionPlan plan;
     };
 
--- a/src/tasks/eviction.h
+++ b/src/tasks/eviction.h
@@ -21,8 +21,9 @@
     double lostWork { 0 }; // In core-seconds.
 };
 
-// What stopping a unit would lose, in core-seconds; negative: must not be stopped.
-using LostWork = std::function<double(const UnitKey&)>;
+// What stopping the unit of a run would lose, in core-seconds; negative: must not be stopped.
+// The same for all runs of a unit.
+using LostWork = std::function<double(const Allocation&)>;
 
 // Empty when no choice of victims makes room, or every one loses more than
 // `mostLost` core-seconds.
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -291,7 +291,9 @@
     // Among workers of one pace by rack and name, so that whole racks are kept, and
     // the same ones from one round to the next.
     std::sort(byPace.begin(), byPace.end(), [](const SnapshotWorker* a, const SnapshotWorker* b) {
-        return std::tuple(paceOf(*b), b->rack, b->id) < std::tuple(paceOf(*a), a->rack, a->id);
+        const Pace left = paceOf(*a);
+        const Pace right = paceOf(*b);
+        return std::tie(right, b->rack, b->id) < std::tie(left, a->rack, a->id);
     });
     std::int64_t kept = 0;
     for (SnapshotWorker* worker : byPace) {
@@ -330,7 +332,7 @@
         if (worker == this->workers.end() || worker->id != incarnation.id)
             continue;
         for (Allocation& allocation : worker->allocations) {
-            if (allocation.unit != unit || allocation.ending)
+            if (allocation.ending || !allocation.unit || *allocation.unit != unit)
                 continue;
             allocation.ending = true;
             worker->afterStops += allocation.room;
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -30,10 +30,13 @@
 
 // A run that takes room, as far as choosing whom to stop needs it.
 struct Allocation {
-    UnitKey unit;
+    const UnitKey* unit { nullptr }; // One object for all runs of a unit; null: its unit is over.
     Room room;
     Millis endsAt { 0 }; // Expected.
     bool ending { false }; // Already being stopped.
+    double lostWork { 0 }; // In core-seconds, if its unit is stopped.
+    std::int64_t priority { 0 };
+    bool guaranteed { false }; // Within its workspace's guarantee.
 };
 
 struct SnapshotWorker {
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -59,11 +59,6 @@
 inline constexpr Millis stallLimit = 3500;
 inline constexpr double stallShare = 0.06;
 
-// Rounds of decisions: at most one in this time, so that a burst of answers does
-// not cost a search each.
-inline constexpr Millis roundGap = 10;
-inline constexpr Millis idleRound = 500; // With nothing new, for what time itself changes.
-
 // Units that wait for running ones and keep room for when these end. More would
 // leave room idle for work that is far from its turn.
 inline constexpr int mostReservations = 16;
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -36,7 +36,7 @@
 void TaskPlanner::applyCatalog(std::shared_ptr<const Catalog> newest)
 {
     this->catalog = std::move(newest);
-    this->changed = true;
+    this->pacer.changed();
 }
 
 void TaskPlanner::adopt(const JobEntry& entry, const Progress& plan, Millis now, Millis wall)
@@ -98,7 +98,7 @@
     unit.adopted = true;
     if (unit.suspect)
         this->isolatedUnits.insert(unit.key);
-    this->waitingUnits.erase(unit.key);
+    this->dequeue(unit.key);
     for (std::size_t member = 0; member < progress.workers.size(); ++member) {
         const Incarnation& incarnation = progress.workers[member];
         auto [found, isNew] = this->workers.try_emplace(incarnation.id);
@@ -131,7 +131,7 @@
     active.job = job;
     active.text = std::make_shared<const std::string>(job->text);
     this->beginDue(active, now, wall);
-    this->changed = true;
+    this->pacer.changed();
 }
 
 void TaskPlanner::jobCancelled(const std::string& id, Millis now)
@@ -184,14 +184,27 @@
     }
 }
 
+void TaskPlanner::enqueue(const Unit& unit)
+{
+    this->waitingUnits.insert(unit.key);
+    if (unit.job->terms.priority == 0)
+        this->urgentUnits.insert(unit.key);
+}
+
+void TaskPlanner::dequeue(const UnitKey& key)
+{
+    this->waitingUnits.erase(key);
+    this->urgentUnits.erase(key);
+}
+
 void TaskPlanner::addUnit(ActiveJob& active, const UnitKey& key, Millis now)
 {
     Unit& unit = this->units[key];
     unit.key = key;
     unit.job = active.job;
     unit.waitingSince = now;
-    this->waitingUnits.insert(key);
-    this->changed = true;
+    this->enqueue(unit);
+    this->pacer.changed();
 }
 
 void TaskPlanner::unitDone(const UnitKey& key, Millis now)
@@ -208,7 +221,7 @@
         if (placedRun != worker->placedRuns.end())
             placedRun->second.stray = true;
     }
-    this->waitingUnits.erase(key);
+    this->dequeue(key);
     this->isolatedUnits.erase(key);
     this->units.erase(found);
 
@@ -219,7 +232,7 @@
     StepState& step = occurrence.steps[static_cast<std::size_t>(done.step)];
     step.done = --step.left == 0;
     this->markDirty(done.job);
-    this->changed = true;
+    this->pacer.changed();
     if (!step.done)
         return;
     this->speeds.learnSiblings(step.samples);
@@ -266,9 +279,9 @@
     unit.waitingSince = now;
     unit.notBefore = failed ? now + retryPause : now;
     this->isolatedUnits.erase(unit.key);
-    this->waitingUnits.insert(unit.key);
+    this->enqueue(unit);
     this->markDirty(unit.key.job);
-    this->changed = true;
+    this->pacer.changed();
     this->emit(PlanEventKind::UnitRetried, unit.key, unit.run, "", failed ? "failed" : "ended early");
     if (unit.crashes.isExhausted(unit.run))
         this->exhausted.insert(unit.key);
@@ -299,7 +312,7 @@
     this->emit(PlanEventKind::JobFinished, { id, 0, 0, 0 }, 0, "", fmt::format("{} {}", nameOf(state), active.reason));
     this->dropUnits(active.job->id, now);
     this->markDirty(active.job->id);
-    this->changed = true;
+    this->pacer.changed();
 }
 
 // The id must not be part of a unit, which would go with it.
@@ -309,7 +322,7 @@
     while (next != this->units.end() && next->first.job == id) {
         Unit unit = std::move(next->second);
         next = this->units.erase(next);
-        this->waitingUnits.erase(unit.key);
+        this->dequeue(unit.key);
         this->isolatedUnits.erase(unit.key);
         this->abandonRun(unit, now);
     }
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -34,6 +34,7 @@
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
 #include "tasks/plan_table.h"
+#include "tasks/round_pacer.h"
 #include "tasks/run_times.h"
 #include "tasks/unit.h"
 #include "tasks/worker_speeds.h"
@@ -81,12 +82,12 @@
     void step(Millis now, Millis wall);
     Orders take(Millis now);
 
-    // No round of decisions before then: the caller has seen that they take a large
-    // part of its processor time. Everything else goes on.
-    void holdRounds(Millis until) { this->roundsHeldUntil = until; }
+    // The last step() took so long, by the caller's clock.
+    void stepTook(Millis duration, Millis now) { this->pacer.took(this->round.kind, duration, now); }
 
-    // What the last round of decisions did; for the log of one that took long.
+    // What the last step() decided; for the log of one that took long.
     struct Round {
+        RoundKind kind { RoundKind::None };
         std::int64_t candidates { 0 }; // Units that waited.
         std::int64_t placed { 0 };
         std::int64_t searches { 0 }; // For room that is there, or will be after stops.
@@ -132,7 +133,8 @@
     void finishJob(const std::string& id, JobState, std::string reason, Millis now);
     void dropUnits(const std::string& id, Millis now);
     void abandonRun(const Unit&, Millis now);
-    bool allowedToRun(const Unit&) const;
+    void enqueue(const Unit&);
+    void dequeue(const UnitKey&);
 
     // Runs and workers.
     void place(Unit&, const std::vector<std::string>& workers, Millis now);
@@ -172,7 +174,7 @@
     Worker* slowestMember(const Unit&);
     void clearLeaving(Millis now);
     void markGuaranteed();
-    std::vector<Candidate> rank(Millis now, Millis wall);
+    std::vector<Candidate> rank(const std::set<UnitKey>&, Millis now, Millis wall);
     PlacementRequest requestOf(const Unit&) const;
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     bool mayEvict(const Candidate&, Millis now);
@@ -185,6 +187,8 @@
     Millis expectedRun(const Unit&) const;
     Millis expectedEnd(const Unit&, Millis now) const;
     double lostWork(const Unit&, Millis now) const;
+    double evictionCost(const Unit&, Millis now) const;
+    Allocation allocationOf(const PlacedRun&, Millis now) const;
     double worthLosing(const Unit&) const;
 
     // Advice on where a step may run.
@@ -222,6 +226,7 @@
     std::map<std::string, ActiveJob> jobs;
     std::map<UnitKey, Unit> units; // Of jobs that are not over.
     std::set<UnitKey> waitingUnits;
+    std::set<UnitKey> urgentUnits; // Of these, those of the highest priority.
     std::set<UnitKey> exhausted; // To be given up with their jobs.
     std::set<UnitKey> isolatedUnits; // Suspect, and running where nothing else does.
     std::map<std::string, Worker> workers; // By id; the newest incarnation.
@@ -251,7 +256,6 @@
     std::int64_t unitsDone { 0 }; // Since the last such event.
     std::map<StepKey, std::int64_t> tasksPlaced; // Likewise.
     bool isDeposed { false };
-    bool changed { true };
     bool pollsLeft { false }; // Due, and more than were sent at once.
     Millis idlePollsFrom { 0 }; // None at idle workers before then, unless something waits for room.
     struct Demanded {
@@ -260,9 +264,7 @@
     };
     std::map<std::string, Demanded> urgentDemanded; // By service; the highest of late.
     Round round;
-    Millis nextRound { 0 };
-    Millis roundsHeldUntil { 0 };
-    Millis roundDueBy { 0 }; // When a unit may stop others that waits until then; 0: none.
+    RoundPacer pacer;
 };
 
 } // namespace rattan::tasks
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -83,7 +83,7 @@
 void TaskPlanner::adviceAnswered(const StepKey& step, const std::vector<AllowedWorker>& allowed, Millis now)
 {
     --this->adviceUnderWay;
-    this->changed = true;
+    this->pacer.changed();
     const auto found = this->advice.find(step);
     const auto job = this->jobs.find(step.job);
     if (found == this->advice.end() || job == this->jobs.end())
--- a/src/tasks/task_planner_crashes.cc
+++ b/src/tasks/task_planner_crashes.cc
@@ -72,7 +72,7 @@
     unit.suspect = false;
     if (unit.step().longRunning)
         unit.crashes.clear();
-    this->changed = true;
+    this->pacer.changed();
 }
 
 void TaskPlanner::giveUpExhausted(Millis now)
--- a/src/tasks/task_planner_evictions.cc
+++ b/src/tasks/task_planner_evictions.cc
@@ -22,6 +22,14 @@
     return weight * (unit.step().savesProgress ? restartSeconds : ran + restartSeconds);
 }
 
+// As a choice of whom to stop counts it: else the same unit, begun anew each time, would
+// always be the cheapest.
+double TaskPlanner::evictionCost(const Unit& unit, Millis now) const
+{
+    const double lost = this->lostWork(unit, now);
+    return unit.step().savesProgress ? lost : lost * static_cast<double>(1 + unit.evictions);
+}
+
 // Core-seconds of others' work that may be thrown away so that a unit which is
 // not guaranteed begins now.
 double TaskPlanner::worthLosing(const Unit& unit) const
@@ -41,7 +49,7 @@
     const Millis patientUntil = candidate.queueKey.latestStart - evictionLead;
     if (now >= patientUntil)
         return true;
-    this->roundDueBy = this->roundDueBy == 0 ? patientUntil : std::min(this->roundDueBy, patientUntil);
+    this->pacer.dueBy(patientUntil);
     return false;
 }
 
@@ -50,17 +58,7 @@
     Unit& unit = *candidate.unit;
     const bool guaranteed = candidate.queueKey.guaranteed;
     const std::int64_t priority = unit.job->terms.priority;
-    const auto lost = [&](const UnitKey& key) {
-        const auto found = this->units.find(key);
-        if (found == this->units.end())
-            return -1.0;
-        const ActiveJob& active = this->jobs.at(key.job);
-        if (active.guaranteed || (!guaranteed && active.job->terms.priority <= priority))
-            return -1.0;
-        // Else the same unit, begun anew each time, would always be the cheapest.
-        const bool saves = found->second.step().savesProgress;
-        return this->lostWork(found->second, now) * (saves ? 1.0 : static_cast<double>(1 + found->second.evictions));
-    };
+    const auto lost = [&](const Allocation& run) { return run.guaranteed || (!guaranteed && run.priority <= priority) ? -1.0 : run.lostWork; };
     constexpr double noBound = std::numeric_limits<double>::max();
     const double bound = guaranteed ? noBound : this->worthLosing(unit);
     const auto plan = planEviction(snapshot, request, lost, noBound);
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -34,12 +34,11 @@
         if (!isFinal(active.state))
             this->beginDue(active, now, wall);
     }
-    const bool due = this->changed || now >= this->nextRound + idleRound || (this->roundDueBy > 0 && now >= this->roundDueBy);
-    if (now < this->nextRound || now < this->roundsHeldUntil || !due)
+    const RoundKind kind = this->pacer.next(now, !this->urgentUnits.empty());
+    this->round = { .kind = kind };
+    if (kind == RoundKind::None)
         return;
-    this->roundDueBy = 0;
-    this->nextRound = now + roundGap;
-    this->changed = false;
+    this->pacer.begun(kind, now);
     this->noticeStalls(now);
     this->clearLeaving(now);
     this->markGuaranteed();
@@ -50,9 +49,7 @@
 {
     if (this->pollsLeft)
         return now;
-    Millis next = this->changed ? std::max(now, this->nextRound) : this->nextRound + idleRound;
-    if (this->roundDueBy > 0)
-        next = std::min(next, this->roundDueBy);
+    Millis next = this->pacer.nextWake(now, !this->urgentUnits.empty());
     if (!this->batchUnderWay)
         next = std::min(next, this->recordBy);
     for (const auto& [id, active] : this->jobs) {
@@ -68,7 +65,7 @@
         if (worker.ackDueBy > now)
             next = std::min(next, worker.ackDueBy);
     }
-    return std::max({ next, now, std::min(this->roundsHeldUntil, now + roundGap) });
+    return std::max(next, now);
 }
 
 Millis TaskPlanner::expectedRun(const Unit& unit) const
@@ -186,6 +183,21 @@
     return static_cast<std::int64_t>(demanded.accelerators);
 }
 
+Allocation TaskPlanner::allocationOf(const PlacedRun& placedRun, Millis now) const
+{
+    Allocation allocation { .unit = nullptr, .room = placedRun.room, .endsAt = now + this->options.stopTimeout, .ending = placedRun.stray || placedRun.stopWanted };
+    const auto found = this->units.find(placedRun.unit);
+    if (allocation.ending || found == this->units.end())
+        return allocation;
+    const Unit& unit = found->second;
+    allocation.unit = &found->first;
+    allocation.endsAt = this->expectedEnd(unit, now);
+    allocation.lostWork = this->evictionCost(unit, now);
+    allocation.priority = unit.job->terms.priority;
+    allocation.guaranteed = this->jobs.at(unit.key.job).guaranteed;
+    return allocation;
+}
+
 Snapshot TaskPlanner::makeSnapshot(const std::string& service, Millis now) const
 {
     Snapshot snapshot;
@@ -211,9 +223,7 @@
                 place.afterStops += placedRun.room;
             if (this->isolatedUnits.contains(placedRun.unit))
                 place.isolatedFor = placedRun.unit.job;
-            const auto unit = this->units.find(placedRun.unit);
-            const Millis endsAt = ending || unit == this->units.end() ? now + this->options.stopTimeout : this->expectedEnd(unit->second, now);
-            place.allocations.push_back({ placedRun.unit, placedRun.room, endsAt, ending });
+            place.allocations.push_back(this->allocationOf(placedRun, now));
         }
         snapshot.workers.push_back(std::move(place));
     }
@@ -238,10 +248,10 @@
     return request;
 }
 
-std::vector<TaskPlanner::Candidate> TaskPlanner::rank(Millis now, Millis wall)
+std::vector<TaskPlanner::Candidate> TaskPlanner::rank(const std::set<UnitKey>& keys, Millis now, Millis wall)
 {
     std::vector<Candidate> candidates;
-    for (const UnitKey& key : this->waitingUnits) {
+    for (const UnitKey& key : keys) {
         Unit& unit = this->units.at(key);
         if (unit.notBefore > now)
             continue;
@@ -281,8 +291,8 @@
 {
     std::map<std::string, Snapshot> snapshots;
     std::map<std::string, int> reservations;
-    std::vector<Candidate> candidates = this->rank(now, wall);
-    this->round = { .candidates = static_cast<std::int64_t>(candidates.size()) };
+    std::vector<Candidate> candidates = this->rank(this->round.kind == RoundKind::Urgent ? this->urgentUnits : this->waitingUnits, now, wall);
+    this->round.candidates = static_cast<std::int64_t>(candidates.size());
     std::map<std::string, FailedRequests> failedRequests;
     int evictionSearches = 0;
     const UnitKey* blocked = nullptr; // A step of which a unit found no place.
@@ -401,7 +411,7 @@
     unit.movedAt = now;
     unit.heardAt = 0;
     unit.workers.clear();
-    this->waitingUnits.erase(unit.key);
+    this->dequeue(unit.key);
     for (std::size_t member = 0; member < chosen.size(); ++member) {
         Worker& worker = this->workers.at(chosen[member]);
         unit.workers.push_back(worker.seen.incarnation);
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -35,7 +35,7 @@
         if (seen.leaving && !worker.seen.leaving)
             worker.leavesAt = now + seen.remaining;
         if (worker.seen.leaving != seen.leaving || !worker.listed)
-            this->changed = true;
+            this->pacer.changed();
         const Incarnation known = worker.seen.incarnation;
         worker.seen = seen;
         worker.listed = true;
@@ -74,7 +74,7 @@
     worker = Worker {};
     worker.seen = seen;
     worker.listed = false;
-    this->changed = true;
+    this->pacer.changed();
 }
 
 // The worker has started again and knows nothing of before. Runs that it lists
@@ -147,7 +147,7 @@
         worker->acknowledged = std::max(worker->acknowledged, worker->ackUnderWay);
     if (worker->acknowledged >= worker->durable)
         worker->ackDueBy = 0;
-    this->changed = true;
+    this->pacer.changed();
     for (const EndedTask& end : report.ended)
         this->applyEnd(*worker, end, now);
     for (const RunningTask& running : report.running)
@@ -313,7 +313,7 @@
         return;
     PlacedRun& placedRun = worker->placedRuns.at(run);
     Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
-    this->changed = true;
+    this->pacer.changed();
     // What an earlier try may still bring about is not undone by the answer to a later one.
     const bool settles = answer == StartAnswer::Started || answer == StartAnswer::OtherIncarnation || answer == StartAnswer::Old;
     if (placedRun.startLost && !settles)
@@ -407,7 +407,7 @@
     }
     for (const auto& [worker, ref] : unsent)
         this->memberGone(*worker, ref, std::nullopt, "", now);
-    this->changed = true;
+    this->pacer.changed();
 }
 
 void TaskPlanner::memberGone(Worker& worker, const RunRef& ref, std::optional<RunEnd> end, const std::string& checkpoint, Millis now)
@@ -419,7 +419,7 @@
     const PlacedRun placedRun = found->second;
     worker.used -= placedRun.room;
     worker.placedRuns.erase(found);
-    this->changed = true;
+    this->pacer.changed();
     Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
     if (!unit || unit->run != run.run || unit->state != UnitState::Running)
         return;
--- a/src/tasks/testing/placing_reference_test.cc
+++ b/src/tasks/testing/placing_reference_test.cc
@@ -34,20 +34,20 @@
                 continue;
             std::vector<Allocation> byCost;
             for (const Allocation& allocation : snapshot.workers[i].allocations) {
-                if (!allocation.ending && !stopped.contains(allocation.unit) && lost(allocation.unit) >= 0)
+                if (!allocation.ending && !stopped.contains(*allocation.unit) && lost(allocation) >= 0)
                     byCost.push_back(allocation);
             }
-            std::sort(byCost.begin(), byCost.end(), [&](const Allocation& a, const Allocation& b) { return lost(a.unit) < lost(b.unit); });
+            std::sort(byCost.begin(), byCost.end(), [&](const Allocation& a, const Allocation& b) { return lost(a) < lost(b); });
             EvictionPlan option { .places = { i }, .victims = {}, .lostWork = 0 };
             Room free = room[i];
             for (const Allocation& allocation : byCost) {
                 if (request.each.within(free))
                     break;
                 free += allocation.room;
-                if (std::find(option.victims.begin(), option.victims.end(), allocation.unit) != option.victims.end())
+                if (std::find(option.victims.begin(), option.victims.end(), *allocation.unit) != option.victims.end())
                     continue;
-                option.victims.push_back(allocation.unit);
-                option.lostWork += lost(allocation.unit);
+                option.victims.push_back(*allocation.unit);
+                option.lostWork += lost(allocation);
             }
             if (request.each.within(free) && (!best || option.lostWork < best->lostWork))
                 best = option;
@@ -58,7 +58,7 @@
             stopped.insert(victim);
             for (std::size_t i = 0; i < snapshot.workers.size(); ++i) {
                 for (const Allocation& allocation : snapshot.workers[i].allocations) {
-                    if (allocation.unit == victim && !allocation.ending)
+                    if (*allocation.unit == victim && !allocation.ending)
                         room[i] += allocation.room;
                 }
             }
@@ -87,7 +87,7 @@
         for (int round = 0; round < rounds; ++round) {
             const Snapshot snapshot = this->draw();
             const PlacementRequest request = this->drawRequest();
-            const LostWork lost = [](const UnitKey& key) { return key.index % 5 == 0 ? -1.0 : static_cast<double>(key.index % 7) + 0.25 * static_cast<double>(key.index % 3); };
+            const LostWork lost = [](const Allocation& run) { return run.unit->index % 5 == 0 ? -1.0 : static_cast<double>(run.unit->index % 7) + 0.25 * static_cast<double>(run.unit->index % 3); };
             std::optional<EvictionPlan> reference;
             const bool oneRack = request.sameRack && request.members > 1;
             for (int rack = 0; rack < (oneRack ? racks : 1); ++rack) {
@@ -130,15 +130,26 @@
     {
         Snapshot snapshot = this->draw();
         SnapshotWorker& worker = snapshot.workers[5];
-        worker.allocations = { { { "gang", 0, 0, 0 }, { 0, 0, 2 }, 0, false }, { { "other", 0, 0, 0 }, { 0, 0, 1 }, 0, false } };
+        const UnitKey gang { "gang", 0, 0, 0 };
+        const UnitKey other { "other", 0, 0, 0 };
+        worker.allocations = { { &gang, { 0, 0, 2 }, 0, false }, { &other, { 0, 0, 1 }, 0, false } };
         const std::int64_t before = worker.afterStops.accelerators;
         const std::vector<Incarnation> incarnations { { worker.id, 1 }, { "gone", 1 }, { worker.id, 1 } };
-        snapshot.markEnding({ "gang", 0, 0, 0 }, incarnations);
+        snapshot.markEnding(gang, incarnations);
         CPPUNIT_ASSERT(worker.allocations[0].ending && !worker.allocations[1].ending);
         CPPUNIT_ASSERT_EQUAL(before + 2, worker.afterStops.accelerators);
     }
 
 private:
+    static std::vector<UnitKey> makeUnits()
+    {
+        constexpr std::int64_t count = 40;
+        std::vector<UnitKey> units;
+        for (std::int64_t i = 0; i < count; ++i)
+            units.push_back({ "job", 0, 0, i });
+        return units;
+    }
+
     Snapshot draw()
     {
         Snapshot snapshot;
@@ -146,7 +157,7 @@
             SnapshotWorker worker { .id = fmt::format("w{:02}", i), .rack = fmt::format("r{}", i % racks) };
             worker.capacity = worker.free = worker.afterStops = { 128000, 512000, 8 };
             while (worker.free.accelerators > 0 && this->random() % 5 != 0) {
-                Allocation allocation { .unit = { "job", 0, 0, static_cast<std::int64_t>(this->random() % 40) }, .room = { 1000, 1000, 1 } };
+                Allocation allocation { .unit = &this->units.at(this->random() % this->units.size()), .room = { 1000, 1000, 1 } };
                 allocation.ending = this->random() % 10 == 0;
                 worker.free -= allocation.room;
                 if (!allocation.ending)
@@ -172,6 +183,7 @@
     }
 
     std::mt19937 random;
+    const std::vector<UnitKey> units { makeUnits() };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlacingReferenceTest);
--- a/src/tasks/testing/placing_test.cc
+++ b/src/tasks/testing/placing_test.cc
@@ -3,6 +3,7 @@
 #include "tasks/eviction.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
 #include <random>
 
 using namespace rattan;
@@ -51,6 +52,7 @@
     CPPUNIT_TEST(gangsAreOfOnePace);
     CPPUNIT_TEST(keptWorkersAreClosedUnderLoad);
     CPPUNIT_TEST(evictionLosesLeast);
+    CPPUNIT_TEST(evictionForAWideUnitAsksOnceAboutEachRun);
     CPPUNIT_TEST(evictionCountsGangsOnce);
     CPPUNIT_TEST(evictionRespectsItsBound);
     CPPUNIT_TEST(findsAPlaceWheneverThereIsOne);
@@ -181,23 +183,42 @@
         Snapshot snapshot { .workers = { worker("a", "r1", 0), worker("b", "r1", 0) } };
         const UnitKey dear { "dear", 0, 0, 0 };
         const UnitKey cheap { "cheap", 0, 0, 0 };
-        snapshot.workers[0].allocations.push_back({ dear, { 1000, 1000, 8 }, 0, false });
-        snapshot.workers[1].allocations.push_back({ cheap, { 1000, 1000, 8 }, 0, false });
-        const auto lost = [&](const UnitKey& key) { return key.job == "dear" ? 100.0 : 3.0; };
+        snapshot.workers[0].allocations.push_back({ &dear, { 1000, 1000, 8 }, 0, false });
+        snapshot.workers[1].allocations.push_back({ &cheap, { 1000, 1000, 8 }, 0, false });
+        const auto lost = [&](const Allocation& run) { return run.unit->job == "dear" ? 100.0 : 3.0; };
         const auto plan = planEviction(snapshot, ask(1, 8), lost, 1000);
         CPPUNIT_ASSERT(plan);
         CPPUNIT_ASSERT(plan->victims == std::vector<UnitKey> { cheap });
         CPPUNIT_ASSERT_EQUAL(3.0, plan->lostWork);
     }
 
+    // Guards against rounds that grow with the members of a unit times all runs there are.
+    void evictionForAWideUnitAsksOnceAboutEachRun()
+    {
+        constexpr std::size_t workers = 40;
+        Snapshot snapshot;
+        std::vector<UnitKey> units;
+        for (std::size_t i = 0; i < workers; ++i)
+            units.push_back({ "job", 0, 0, static_cast<std::int64_t>(i) });
+        for (std::size_t i = 0; i < workers; ++i) {
+            snapshot.workers.push_back(worker(fmt::format("w{:02}", i), "r1", 0));
+            snapshot.workers.back().allocations.push_back({ &units[i], { 1000, 1000, 8 }, 0, false });
+        }
+        std::size_t asked = 0;
+        const auto plan = planEviction(
+            snapshot, ask(workers / 2, 8), [&](const Allocation&) { return static_cast<double>(++asked); }, 1e9);
+        CPPUNIT_ASSERT(plan);
+        CPPUNIT_ASSERT_EQUAL(workers, asked);
+    }
+
     void evictionCountsGangsOnce()
     {
         Snapshot snapshot { .workers = { worker("a", "r1", 0), worker("b", "r1", 0) } };
         const UnitKey gang { "gang", 0, 0, wholeGang };
         for (SnapshotWorker& place : snapshot.workers)
-            place.allocations.push_back({ gang, { 1000, 1000, 8 }, 0, false });
+            place.allocations.push_back({ &gang, { 1000, 1000, 8 }, 0, false });
         const auto plan = planEviction(
-            snapshot, ask(2, 8), [](const UnitKey&) { return 10.0; }, 1000);
+            snapshot, ask(2, 8), [](const Allocation&) { return 10.0; }, 1000);
         CPPUNIT_ASSERT(plan);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, plan->victims.size());
         CPPUNIT_ASSERT_EQUAL(10.0, plan->lostWork);
@@ -206,11 +227,12 @@
     void evictionRespectsItsBound()
     {
         Snapshot snapshot { .workers = { worker("a", "r1", 0) } };
-        snapshot.workers[0].allocations.push_back({ { "x", 0, 0, 0 }, { 1000, 1000, 8 }, 0, false });
+        const UnitKey unit { "x", 0, 0, 0 };
+        snapshot.workers[0].allocations.push_back({ &unit, { 1000, 1000, 8 }, 0, false });
         CPPUNIT_ASSERT(!planEviction(
-            snapshot, ask(1, 8), [](const UnitKey&) { return 10.0; }, 9));
+            snapshot, ask(1, 8), [](const Allocation&) { return 10.0; }, 9));
         CPPUNIT_ASSERT(!planEviction(
-            snapshot, ask(1, 8), [](const UnitKey&) { return -1.0; }, 1000));
+            snapshot, ask(1, 8), [](const Allocation&) { return -1.0; }, 1000));
     }
 
     // Against the plain count of what fits on each worker.
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -2,6 +2,7 @@
 
 #include "tasks/testing/virtual_site.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace rattan;
@@ -48,6 +49,8 @@
     CPPUNIT_TEST(aCancelledJobIsStopped);
     CPPUNIT_TEST(guaranteedJobsGetTheirRoomBack);
     CPPUNIT_TEST(anUrgentJobThatWaitsIsExplained);
+    CPPUNIT_TEST(aGuaranteedJobBeginsWhileRoundsOfAllUnitsRest);
+    CPPUNIT_TEST(aGuaranteedJobThatWaitsIsExplained);
     CPPUNIT_TEST(aPlannerThatFollowsLosesNothing);
     CPPUNIT_TEST(aCutWorkerIsWaitedForUntilItsLeaseIsOver);
     CPPUNIT_TEST(aStartThatWaitedGrantsNoLongerLease);
@@ -170,6 +173,38 @@
     // An urgent job outside its workspace's guarantee waits for seconds beside patient
     // ones, because these have run for so long that stopping one loses too much. Its
     // caller asks why, and the log has to tell, once and not in every round.
+    // Guards against a guaranteed job that begins late, behind a round which took long.
+    void aGuaranteedJobBeginsWhileRoundsOfAllUnitsRest()
+    {
+        constexpr Millis roundTook = 800;
+        VirtualSite site({ .seed = 8, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("patient", 200, one, 20000));
+        site.run(2000);
+        while (site.planner->lastRound().kind != RoundKind::Whole)
+            site.run(site.now + 5);
+        site.planner->stepTook(roundTook, site.now);
+        site.submit(gang("urgent", 2, half, 500, 0));
+        const Millis submitted = site.now;
+        while (site.runsOf("urgent") < 2 && site.now < submitted + 5000)
+            site.run(site.now + 5);
+        CPPUNIT_ASSERT_LESS(submitted + 2 * roundTook, site.now);
+        assertSound(site);
+    }
+
+    // Guards against a late guaranteed job of which the log says nothing.
+    void aGuaranteedJobThatWaitsIsExplained()
+    {
+        VirtualSite site({ .seed = 9, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.submit(gang("first", 2, whole, 5000, 0));
+        site.run(2000);
+        site.submit(gang("second", 1, whole, 500, 0));
+        site.run(4000);
+        const auto isExplained = [](const PlanEvent& event) { return event.kind == PlanEventKind::GuaranteeWaits && event.job == "second"; };
+        CPPUNIT_ASSERT(std::any_of(site.planEvents.begin(), site.planEvents.end(), isExplained));
+    }
+
     void anUrgentJobThatWaitsIsExplained()
     {
         VirtualSite site({ .seed = 35, .failures = 0 });
