--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -2,6 +2,7 @@
 
 #include "instance/events.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace rattan::instance {
@@ -150,6 +151,8 @@
     this->stepRecords(now);
     if (now >= this->nextTurn)
         this->plan(now, wall);
+    else if (now >= this->nextPolls && this->planner->hasPollsLeft())
+        this->sendPollsLeft(now);
     this->jobsStream.step(now);
     this->plansStream.step(now);
     if (this->stillLeads())
@@ -172,6 +175,14 @@
     this->nextTurn = ended + (ended - now) * turnRest;
 }
 
+void Leadership::sendPollsLeft(Millis now)
+{
+    for (const tasks::PollOrder& order : this->planner->takePolls(now).polls)
+        this->sendPoll(order, now);
+    const Millis ended = this->services.clock.now();
+    this->nextPolls = ended + std::max<Millis>(ended - now, 1);
+}
+
 void Leadership::stepRecords(Millis now)
 {
     if (this->batchUnderWay == 0 || !this->jobsStream.isIdle() || !this->plansStream.isIdle())
@@ -238,7 +249,9 @@
 {
     if (!this->planner)
         return now + listPause;
-    const Millis nextPlan = std::max(this->planner->nextWake(now, wall), this->nextTurn);
+    Millis nextPlan = std::max(this->planner->nextWake(now, wall), this->nextTurn);
+    if (this->planner->hasPollsLeft())
+        nextPlan = std::min(nextPlan, std::max(now, this->nextPolls));
     return std::min({ nextPlan, this->channel.nextWake(), now + listPause });
 }
 
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -93,6 +93,7 @@
     bool stillLeads();
     void tellWorkers(Millis now);
     void sendAdvice(const tasks::AdviceOrder&);
+    void sendPollsLeft(Millis now);
     void logRound(Millis took) const;
     void logPlanEvent(const tasks::PlanEvent&) const;
 
@@ -119,6 +120,7 @@
     Millis batchSentAt { 0 };
     Millis forgetAt { 0 };
     Millis nextTurn { 0 }; // Of the planner.
+    Millis nextPolls { 0 }; // Of those that were left over in its turn.
     bool isLost { false };
 };
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -96,6 +96,11 @@
     };
     const Round& lastRound() const { return this->round; }
 
+    // Polls that were due at the last take(), beyond those that are sent at once. The caller
+    // takes them between its turns, which would be too rare for a thousand workers.
+    bool hasPollsLeft() const { return !this->duePolls.empty(); }
+    Orders takePolls(Millis now);
+
     // A worker has heard of a higher term: stop.
     bool deposed() const { return this->isDeposed; }
 
@@ -209,11 +214,13 @@
     void makePolls(Millis now, Orders&);
     static bool isWithinCapacity(const Worker&);
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
-    bool pollDue(const Worker&, Millis now) const;
+    static bool isEndExpected(const Worker&);
+    bool isLeaseShort(const Worker&, Millis now) const;
+    bool isBesideDue(const Worker&, Millis now) const;
+    bool isPollDue(const Worker&, Millis now) const;
     void poll(Worker&, Millis now, Orders&) const;
-    void pollBeside(Worker&, Millis now, Orders&) const;
-    void pollDoubted(Worker&, Millis now, Orders&);
-    void pollIdle(const std::vector<Worker*>&, Millis now, Orders&);
+    static void pollBeside(Worker&, Orders&);
+    void sendDuePolls(Millis now, Orders&);
     void makeStops(Millis now, Orders&);
     void emit(PlanEventKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
     void reportPlaced(const Unit&, Millis now);
@@ -256,7 +263,12 @@
     std::int64_t unitsDone { 0 }; // Since the last such event.
     std::map<StepKey, std::int64_t> tasksPlaced; // Likewise.
     bool isDeposed { false };
-    bool pollsLeft { false }; // Due, and more than were sent at once.
+    struct DuePoll {
+        Millis turn { 0 }; // The lowest goes first.
+        std::string worker; // Its id.
+        bool beside { false };
+    };
+    std::vector<DuePoll> duePolls; // More than were sent at once; the next one is the last.
     Millis idlePollsFrom { 0 }; // None at idle workers before then, unless something waits for room.
     struct Demanded {
         double accelerators { 0 };
--- /dev/null
+++ b/src/tasks/task_planner_polls.cc
@@ -0,0 +1,142 @@
+// Polls: which workers are asked, and in which order where more are due than are sent at
+// once. Whoever waits longest goes first, with a start for what others wait for, so that no
+// worker is passed over however many are due: a worker that is not asked loses its leases, and
+// the planner learns nothing of the ends there.
+
+#include "tasks/planner_limits.h"
+#include "tasks/task_planner.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rattan::tasks {
+
+using namespace detail;
+
+namespace {
+
+    // Room there is waited for.
+    constexpr Millis endExpectedStart = 400;
+
+    // After a takeover, workers on which something runs go before idle ones.
+    constexpr Millis idleDelay = 300;
+
+    constexpr Millis beforeAll = -1;
+
+} // namespace
+
+// The answer to a stop tells that an end is there, or that the run will not begin any more.
+bool TaskPlanner::isEndExpected(const Worker& worker)
+{
+    return std::any_of(worker.placedRuns.begin(), worker.placedRuns.end(), [&](const auto& row) { return row.second.stopAnsweredAt > 0 && row.second.stopAnsweredAt >= worker.pollSentAt; });
+}
+
+bool TaskPlanner::isLeaseShort(const Worker& worker, Millis now) const
+{
+    return worker.known && worker.isLive() && now + this->options.longestLease / 2 >= worker.leaseOverBy;
+}
+
+// A start whose stop has been answered is settled by the next poll. One that waits
+// for an end would hold up its task, so another goes beside it.
+bool TaskPlanner::isBesideDue(const Worker& worker, Millis now) const
+{
+    if (worker.quickPollUnderWay)
+        return false;
+    if (worker.known && !worker.silent && this->isDoubted(worker, now))
+        return true;
+    if (!worker.pollUnderWay)
+        return false;
+    return std::any_of(worker.placedRuns.begin(), worker.placedRuns.end(), [&](const auto& row) {
+        const PlacedRun& placedRun = row.second;
+        const bool awaitsSettling = placedRun.phase == RunPhase::Starting && placedRun.stopAnsweredAt > 0 && placedRun.stopAnsweredAt >= worker.pollSentAt;
+        return awaitsSettling || (!worker.silent && this->isCheckDue(placedRun, now));
+    });
+}
+
+bool TaskPlanner::isPollDue(const Worker& worker, Millis now) const
+{
+    if (worker.pollUnderWay || now < worker.nextPollAt)
+        return false;
+    const bool calm = worker.known && !worker.silent;
+    const bool ackDue = worker.durable > worker.acknowledged && worker.ackDueBy > 0 && now >= worker.ackDueBy;
+    if (calm && !worker.isLive() && !ackDue)
+        return false;
+    // An end that is not durable yet would come back at once.
+    return !calm || worker.handled <= worker.durable || now + this->options.longestLease / 2 >= worker.leaseOverBy;
+}
+
+// A lease that is over already is not renewed: the poll only asks what has become of the runs.
+void TaskPlanner::poll(Worker& worker, Millis now, Orders& orders) const
+{
+    const bool renews = worker.known && !worker.silent && worker.isLive() && now < worker.leaseOverBy;
+    worker.pollUnderWay = true;
+    worker.pollSentAt = now;
+    worker.ackUnderWay = worker.isIncarnationProven() ? worker.durable : 0;
+    worker.ackDueBy = 0;
+    if (renews)
+        this->grantLease(worker, now);
+    orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, worker.ackUnderWay, renews ? pollWait : 0, renews });
+}
+
+void TaskPlanner::pollBeside(Worker& worker, Orders& orders)
+{
+    worker.quickPollUnderWay = true;
+    orders.polls.push_back({ worker.seen.incarnation, worker.seen.address, 0, 0, false, true });
+}
+
+void TaskPlanner::makePolls(Millis now, Orders& orders)
+{
+    this->duePolls.clear();
+    const bool idleWanted = !this->waitingUnits.empty();
+    const bool idleMayGo = idleWanted || now >= this->idlePollsFrom;
+    std::size_t idle = 0;
+    for (const auto& [id, worker] : this->workers) {
+        if (worker.seen.address.empty() || (!worker.listed && worker.placedRuns.empty()))
+            continue; // Of one known only from a record, the list has to tell where it is.
+        if (this->isBesideDue(worker, now))
+            this->duePolls.push_back({ this->isEndExpected(worker) ? now - endExpectedStart : now, id, true });
+        if (!this->isPollDue(worker, now))
+            continue;
+        Millis turn = worker.nextPollAt;
+        if (worker.placedRuns.empty()) {
+            if (!idleMayGo || (!idleWanted && idle == mostIdlePollsAtOnce))
+                continue;
+            ++idle;
+            turn += idleDelay;
+        } else if (this->isLeaseShort(worker, now)) {
+            turn = beforeAll;
+        } else if (isEndExpected(worker)) {
+            turn -= endExpectedStart;
+        }
+        this->duePolls.push_back({ turn, id, false });
+    }
+    if (idle > 0)
+        this->idlePollsFrom = now + idlePollsPause;
+    std::sort(this->duePolls.begin(), this->duePolls.end(), [](const DuePoll& a, const DuePoll& b) { return std::tie(b.turn, b.worker) < std::tie(a.turn, a.worker); });
+    this->sendDuePolls(now, orders);
+}
+
+void TaskPlanner::sendDuePolls(Millis now, Orders& orders)
+{
+    while (!this->duePolls.empty() && orders.polls.size() < mostPollsAtOnce) {
+        const DuePoll due = std::move(this->duePolls.back());
+        this->duePolls.pop_back();
+        const auto found = this->workers.find(due.worker);
+        if (found == this->workers.end())
+            continue;
+        Worker& worker = found->second;
+        if (due.beside && this->isBesideDue(worker, now))
+            pollBeside(worker, orders);
+        else if (!due.beside && this->isPollDue(worker, now))
+            this->poll(worker, now, orders);
+    }
+}
+
+Orders TaskPlanner::takePolls(Millis now)
+{
+    Orders orders;
+    this->sendDuePolls(now, orders);
+    return orders;
+}
+
+} // namespace rattan::tasks
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -47,7 +47,7 @@
 
 Millis TaskPlanner::nextWake(Millis now, Millis wall) const
 {
-    if (this->pollsLeft)
+    if (this->hasPollsLeft())
         return now;
     Millis next = this->pacer.nextWake(now, !this->urgentUnits.empty());
     if (!this->batchUnderWay)
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -132,8 +132,9 @@
     }
     for (auto& [id, worker] : this->workers)
         this->work(id, worker);
-    if (!this->planner)
+    if (!this->planner || this->now < this->nextTurn)
         return;
+    this->nextTurn = this->now + this->turnGap;
     this->planner->step(this->now, this->now);
     Orders orders = this->planner->take(this->now);
     this->planEvents.insert(this->planEvents.end(), orders.events.begin(), orders.events.end());
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -102,6 +102,12 @@
     // The capacity of a worker changes; its entry in the list shows it half a second later.
     void resize(const std::string& id, Room capacity);
 
+    // The planner has its turn this rarely, as on a machine with too little processor time.
+    void planEvery(Millis gap) { this->turnGap = gap; }
+
+    // It has none before then.
+    void holdPlanner(Millis until) { this->nextTurn = until; }
+
     // Records become durable this much later.
     void delayRecords(Millis wait) { this->recordsWait = wait; }
 
@@ -225,6 +231,8 @@
     SiteOptions options;
     Millis startsWait { 0 };
     Millis recordsWait { 0 };
+    Millis turnGap { 0 };
+    Millis nextTurn { 0 };
     int startsKeptBack { 0 };
     std::map<std::string, Millis> crashing; // Jobs whose first task crashes its worker, and how long after its start.
     std::map<TaskRef, std::int64_t> crashes; // Workers that crashed under a task.
