--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -153,6 +153,9 @@
     for (const RunningTask& running : report.running)
         this->applyRunning(*worker, running, now);
     this->settleUnlisted(*worker, report, sentAt, now);
+    // Somebody has renewed its lease later than this planner knew of.
+    if (!report.running.empty() && now >= worker->leaseOverBy)
+        this->grantLease(*worker, now);
 }
 
 void TaskPlanner::fellSilent(Worker& worker, Millis now)
@@ -449,6 +452,12 @@
     for (auto& [id, worker] : this->workers) {
         if (worker.placedRuns.empty() || now < worker.leaseOverBy)
             continue;
+        // A worker that answers has not been asked in time. It lists what has become of its
+        // runs; given up unread, one that has ended well would run a second time.
+        if (worker.known && !worker.silent && worker.incarnationShownAt < worker.leaseOverBy) {
+            worker.nextPollAt = std::min(worker.nextPollAt, now);
+            continue;
+        }
         std::vector<RunRef> over;
         for (const auto& [run, placedRun] : worker.placedRuns) {
             if (placedRun.phase != RunPhase::Recording)
--- a/src/tasks/testing/task_planner_test.cc
+++ b/src/tasks/testing/task_planner_test.cc
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(idleWorkersAreAskedInTheGaps);
     CPPUNIT_TEST(noWorkerIsPassedOverWhereMorePollsAreDueThanAreSent);
     CPPUNIT_TEST(idleWorkersAreNotPassedOverForBusyOnes);
+    CPPUNIT_TEST(runsOfAWorkerThatWasNotAskedAreNotGivenUpUnread);
     CPPUNIT_TEST(nothingIsStoppedBeforeIdleWorkersAreAsked);
     CPPUNIT_TEST(aWorkerThatFailsAllIsNotGivenEveryTask);
     CPPUNIT_TEST(keptWorkersAreLentWhileHalfIsIdle);
@@ -546,6 +547,22 @@
         assertSound(site);
     }
 
+    // Guards against tasks that run twice because their planner had no time to read that they ended.
+    void runsOfAWorkerThatWasNotAskedAreNotGivenUpUnread()
+    {
+        VirtualSite site({ .seed = 37, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("j1", 4, whole, 2000));
+        site.run(2500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, site.runsOf("j1"));
+        site.holdPlanner(site.now + 9000);
+        CPPUNIT_ASSERT(site.runUntilOver(20000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, site.runsOf("j1"));
+        for (const PlanEvent& event : site.planEvents)
+            CPPUNIT_ASSERT(event.kind != PlanEventKind::RunLost);
+        assertSound(site);
+    }
+
     // A planner that takes over hears of the busy workers first. An urgent job that
     // comes just then would find all workers it knows taken and have patient work
     // stopped, and its callers lose what it had done, though most workers are idle.
