--- a/testing/scenario/processes.cc
+++ b/testing/scenario/processes.cc
@@ -2,7 +2,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <stdexcept>
+#include <string_view>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -64,6 +66,19 @@
     kill(found->second, number);
 }
 
+bool Processes::blocks(const std::string& name, int number) const
+{
+    constexpr std::string_view field = "SigBlk:";
+    constexpr int hexadecimal = 16;
+    std::ifstream status("/proc/" + std::to_string(this->pids.at(name)) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with(field))
+            return ((std::stoull(line.substr(field.size()), nullptr, hexadecimal) >> (number - 1)) & 1) != 0;
+    }
+    return false;
+}
+
 std::optional<ProcessExit> Processes::poll(const std::string& name)
 {
     const auto found = this->pids.find(name);
--- a/testing/scenario/processes.h
+++ b/testing/scenario/processes.h
@@ -31,6 +31,9 @@
     pid_t idOf(const std::string& name) const { return this->pids.at(name); }
     bool isKnown(const std::string& name) const { return this->pids.contains(name); }
     void signal(const std::string& name, int number) const;
+    // Whether the process blocks the signal, to take it when it is ready to. Before its main()
+    // no program does, and the signal itself ends it.
+    bool blocks(const std::string& name, int number) const;
     // Empty while it runs; the name is forgotten once it has ended.
     std::optional<ProcessExit> poll(const std::string& name);
     // Names of processes that ended without being waited for or killed here.
