--- a/src/tasks/task_planner_crashes.cc
+++ b/src/tasks/task_planner_crashes.cc
@@ -37,7 +37,7 @@
     this->memberGone(worker, run, loss == RunLoss::LeaseOver ? std::optional(RunEnd::Lapsed) : std::nullopt, "", now);
 }
 
-// A worker that was leaving has left. One whose lease is over may be cut off; only if it is
+// A run whose stop its worker had taken may have ended by it, unread. A worker that was leaving has left. One whose lease is over may be cut off; only if it is
 // not listed any more may it have crashed.
 void TaskPlanner::countCrash(const Worker& worker, const PlacedRun& placedRun, RunLoss loss)
 {
@@ -45,7 +45,8 @@
         return;
     const Unit* unit = this->find(placedRun.unit);
     CrashEvidence evidence = CrashEvidence::Early;
-    if (loss == RunLoss::LeaseOver || !placedRun.begun)
+    const bool wasStopping = placedRun.stopAnsweredAt > 0;
+    if (loss == RunLoss::LeaseOver || !placedRun.begun || wasStopping)
         evidence = CrashEvidence::Unproven;
     else if (placedRun.isProven())
         evidence = CrashEvidence::Late;
--- a/src/tasks/testing/crash_test.cc
+++ b/src/tasks/testing/crash_test.cc
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(aGangWhoseMemberCrashesItsWorkersIsGivenUp);
     CPPUNIT_TEST(tasksBesideOneThatCrashesWorkersEndWell);
     CPPUNIT_TEST(nothingIsStartedOnAWorkerThatHasShrunkMeanwhile);
+    CPPUNIT_TEST(aTaskThatWasStoppedIsNotBlamedForItsWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -115,6 +116,30 @@
         this->assertSound(site);
     }
 
+    // Guards against a job that is given up for a crash which came after its run had been stopped,
+    // and before anybody had read that.
+    void aTaskThatWasStoppedIsNotBlamedForItsWorker()
+    {
+        VirtualSite site({ .seed = 57, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        Job gang = jobOf("j", 2, whole, 6000);
+        gang.steps.front().gang = true;
+        site.submit(gang);
+        site.run(2200);
+        site.restart(site.hostOf("j", 0));
+        while (site.runsOf("j") < 4 || site.hostOf("j", 0).empty() || site.hostOf("j", 1).empty())
+            site.run(site.now + 5);
+        const std::string first = site.hostOf("j", 0);
+        site.restart(site.hostOf("j", 1));
+        while (site.isBusy(first))
+            site.run(site.now + 5);
+        site.restart(first);
+        CPPUNIT_ASSERT(site.runUntilOver(40000));
+        CPPUNIT_ASSERT(site.stateOf("j") == JobState::Completed);
+        this->assertSound(site);
+    }
+
 private:
     void assertSound(const VirtualSite& site)
     {
