--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -152,6 +152,9 @@
     void settleUnlisted(Worker&, const WorkerReport&, Millis sentAt, Millis now);
     void loseIncarnation(Worker&, Millis now, const char* why);
     void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, Millis now);
+    static void startLost(Worker&, PlacedRun&, Millis now);
+    static bool mayStartLate(const Worker&, const RunRef&, Millis now);
+    void stopLateStarts(Worker&, Millis now);
     void grantLease(Worker&, Millis now) const;
     void fellSilent(Worker&, Millis now);
     bool isDoubted(const Worker&, Millis now) const;
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -98,17 +98,20 @@
     std::vector<RunRef> lost;
     std::vector<PlacedRun> unconfirmed;
     for (auto& [run, placedRun] : worker.placedRuns) {
-        if (placedRun.phase == RunPhase::Running && !listed.contains(run)) {
+        const bool startsLate = mayStartLate(worker, run, now);
+        if (placedRun.phase == RunPhase::Running && !listed.contains(run) && !startsLate) {
             // One that was confirmed after the poll was sent may be of this incarnation.
             if (placedRun.confirmedAt < sentAt)
                 lost.push_back(run);
-        } else if (placedRun.phase == RunPhase::Starting && !listed.contains(run)) {
+        } else if (placedRun.phase != RunPhase::Recording && !listed.contains(run)) {
+            placedRun.phase = RunPhase::Starting;
             placedRun.inherited = false;
             placedRun.wantStop(now);
             placedRun.stopAnsweredAt = 0;
             unconfirmed.push_back(placedRun);
         }
     }
+    this->stopLateStarts(worker, now);
     // They may have begun and been lost; one that turns up after all is not counted.
     for (const PlacedRun& placedRun : unconfirmed)
         this->countCrash(worker, placedRun, RunLoss::WorkerRestarted);
@@ -125,6 +128,36 @@
     }
 }
 
+void TaskPlanner::startLost(Worker& worker, PlacedRun& placedRun, Millis now)
+{
+    placedRun.startLost = true;
+    std::erase_if(worker.lostStarts, [now](const auto& row) { return now >= row.second + longestLateCall; });
+    worker.lostStarts[placedRun.run] = now;
+}
+
+bool TaskPlanner::mayStartLate(const Worker& worker, const RunRef& run, Millis now)
+{
+    const auto found = worker.lostStarts.find(run);
+    return found != worker.lostStarts.end() && now < found->second + longestLateCall;
+}
+
+// A later incarnation knows of no run that ended before. Of one whose start had no answer it
+// would take that start for a new one, and the task would run there beside its next run.
+void TaskPlanner::stopLateStarts(Worker& worker, Millis now)
+{
+    for (const auto& [run, lostAt] : worker.lostStarts) {
+        if (!mayStartLate(worker, run, now) || worker.placedRuns.contains(run))
+            continue;
+        PlacedRun late { .run = run, .unit = this->unitOf(run.task) };
+        late.stray = true;
+        late.phase = RunPhase::Starting;
+        late.room = this->roomOf(run.task);
+        late.wantStop(now);
+        worker.used += late.room;
+        worker.placedRuns.emplace(run, late);
+    }
+}
+
 void TaskPlanner::pollAnswered(const Incarnation& incarnation, Millis sentAt, bool quick, const WorkerReport& report, Millis now)
 {
     Worker* worker = this->find(incarnation);
@@ -335,7 +368,7 @@
     case StartAnswer::NoAnswer:
         this->fellSilent(*worker, now);
         worker->nextPollAt = now;
-        placedRun.startLost = true;
+        startLost(*worker, placedRun, now);
         if (maySendAgain)
             return this->sendStart(*worker, placedRun, *unit, now);
         placedRun.wantStop(now);
--- a/src/tasks/testing/crash_test.cc
+++ b/src/tasks/testing/crash_test.cc
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(tasksBesideOneThatCrashesWorkersEndWell);
     CPPUNIT_TEST(nothingIsStartedOnAWorkerThatHasShrunkMeanwhile);
     CPPUNIT_TEST(aTaskThatWasStoppedIsNotBlamedForItsWorker);
+    CPPUNIT_TEST(aLostStartIsNotTakenByTheNextIncarnation);
+    CPPUNIT_TEST(aLostStartOfAnEndedRunIsNotTakenByTheNextIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -140,6 +142,41 @@
         this->assertSound(site);
     }
 
+    // Guards against a task that runs twice: its first start, which had no answer, reaches the
+    // worker only after that has started again.
+    void aLostStartIsNotTakenByTheNextIncarnation()
+    {
+        VirtualSite site({ .seed = 55, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.delayNextStart(3000);
+        site.submit(jobOf("j", 1, whole, 8000));
+        site.run(3000);
+        site.restart(site.hostOf("j", 0));
+        CPPUNIT_ASSERT(site.runUntilOver(30000));
+        this->assertSound(site);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("j"));
+    }
+
+    // Guards against the same, where the first run had been stopped and the second one is elsewhere.
+    void aLostStartOfAnEndedRunIsNotTakenByTheNextIncarnation()
+    {
+        VirtualSite site({ .seed = 56, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.delayNextStart(4000);
+        site.submit(jobOf("j", 1, whole, 12000));
+        site.run(2500);
+        const std::string first = site.hostOf("j", 0);
+        site.leave(first);
+        site.run(4000);
+        CPPUNIT_ASSERT(site.hostOf("j", 0) != first);
+        site.restart(first);
+        CPPUNIT_ASSERT(site.runUntilOver(40000));
+        this->assertSound(site);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("j"));
+    }
+
 private:
     void assertSound(const VirtualSite& site)
     {
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -249,6 +249,15 @@
     this->tell(order.run, order.worker.id, "start sent");
     const std::int64_t term = this->term;
     const Millis until = order.decidedAt + this->options.lease;
+    if (const Millis wait = std::exchange(this->nextStartLate, 0); wait > 0) {
+        constexpr Millis timeout = 230;
+        this->at(this->now + wait, [this, order, term, until] { this->carryStart(order, term, until); });
+        this->at(this->now + timeout, [this, order, mine = this->generation] {
+            if (mine == this->generation && this->planner)
+                this->planner->startAnswered(order.worker, order.run, StartAnswer::NoAnswer, this->now);
+        });
+        return;
+    }
     this->send(
         order.worker.id, [this, order, term, until] { return std::optional(this->carryStart(order, term, until)); },
         [this, order](const std::optional<StartAnswer>& answer) {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -76,6 +76,9 @@
     // Starts are sent this much after they were decided, as those are that wait behind others.
     void delayStarts(Millis wait) { this->startsWait = wait; }
 
+    // The next start is carried out this much later, by whatever is there then, and not answered.
+    void delayNextStart(Millis wait) { this->nextStartLate = wait; }
+
     // So many of the next starts do not leave the planner's instance.
     void keepBack(int starts) { this->startsKeptBack = starts; }
 
@@ -230,6 +233,7 @@
 
     SiteOptions options;
     Millis startsWait { 0 };
+    Millis nextStartLate { 0 };
     Millis recordsWait { 0 };
     Millis turnGap { 0 };
     Millis nextTurn { 0 };
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -161,6 +161,7 @@
     std::int64_t ackUnderWay { 0 };
     Millis ackLostAt { 0 }; // When a poll that acknowledged ends last got no answer; it may be carried out late.
     Millis takesNothingUntil { 0 }; // Ends there could be acknowledged unread.
+    std::map<RunRef, Millis> lostStarts; // When a start had no answer; it may be carried out late, by a later incarnation too.
     Millis incarnationShownAt { 0 }; // When the last poll was sent that was answered by this incarnation.
     Millis lastStartAt { 0 }; // When a start was last sent there, or answered.
     Room used;
