--- a/src/decide/action.h
+++ b/src/decide/action.h
@@ -18,6 +18,7 @@
     std::int64_t attempt { 1 };
     std::vector<Placement> placements; // One a member.
     Right right { Right::Borrowed };
+    std::int64_t failures { 0 }; // Of earlier attempts.
 };
 
 // Answer with GangStopped, GangFailed or, when it got there first, GangFinished.
--- a/src/decide/engine.cc
+++ b/src/decide/engine.cc
@@ -168,7 +168,7 @@
         this->health.startGiven(worker);
         this->updateQuarantine(worker);
     });
-    this->actions.emplace_back(StartGang { job.spec.job, job.attempt, job.placements, right });
+    this->actions.emplace_back(StartGang { job.spec.job, job.attempt, job.placements, right, job.failures });
 }
 
 // Holds the workers for a job until the gangs that are being evicted have gone.
--- a/src/decide/engine_events.cc
+++ b/src/decide/engine_events.cc
@@ -76,6 +76,7 @@
     job.spec.members = std::clamp<std::int64_t>(submitted.members, 1, mostMembers);
     job.attempt = submitted.attemptsUsed;
     job.everStarted = submitted.attemptsUsed > 0;
+    job.failures = submitted.failures;
     job.savedProgress = submitted.savedProgress;
     if (static_cast<std::int64_t>(this->jobs.size()) > this->options.mostJobs && this->fault != Fault::IgnoreLimit) {
         job.state = JobState::Starting; // In no queue.
@@ -96,6 +97,7 @@
     job.spec = submitted;
     job.spec.members = static_cast<std::int64_t>(placements.size());
     job.attempt = std::max(job.attempt, submitted.attemptsUsed);
+    job.failures = std::max(job.failures, submitted.failures);
     job.savedProgress = submitted.savedProgress;
     job.placements = std::move(placements);
     this->occupyLearned(job);
--- a/src/decide/engine_workers.cc
+++ b/src/decide/engine_workers.cc
@@ -61,7 +61,8 @@
         JobRecord& job = this->jobs.at(id);
         if (job.state == JobState::Stopping)
             continue;
-        job.lostWorkerEarly = this->now - job.startedAt < steadyAfter;
+        // One that was leaving has left.
+        job.lostWorkerEarly = !this->workers[lost.worker].leaving && this->now - job.startedAt < steadyAfter;
         this->stop(job, StopReason::Incomplete);
     }
 }
--- a/src/decide/event.h
+++ b/src/decide/event.h
@@ -50,6 +50,7 @@
     bool stoppable { true }; // May be stopped and started again from nothing.
     std::int64_t attempts { 3 }; // Failed starts or runs before it is given up.
     std::int64_t attemptsUsed { 0 }; // Highest attempt the log knows of; 0: none.
+    std::int64_t failures { 0 }; // Of these, as many as the log tells have failed.
     Millis submittedAt { 0 };
     double savedProgress { 0 }; // Share kept by an earlier checkpoint, 0 to 1.
 };
--- a/src/decide/testing/decider_test.cc
+++ b/src/decide/testing/decider_test.cc
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(aPausedDeciderStartsNothing);
     CPPUNIT_TEST(aJobUnderWhichWorkersAreLostIsGivenUp);
     CPPUNIT_TEST(workersLostLateAreNoFailuresOfTheJob);
+    CPPUNIT_TEST(workersThatLeftAreNoFailuresOfTheJob);
+    CPPUNIT_TEST(failuresUnderAnEarlierPlannerCount);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Amounts bigWorker { 8, 128, 524288 };
@@ -280,15 +282,42 @@
         assertSound(domain);
     }
 
+    // Guards against a job that is given up because its workers left, as they had announced.
+    void workersThatLeftAreNoFailuresOfTheJob()
+    {
+        FakeDomain domain({});
+        addWorkers(domain, 8);
+        domain.tell(gang(1, 1, 8));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 8 }, this->loseWorkersUnder(domain, 1, 1000, true));
+        CPPUNIT_ASSERT(domain.finals[1].empty());
+        assertSound(domain);
+    }
+
+    // Guards against a job that has all its attempts again under each planner that takes over.
+    void failuresUnderAnEarlierPlannerCount()
+    {
+        FakeDomain domain({});
+        addWorkers(domain, 8);
+        JobSubmitted submitted = gang(1, 1, 8);
+        submitted.attemptsUsed = submitted.attempts - 1;
+        submitted.failures = submitted.attempts - 1;
+        domain.tell(submitted);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, this->loseWorkersUnder(domain, 1, 1000));
+        CPPUNIT_ASSERT(domain.finals[1].front().outcome == Outcome::Failed);
+        assertSound(domain);
+    }
+
 private:
     // Each time it has run for so long; returns how many workers were lost.
-    std::int64_t loseWorkersUnder(FakeDomain& domain, JobId job, Millis after)
+    std::int64_t loseWorkersUnder(FakeDomain& domain, JobId job, Millis after, bool leaving = false)
     {
         constexpr Millis untilRetry = 60000;
         std::int64_t lost = 0;
         for (; domain.runs(job); ++lost) {
             domain.answerStart(job);
             domain.now += after;
+            if (leaving)
+                domain.tell(WorkerLeaving { domain.gangs.at(job).start.placements.front().worker });
             domain.tell(WorkerLost { domain.gangs.at(job).start.placements.front().worker });
             domain.answerStop(job);
             domain.now += untilRetry;
--- a/src/planner/domain_planner.cc
+++ b/src/planner/domain_planner.cc
@@ -196,6 +196,7 @@
     }
     const auto attempts = this->attemptsFound.find(job.id);
     submitted.attemptsUsed = std::max(job.startingAttempt, attempts == this->attemptsFound.end() ? 0 : attempts->second);
+    submitted.failures = job.failures;
     submitted.submittedAt = now;
     this->feed(submitted, now);
     if (job.cancelAsked)
@@ -246,16 +247,17 @@
 {
     const Job* job = this->book.find(start.job);
     const config::JobClass* jobClass = job ? this->classOf(job->spec.jobClass) : nullptr;
-    if (!jobClass || jobClass->idempotent) {
+    if (!jobClass || (jobClass->idempotent && start.failures == 0)) {
         this->orderStart(start);
         return;
     }
     // A job that must not run twice is started only after its starting record
     // was read back as the first; a planner that takes over then knows that it
     // may have run. Without this, a kill between start and final would let the
-    // successor start it again.
+    // successor start it again. Failed attempts are recorded with the next start, or a job
+    // that takes its planner's workers along would have as many again from each successor.
     this->awaitingRecord[start.job] = start;
-    JobRecord record { .kind = JobRecordKind::Starting, .id = start.job, .attempt = start.attempt, .claimant = this->options.incarnation };
+    JobRecord record { .kind = JobRecordKind::Starting, .id = start.job, .attempt = start.attempt, .failures = start.failures, .claimant = this->options.incarnation };
     this->records.push_back(std::move(record));
 }
 
@@ -311,6 +313,7 @@
     record.atWall = job.submittedWall;
     record.spec = job.spec;
     record.attempt = job.startingAttempt;
+    record.failures = job.failures;
     this->records.push_back(std::move(record));
 }
 
--- a/src/planner/job_book.cc
+++ b/src/planner/job_book.cc
@@ -45,6 +45,7 @@
             return {};
         found->second.startingAttempt = record.attempt;
         found->second.startingClaimant = record.claimant;
+        found->second.failures = std::max(found->second.failures, record.failures);
         return { { JobChangeKind::StartingRecorded, record.id } };
     }
     }
@@ -66,6 +67,7 @@
     job.lastRecord = offset;
     job.lastRecordWall = atWall;
     job.startingAttempt = record.attempt;
+    job.failures = record.failures;
     const bool crowded = this->openJobs >= this->limits.open;
     this->byKey[{ job.workspace, job.key }] = id;
     this->jobs[id] = std::move(job);
@@ -85,6 +87,7 @@
     job.lastRecord = offset;
     job.lastRecordWall = atWall;
     job.startingAttempt = std::max(job.startingAttempt, record.attempt);
+    job.failures = std::max(job.failures, record.failures);
     return record.id < job.id ? this->rename(job, record.id) : std::vector<JobChange> {};
 }
 
@@ -200,6 +203,7 @@
         record.atWall = job.submittedWall;
         record.spec = job.spec;
         record.attempt = job.startingAttempt;
+        record.failures = job.failures;
         record.outcome = job.outcome;
         record.reason = job.reason;
         record.result = job.result;
--- a/src/planner/job_book.h
+++ b/src/planner/job_book.h
@@ -37,6 +37,7 @@
     bool cancelAsked { false };
     std::int64_t startingAttempt { 0 }; // Highest attempt announced by a starting record.
     std::string startingClaimant; // Who announced it first.
+    std::int64_t failures { 0 }; // Failed attempts before it.
     bool ended { false };
     records::JobOutcome outcome { records::JobOutcome::Done };
     std::string reason;
--- a/src/planner/testing/domain_planner_test.cc
+++ b/src/planner/testing/domain_planner_test.cc
@@ -113,6 +113,7 @@
     CPPUNIT_TEST(tellsTheEndOnlyOnceItIsRecorded);
     CPPUNIT_TEST(startsAJobThatMustNotRunTwiceOnlyAfterItsRecord);
     CPPUNIT_TEST(leavesAJobToThePlannerThatRecordedFirst);
+    CPPUNIT_TEST(recordsFailedAttemptsBeforeTheNextStart);
     CPPUNIT_TEST(doesNotRepeatAJobThatMayHaveRun);
     CPPUNIT_TEST(takesOverWholeGangsAtOnce);
     CPPUNIT_TEST(countsEveryMemberOfAGangTakenOver);
@@ -193,6 +194,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, bench.orders(OrderKind::StartGang).size());
     }
 
+    // Guards against failed attempts that are forgotten with the planner that counted them.
+    void recordsFailedAttemptsBeforeTheNextStart()
+    {
+        Bench bench;
+        bench.append(Bench::submit("k", "route-map"));
+        bench.decide();
+        const auto first = bench.orders(OrderKind::StartGang);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, first.size());
+        CPPUNIT_ASSERT(bench.flushRecords().empty());
+        bench.tell(DriverEventKind::GangFailed, first.front());
+        std::vector<JobRecord> records;
+        for (int i = 0; i < 60 && records.empty(); ++i) {
+            CPPUNIT_ASSERT(bench.orders(OrderKind::StartGang).empty());
+            records = bench.flushRecords();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, records.size());
+        CPPUNIT_ASSERT(records[0].kind == JobRecordKind::Starting);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, records[0].failures);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, bench.orders(OrderKind::StartGang).size());
+    }
+
     // Two planners both believe that they decide, and both announce the start.
     // Only the one whose record comes first in the log may start the job.
     void leavesAJobToThePlannerThatRecordedFirst()
--- a/src/records/job_record.cc
+++ b/src/records/job_record.cc
@@ -60,8 +60,10 @@
         json["at_ms"] = record.atWall;
         json["spec"] = toJson(record.spec);
     }
-    if (record.kind == JobRecordKind::Starting || record.kind == JobRecordKind::Restate)
+    if (record.kind == JobRecordKind::Starting || record.kind == JobRecordKind::Restate) {
         json["attempt"] = record.attempt;
+        json["failures"] = record.failures;
+    }
     if (record.kind == JobRecordKind::Starting)
         json["claimant"] = record.claimant;
     if (record.kind == JobRecordKind::Final) {
@@ -102,6 +104,7 @@
     }
     record.atWall = reader.numberOr("at_ms", 0, 0, highest);
     record.attempt = reader.numberOr("attempt", 0, 0, highest);
+    record.failures = reader.numberOr("failures", 0, 0, highest);
     record.claimant = reader.textOr("claimant", "", longestName);
     if (record.kind == JobRecordKind::Final)
         record.outcome = static_cast<JobOutcome>(indexOf(outcomeNames, reader.text("outcome", 1, longestName), reader));
--- a/src/records/job_record.h
+++ b/src/records/job_record.h
@@ -56,6 +56,7 @@
     Millis atWall { 0 }; // Submit, Restate: when the caller submitted.
     JobSpec spec; // Submit, Restate.
     std::int64_t attempt { 0 }; // Starting, Restate.
+    std::int64_t failures { 0 }; // Starting, Restate: attempts before that failed.
     std::string claimant; // Starting: the planner incarnation that will start it.
     JobOutcome outcome { JobOutcome::Done }; // Final.
     std::string reason; // Final.
