--- a/src/instance/events.h
+++ b/src/instance/events.h
@@ -36,7 +36,7 @@
 
 inline constexpr Event orderSlow { 6052, "plan.order_slow", Level::Info, "A start was answered late; how long after it was decided, and after it left this loop." };
 inline constexpr Event recordSlow { 6053, "plan.record_slow", Level::Info, "A batch of records became durable late; starts wait for it." };
-inline constexpr Event roundSlow { 6054, "plan.round_slow", Level::Info, "A round of decisions took long; and what was searched for in it." };
+inline constexpr Event roundSlow { 6054, "plan.round_slow", Level::Info, "A round of decisions took long; what was searched for in it." };
 
 inline constexpr std::array instanceEvents { started, stopping, stopped, reloaded, reloadRefused, startFailed, slowTurn, traffic, configurationInForce, configurationUnreadable, storeLost, storeRegained, streamLoaded, recordUnreadable, appendFailed, leading, leadLost, leadSeen, watchImpossible, answered, relayFailed, relayLost, carriesNothing, decided, orderRefused, orderSlow, recordSlow, roundSlow };
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -152,7 +152,7 @@
     void settleUnlisted(Worker&, const WorkerReport&, Millis sentAt, Millis now);
     void loseIncarnation(Worker&, Millis now, const char* why);
     void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, Millis now);
-    static void startLost(Worker&, PlacedRun&, Millis now);
+    static void rememberLostStart(Worker&, PlacedRun&, Millis now);
     static bool mayStartLate(const Worker&, const RunRef&, Millis now);
     void stopLateStarts(Worker&, Millis now);
     void grantLease(Worker&, Millis now) const;
@@ -218,7 +218,7 @@
     static bool isWithinCapacity(const Worker&);
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
     static bool isEndExpected(const Worker&);
-    bool isLeaseShort(const Worker&, Millis now) const;
+    bool isLeaseHalfOver(const Worker&, Millis now) const;
     bool isBesideDue(const Worker&, Millis now) const;
     bool isPollDue(const Worker&, Millis now) const;
     void poll(Worker&, Millis now, Orders&) const;
@@ -228,6 +228,7 @@
     void emit(PlanEventKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
     void reportPlaced(const Unit&, Millis now);
     void reportWait(Candidate&, const Snapshot&, const PlacementRequest&, Millis now);
+    std::string stopsUnderWay(Millis now) const;
     void reportRoutine();
 
     const PlannerOptions options;
--- a/src/tasks/task_planner_polls.cc
+++ b/src/tasks/task_planner_polls.cc
@@ -1,7 +1,7 @@
 // Polls: which workers are asked, and in which order where more are due than are sent at
-// once. Whoever waits longest goes first, with a start for what others wait for, so that no
-// worker is passed over however many are due: a worker that is not asked loses its leases, and
-// the planner learns nothing of the ends there.
+// once. The worker that has waited longest goes first, so that none is passed over however
+// many are due: a worker that is not polled loses its leases, and the planner does not learn
+// of the ends there.
 
 #include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
@@ -15,23 +15,23 @@
 
 namespace {
 
-    // Room there is waited for.
-    constexpr Millis endExpectedStart = 400;
+    // A poll that will show room goes ahead of others by this much.
+    constexpr Millis endExpectedLead = 400;
 
-    // After a takeover, workers on which something runs go before idle ones.
+    // Idle workers go behind others by this much: after a takeover all are due at once.
     constexpr Millis idleDelay = 300;
 
-    constexpr Millis beforeAll = -1;
+    constexpr Millis firstTurn = -1; // Before all others.
 
 } // namespace
 
-// The answer to a stop tells that an end is there, or that the run will not begin any more.
+// A run whose stop was answered has an end there, or will not begin any more.
 bool TaskPlanner::isEndExpected(const Worker& worker)
 {
     return std::any_of(worker.placedRuns.begin(), worker.placedRuns.end(), [&](const auto& row) { return row.second.stopAnsweredAt > 0 && row.second.stopAnsweredAt >= worker.pollSentAt; });
 }
 
-bool TaskPlanner::isLeaseShort(const Worker& worker, Millis now) const
+bool TaskPlanner::isLeaseHalfOver(const Worker& worker, Millis now) const
 {
     return worker.known && worker.isLive() && now + this->options.longestLease / 2 >= worker.leaseOverBy;
 }
@@ -94,7 +94,7 @@
         if (worker.seen.address.empty() || (!worker.listed && worker.placedRuns.empty()))
             continue; // Of one known only from a record, the list has to tell where it is.
         if (this->isBesideDue(worker, now))
-            this->duePolls.push_back({ this->isEndExpected(worker) ? now - endExpectedStart : now, id, true });
+            this->duePolls.push_back({ this->isEndExpected(worker) ? now - endExpectedLead : now, id, true });
         if (!this->isPollDue(worker, now))
             continue;
         Millis turn = worker.nextPollAt;
@@ -103,10 +103,10 @@
                 continue;
             ++idle;
             turn += idleDelay;
-        } else if (this->isLeaseShort(worker, now)) {
-            turn = beforeAll;
+        } else if (this->isLeaseHalfOver(worker, now)) {
+            turn = firstTurn;
         } else if (isEndExpected(worker)) {
-            turn -= endExpectedStart;
+            turn -= endExpectedLead;
         }
         this->duePolls.push_back({ turn, id, false });
     }
--- a/src/tasks/task_planner_reports.cc
+++ b/src/tasks/task_planner_reports.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <string_view>
 #include <utility>
 
 namespace rattan::tasks {
@@ -45,26 +46,33 @@
         return;
     unit.waitReportedAt = now;
     const Snapshot::Offered offered = snapshot.offered(request);
-    std::int64_t stops = 0;
+    this->emit(PlanEventKind::GuaranteeWaits, unit.key, unit.run, "",
+        fmt::format("for {} ms, {} members of {} accelerators, room for {} now and {} after stops, {} workers of {} take work, {}", now - unit.waitingSince, request.members,
+            request.each.accelerators, offered.now, offered.afterStops, snapshot.workers.size(), this->workers.size(), this->stopsUnderWay(now)));
+}
+
+// How many there are, and which has taken longest: either its stop or its end is late.
+std::string TaskPlanner::stopsUnderWay(Millis now) const
+{
+    std::int64_t count = 0;
     const PlacedRun* oldest = nullptr;
-    const std::string* worker = nullptr;
+    std::string_view worker;
     for (const auto& [id, state] : this->workers) {
         for (const auto& [run, placedRun] : state.placedRuns) {
             if (!placedRun.stopWanted)
                 continue;
-            ++stops;
-            if (!oldest || placedRun.stopWantedAt < oldest->stopWantedAt) {
-                oldest = &placedRun;
-                worker = &id;
-            }
+            ++count;
+            if (oldest && oldest->stopWantedAt <= placedRun.stopWantedAt)
+                continue;
+            oldest = &placedRun;
+            worker = id;
         }
     }
-    const std::string stop = oldest ? fmt::format(", the oldest of {}.{}.{}.{} run {} for {} ms, {}", oldest->run.task.job, oldest->run.task.occurrence, oldest->run.task.step, oldest->run.task.index, oldest->run.run,
-                                 now - oldest->stopWantedAt, oldest->stopAnsweredAt > 0 ? "answered" : "not answered")
-                                    : "";
-    this->emit(PlanEventKind::GuaranteeWaits, unit.key, unit.run, worker ? *worker : "",
-        fmt::format("for {} ms, {} members of {} accelerators, room for {} now and {} after stops, {} workers of {} take work, {} stops under way{}", now - unit.waitingSince, request.members,
-            request.each.accelerators, offered.now, offered.afterStops, snapshot.workers.size(), this->workers.size(), stops, stop));
+    if (!oldest)
+        return "no stops under way";
+    const TaskRef& task = oldest->run.task;
+    return fmt::format("{} stops under way, the oldest of {}.{}.{}.{} run {} at {} for {} ms, {}", count, task.job, task.occurrence, task.step, task.index, oldest->run.run, worker,
+        now - oldest->stopWantedAt, oldest->stopAnsweredAt > 0 ? "answered" : "not answered");
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -98,12 +98,13 @@
     std::vector<RunRef> lost;
     std::vector<PlacedRun> unconfirmed;
     for (auto& [run, placedRun] : worker.placedRuns) {
-        const bool startsLate = mayStartLate(worker, run, now);
-        if (placedRun.phase == RunPhase::Running && !listed.contains(run) && !startsLate) {
-            // One that was confirmed after the poll was sent may be of this incarnation.
-            if (placedRun.confirmedAt < sentAt)
-                lost.push_back(run);
-        } else if (placedRun.phase != RunPhase::Recording && !listed.contains(run)) {
+        // One that was confirmed after the poll was sent may be of this incarnation.
+        const bool mayBeHere = placedRun.phase == RunPhase::Running && placedRun.confirmedAt >= sentAt;
+        if (placedRun.phase == RunPhase::Recording || listed.contains(run) || mayBeHere)
+            continue;
+        if (placedRun.phase == RunPhase::Running && !mayStartLate(worker, run, now)) {
+            lost.push_back(run);
+        } else {
             placedRun.phase = RunPhase::Starting;
             placedRun.inherited = false;
             placedRun.wantStop(now);
@@ -128,7 +129,7 @@
     }
 }
 
-void TaskPlanner::startLost(Worker& worker, PlacedRun& placedRun, Millis now)
+void TaskPlanner::rememberLostStart(Worker& worker, PlacedRun& placedRun, Millis now)
 {
     placedRun.startLost = true;
     std::erase_if(worker.lostStarts, [now](const auto& row) { return now >= row.second + longestLateCall; });
@@ -368,7 +369,7 @@
     case StartAnswer::NoAnswer:
         this->fellSilent(*worker, now);
         worker->nextPollAt = now;
-        startLost(*worker, placedRun, now);
+        rememberLostStart(*worker, placedRun, now);
         if (maySendAgain)
             return this->sendStart(*worker, placedRun, *unit, now);
         placedRun.wantStop(now);
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -55,7 +55,7 @@
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
     EvictionRefusal refusal { EvictionRefusal::None }; // Last told of, so that each round need not tell it again.
-    Millis waitReportedAt { 0 }; // When the log last told what this unit waits for.
+    Millis waitReportedAt { 0 }; // When the log last reported what this unit waits for.
     std::vector<std::string> avoid; // Workers on which a run failed or stalled.
 
     const Step& step() const { return this->job->steps[static_cast<std::size_t>(this->key.step)]; }
