--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,7 +1,7 @@
-// Jobs and their units: what a job's records, its cancelling and the ends of its
-// runs make of it. Workers are in task_planner_workers.cc, runs that are lost with them in
-// task_planner_crashes.cc, the choice of what runs where in task_planner_rounds.cc, and
-// orders in task_planner_orders.cc.
+// Jobs and their units: what a job's records, its cancelling and the ends of its runs make
+// of it. The rest stands by subject: task_planner_workers.cc (what runs there),
+// _incarnations.cc (workers that started again), _crashes.cc (tasks to blame for that),
+// _polls.cc, _rounds.cc (what runs where), _evictions.cc, _orders.cc and _reports.cc.
 
 #include "tasks/task_planner.h"
 
--- /dev/null
+++ b/src/tasks/task_planner_incarnations.cc
@@ -0,0 +1,109 @@
+// Workers that have started again: which runs are lost with the earlier incarnation, and which
+// starts may still reach the present one.
+
+#include "tasks/planner_limits.h"
+#include "tasks/task_planner.h"
+
+namespace rattan::tasks {
+
+using namespace detail;
+
+// After a restart a worker runs nothing and knows nothing of before.
+void TaskPlanner::loseIncarnation(Worker& worker, Millis now, const char* why)
+{
+    this->emit(PlanEventKind::WorkerGone, {}, 0, worker.seen.incarnation.id, why);
+    std::vector<RunRef> lost;
+    for (const auto& [run, placedRun] : worker.placedRuns)
+        lost.push_back(run);
+    for (const RunRef& run : lost)
+        this->runLost(worker, run, RunLoss::WorkerEnded, now);
+    const WorkerSighting seen = worker.seen;
+    worker = Worker {};
+    worker.seen = seen;
+    worker.listed = false;
+    this->pacer.changed();
+}
+
+// The worker has started again and knows nothing of before. Runs that it lists
+// are of its present incarnation; a start without an answer may still arrive there.
+void TaskPlanner::changeIncarnation(Worker& worker, const WorkerReport& report, Millis sentAt, Millis now)
+{
+    this->emit(PlanEventKind::WorkerGone, {}, 0, worker.seen.incarnation.id, "a later incarnation answers");
+    const Incarnation before = worker.seen.incarnation;
+    worker.seen.incarnation.born = report.born;
+    if (worker.ackLostAt > 0)
+        worker.takesNothingUntil = worker.ackLostAt + longestLateCall;
+    worker.handled = worker.durable = worker.acknowledged = worker.ackUnderWay = 0;
+    worker.ackDueBy = 0;
+    worker.trust = {};
+    this->endsInBatch.erase(before);
+    std::set<RunRef> listed;
+    for (const RunningTask& running : report.running)
+        listed.insert(running.run);
+    for (const EndedTask& end : report.ended)
+        listed.insert(end.run);
+    std::vector<RunRef> lost;
+    std::vector<PlacedRun> unconfirmed;
+    for (auto& [run, placedRun] : worker.placedRuns) {
+        // One that was confirmed after the poll was sent may be of this incarnation.
+        const bool mayBeHere = placedRun.phase == RunPhase::Running && placedRun.confirmedAt >= sentAt;
+        if (placedRun.phase == RunPhase::Recording || listed.contains(run) || mayBeHere)
+            continue;
+        if (placedRun.phase == RunPhase::Running && !mayStartLate(worker, run, now)) {
+            lost.push_back(run);
+        } else {
+            placedRun.phase = RunPhase::Starting;
+            placedRun.inherited = false;
+            placedRun.wantStop(now);
+            placedRun.stopAnsweredAt = 0;
+            unconfirmed.push_back(placedRun);
+        }
+    }
+    this->stopLateStarts(worker, now);
+    // They may have begun and been lost; one that turns up after all is not counted.
+    for (const PlacedRun& placedRun : unconfirmed)
+        this->countCrash(worker, placedRun, RunLoss::WorkerRestarted);
+    for (const RunRef& run : lost)
+        this->runLost(worker, run, RunLoss::WorkerRestarted, now);
+    for (auto& [run, placedRun] : worker.placedRuns) {
+        Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
+        if (!unit)
+            continue;
+        for (Incarnation& incarnation : unit->workers) {
+            if (incarnation == before)
+                incarnation = worker.seen.incarnation;
+        }
+    }
+}
+
+void TaskPlanner::rememberLostStart(Worker& worker, PlacedRun& placedRun, Millis now)
+{
+    placedRun.startLost = true;
+    std::erase_if(worker.lostStarts, [now](const auto& row) { return now >= row.second + longestLateCall; });
+    worker.lostStarts[placedRun.run] = now;
+}
+
+bool TaskPlanner::mayStartLate(const Worker& worker, const RunRef& run, Millis now)
+{
+    const auto found = worker.lostStarts.find(run);
+    return found != worker.lostStarts.end() && now < found->second + longestLateCall;
+}
+
+// A later incarnation knows of no run that ended before. Of one whose start had no answer it
+// would take that start for a new one, and the task would run there beside its next run.
+void TaskPlanner::stopLateStarts(Worker& worker, Millis now)
+{
+    for (const auto& [run, lostAt] : worker.lostStarts) {
+        if (!mayStartLate(worker, run, now) || worker.placedRuns.contains(run))
+            continue;
+        PlacedRun late { .run = run, .unit = this->unitOf(run.task) };
+        late.stray = true;
+        late.phase = RunPhase::Starting;
+        late.room = this->roomOf(run.task);
+        late.wantStop(now);
+        worker.used += late.room;
+        worker.placedRuns.emplace(run, late);
+    }
+}
+
+} // namespace rattan::tasks
