Report what the unit that has waited longest waits for, and which workers take no work

Once a second a whole round reports the unit that has waited longest, if for over 1.5 s: what kept it from a place (behind a unit of its step, stops that make room, no advice, no room), how much room there is and who holds it back, the workers left out by cause, polls that are overdue and the record under way. One predicate now says why a worker takes no work, for the round and for the log.

--- a/src/ctl/job_story.cc
+++ b/src/ctl/job_story.cc
@@ -54,6 +54,8 @@
             return fmt::format("first runs of step {} are placed ({})", field(fields, "unit"), why);
         if (kind == "guarantee_waits")
             return fmt::format("{} waits though guaranteed ({})", field(fields, "unit"), why);
+        if (kind == "work_waits")
+            return fmt::format("{} has waited longest of all ({})", field(fields, "unit"), why);
         if (kind == "unit_retried")
             return fmt::format("{} is over ({}); it waits again", runOf(fields), why);
         if (kind == "unit_stalled")
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -72,6 +72,7 @@
     WorkerDistrusted,
     UnitWaits, // It may stop others, and stops none.
     GuaranteeWaits, // A unit within its workspace's guarantee has not begun; what it waits for.
+    WorkWaits, // The unit that has waited longest has not begun; why, and what the workers and their polls look like.
     RunLost, // No end was reported: its worker is gone or has not answered for a whole lease.
 };
 
--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -249,6 +249,9 @@
 {
     Offered sum;
     for (const SnapshotWorker& worker : this->workers) {
+        if (this->suits(worker, request))
+            sum.free += std::min(timesIn(worker.free, request.each), request.members);
+        sum.unreserved += this->fits(worker, request, View::Unreserved);
         sum.now += this->fits(worker, request, View::Free);
         sum.afterStops += this->fits(worker, request, View::AfterStops);
     }
--- a/src/tasks/placing.h
+++ b/src/tasks/placing.h
@@ -132,14 +132,16 @@
     // True if the unit could be placed were all workers empty.
     bool couldEverFit(const PlacementRequest&) const;
 
-    // True if the workers not asked yet could take the whole unit, were they empty.
-    // Members for which there is room now, and after all stops; wherever they are.
+    // Members for which there is room, wherever it is.
     struct Offered {
-        std::int64_t now { 0 };
+        std::int64_t free { 0 }; // On suitable workers, whoever it is kept for.
+        std::int64_t unreserved { 0 }; // Of that, not kept for urgent units and not promised after stops.
+        std::int64_t now { 0 }; // Of that, not kept for a unit that waits for running ones to end.
         std::int64_t afterStops { 0 };
     };
     Offered offered(const PlacementRequest&) const;
 
+    // True if the workers not asked yet could take the whole unit, were they empty.
     bool couldFitUnpolled(const PlacementRequest&) const;
 
     bool suits(const SnapshotWorker&, const PlacementRequest&) const;
@@ -150,6 +152,7 @@
 private:
     enum class View {
         Free,
+        Unreserved, // Free, whether or not a reservation holds it.
         AfterStops,
         Empty,
     };
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -114,6 +114,13 @@
 // A guaranteed unit that has waited for so long is reported, and again after as long.
 inline constexpr Millis guaranteeWaitReported = 400;
 
+// The unit that has waited longest is reported once it has waited for so long, this often.
+inline constexpr Millis longWait = 1500;
+inline constexpr Millis waitsReportedEvery = 1000;
+
+// A poll that is due for so long is counted there.
+inline constexpr Millis pollOverdue = 500;
+
 // Names of jobs that ended in this term, against late repeats of their records.
 inline constexpr std::size_t mostFinished = 100'000;
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -191,6 +191,7 @@
     WorkerCounts siblingsOf(const UnitKey&) const;
     void decide(Millis now, Millis wall);
     std::int64_t urgentDemand(const std::string& service, Millis now);
+    detail::Absence absenceOf(const Worker&, Millis now) const;
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
     Millis expectedRun(const Unit&) const;
     Millis expectedEnd(const Unit&, Millis now) const;
@@ -228,6 +229,9 @@
     void emit(PlanEventKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
     void reportPlaced(const Unit&, Millis now);
     void reportWait(Candidate&, const Snapshot&, const PlacementRequest&, Millis now);
+    void reportOldestWait(const std::vector<Candidate>&, const std::map<std::string, Snapshot>&, Millis now);
+    std::string attendanceOf(const std::string& service, Millis now) const;
+    std::string pollsOverdue(Millis now) const;
     std::string stopsUnderWay(Millis now) const;
     void reportRoutine();
 
@@ -244,6 +248,7 @@
     DomainDoubts domainDoubts;
     RunTimes runTimes;
     WorkerSpeeds speeds;
+    Millis waitsReportedAt { 0 }; // When the log last reported what the oldest unit waits for.
     Millis learnedAt { 0 }; // When what was learned was last written down.
     std::set<std::string> finished; // Over in this term; a late repeat changes nothing.
 
@@ -256,6 +261,7 @@
     std::vector<std::pair<std::string, RunRef>> startsToRecord; // Worker and run.
     std::int64_t batchNumber { 0 };
     bool batchUnderWay { false };
+    Millis batchMadeAt { 0 };
     std::vector<std::pair<std::string, RunRef>> startsInBatch;
     std::map<Incarnation, std::int64_t> endsInBatch;
     std::vector<StartOrder> startOrders;
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -104,6 +104,7 @@
     this->startsInBatch = std::move(this->startsToRecord);
     this->startsToRecord.clear();
     this->batchUnderWay = true;
+    this->batchMadeAt = now;
     orders.batches.push_back(std::move(batch));
 }
 
--- a/src/tasks/task_planner_reports.cc
+++ b/src/tasks/task_planner_reports.cc
@@ -51,6 +51,58 @@
             request.each.accelerators, offered.now, offered.afterStops, snapshot.workers.size(), this->workers.size(), this->stopsUnderWay(now)));
 }
 
+// Of all units that wait, since one that no round considers has to be found as well.
+void TaskPlanner::reportOldestWait(const std::vector<Candidate>& candidates, const std::map<std::string, Snapshot>& snapshots, Millis now)
+{
+    if (now - this->waitsReportedAt < waitsReportedEvery)
+        return;
+    const Unit* oldest = nullptr;
+    for (const UnitKey& key : this->waitingUnits) {
+        const Unit& unit = this->units.at(key);
+        if (!oldest || unit.waitingSince < oldest->waitingSince)
+            oldest = &unit;
+    }
+    if (!oldest || now - oldest->waitingSince < longWait)
+        return;
+    this->waitsReportedAt = now;
+    const std::string& service = oldest->job->terms.service;
+    std::string room = "no picture of its service";
+    if (const auto snapshot = snapshots.find(service); snapshot != snapshots.end()) {
+        const Snapshot::Offered offered = snapshot->second.offered(this->requestOf(*oldest));
+        room = fmt::format("room for {} of {} members, {} unreserved, {} now", offered.free, oldest->members(), offered.unreserved, offered.now);
+    }
+    const Millis recording = this->batchUnderWay ? now - this->batchMadeAt : 0;
+    this->emit(PlanEventKind::WorkWaits, oldest->key, oldest->run, "",
+        fmt::format("for {} ms, {}; {}; {} units wait, {} of them in this round; workers: {}; {}; {}; record under way for {} ms", now - oldest->waitingSince, detail::nameOf(oldest->waitReason), room,
+            this->waitingUnits.size(), candidates.size(), this->attendanceOf(service, now), this->pollsOverdue(now), this->stopsUnderWay(now), recording));
+}
+
+std::string TaskPlanner::attendanceOf(const std::string& service, Millis now) const
+{
+    Attendance attendance;
+    for (const auto& [id, worker] : this->workers) {
+        if (worker.seen.service == service)
+            attendance.add(this->absenceOf(worker, now));
+    }
+    return textOf(attendance);
+}
+
+// Ends at these workers are not read, and their room is not seen.
+std::string TaskPlanner::pollsOverdue(Millis now) const
+{
+    std::int64_t overdue = 0;
+    Millis longest = 0;
+    std::int64_t unread = 0;
+    for (const auto& [id, worker] : this->workers) {
+        unread += worker.handled > worker.durable ? 1 : 0;
+        if (worker.pollUnderWay || !worker.isLive() || now - worker.nextPollAt < pollOverdue)
+            continue;
+        ++overdue;
+        longest = std::max(longest, now - worker.nextPollAt);
+    }
+    return fmt::format("{} polls overdue, the longest for {} ms, {} workers with ends not recorded", overdue, longest, unread);
+}
+
 // How many there are, and which has taken longest: either its stop or its end is late.
 std::string TaskPlanner::stopsUnderWay(Millis now) const
 {
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -198,16 +198,33 @@
     return allocation;
 }
 
+Absence TaskPlanner::absenceOf(const Worker& worker, Millis now) const
+{
+    if (!worker.listed)
+        return Absence::Unlisted;
+    if (worker.seen.leaving)
+        return Absence::Leaving;
+    if (worker.silent)
+        return Absence::Silent;
+    if (now < worker.takesNothingUntil)
+        return Absence::Resting;
+    if (this->isDoubted(worker, now))
+        return Absence::Doubted;
+    if (!worker.trust.takesWork(now, worker.placedRuns.empty()))
+        return Absence::Distrusted;
+    return worker.known ? Absence::None : Absence::Unknown;
+}
+
 Snapshot TaskPlanner::makeSnapshot(const std::string& service, Millis now) const
 {
     Snapshot snapshot;
     snapshot.now = now;
     for (const auto& [id, worker] : this->workers) {
-        const bool present = worker.listed && !worker.silent && !worker.seen.leaving && worker.seen.service == service;
-        if (!present || now < worker.takesNothingUntil || this->isDoubted(worker, now) || !worker.trust.takesWork(now, worker.placedRuns.empty()))
+        const Absence absence = worker.seen.service == service ? this->absenceOf(worker, now) : Absence::Unlisted;
+        if (absence != Absence::None && absence != Absence::Unknown)
             continue;
         SnapshotWorker place { .id = id, .rack = worker.seen.rack, .labels = &worker.seen.labels, .capacity = worker.seen.capacity };
-        if (!worker.known) {
+        if (absence == Absence::Unknown) {
             if (worker.placedRuns.empty())
                 snapshot.unpolled.push_back(std::move(place));
             continue;
@@ -253,8 +270,10 @@
     std::vector<Candidate> candidates;
     for (const UnitKey& key : keys) {
         Unit& unit = this->units.at(key);
-        if (unit.notBefore > now)
+        if (unit.notBefore > now) {
+            unit.waitReason = WaitReason::NotDue;
             continue;
+        }
         // Tasks of a step that saved nothing are alike, and there may be hundreds.
         const Candidate* before = candidates.empty() ? nullptr : &candidates.back();
         if (before && unit.saved == 0 && before->unit->saved == 0 && isSameStep(before->unit->key, key)) {
@@ -300,8 +319,10 @@
     WorkerCounts siblings;
     for (Candidate& candidate : candidates) {
         Unit& unit = *candidate.unit;
-        if (blocked && isSameStep(*blocked, unit.key))
+        if (blocked && isSameStep(*blocked, unit.key)) {
+            unit.waitReason = WaitReason::BehindSibling;
             continue; // Its units request for the same, so the next finds none either.
+        }
         const std::string& service = unit.job->terms.service;
         auto snapshot = snapshots.find(service);
         if (snapshot == snapshots.end()) {
@@ -327,6 +348,7 @@
             counted = &unit.key;
             request.siblings = &siblings;
         }
+        unit.waitReason = WaitReason::NoAdvice;
         if (hasPolicy && !this->isAdvised(unit, snapshot->second, request, now))
             continue;
         // A place that no set of workers can offer is not waited for.
@@ -345,6 +367,7 @@
                 count(siblings, unit.workers);
             continue;
         }
+        unit.waitReason = WaitReason::NoIsolation;
         if (!request.isolatedFor.empty())
             continue; // Its siblings may find a place, and none is kept for it.
         // Stopping others throws work away; the idle workers that a planner which has
@@ -354,10 +377,12 @@
             ++evictionSearches;
             ++this->round.evictionSearches;
             if (this->tryEvict(candidate, snapshot->second, request, now)) {
+                unit.waitReason = WaitReason::RoomPromised;
                 failedRequests.erase(service); // It moved room from one to another.
                 continue;
             }
         }
+        unit.waitReason = WaitReason::NoRoom;
         this->reportWait(candidate, snapshot->second, request, now);
         blocked = &unit.key;
         if (plain && !hopeless)
@@ -367,6 +392,8 @@
             snapshot->second.reserve(request);
         }
     }
+    if (this->round.kind == RoundKind::Whole)
+        this->reportOldestWait(candidates, snapshots, now);
 }
 
 bool TaskPlanner::tryPlace(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
@@ -389,6 +416,7 @@
     }
     if (const auto places = snapshot.findAfterStops(request)) {
         snapshot.promise(request, *places);
+        unit.waitReason = WaitReason::RoomPromised;
         this->reportWait(candidate, snapshot, request, now);
         return true;
     }
