--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,7 +1,8 @@
 // Jobs and their units: what a job's records, its cancelling and the ends of its runs make
 // of it. The rest stands by subject: task_planner_workers.cc (what runs there),
 // _incarnations.cc (workers that started again), _crashes.cc (tasks to blame for that),
-// _polls.cc, _rounds.cc (what runs where), _evictions.cc, _orders.cc and _reports.cc.
+// _polls.cc, _rounds.cc (what runs where), _evictions.cc, _orders.cc, _reports.cc and
+// _violations.cc.
 
 #include "tasks/task_planner.h"
 
@@ -391,30 +392,4 @@
     return count;
 }
 
-std::vector<std::string> TaskPlanner::violations() const
-{
-    std::vector<std::string> found;
-    std::map<TaskRef, int> live;
-    for (const auto& [id, worker] : this->workers) {
-        Room used;
-        for (const auto& [run, placedRun] : worker.placedRuns) {
-            used += placedRun.room;
-            const auto unit = this->units.find(placedRun.unit);
-            if (!placedRun.stray && (unit == this->units.end() || unit->second.run != run.run || unit->second.state != UnitState::Running))
-                found.push_back("a run without its unit: " + run.task.job);
-            if (!placedRun.stray && ++live[run.task] > 1)
-                found.push_back("a task twice: " + run.task.job);
-        }
-        if (!(used == worker.used))
-            found.push_back("the room of " + id + " is not that of its runs");
-    }
-    for (const auto& [key, unit] : this->units) {
-        if ((unit.state == UnitState::Waiting) != this->waitingUnits.contains(key))
-            found.push_back("the queue is not the set of waiting units: " + key.job);
-        if (this->isolatedUnits.contains(key) && (unit.state != UnitState::Running || !unit.suspect))
-            found.push_back("isolated without being suspect: " + key.job);
-    }
-    return found;
-}
-
 } // namespace rattan::tasks
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -120,6 +120,7 @@
     using Worker = detail::WorkerState;
     using PlacedRun = detail::PlacedRun;
     using ActiveJob = detail::ActiveJob;
+    using Occurrence = detail::Occurrence;
     using Candidate = detail::Candidate;
     using RunLoss = detail::RunLoss;
 
@@ -235,6 +236,13 @@
     std::string stopsUnderWay(Millis now) const;
     void reportRoutine();
 
+    // Parts of violations().
+    void checkWorkers(std::vector<std::string>&) const;
+    void checkUnits(std::vector<std::string>&) const;
+    std::int64_t membersPlaced(const Unit&) const;
+    void checkJobs(std::vector<std::string>&) const;
+    static std::string problemOf(const ActiveJob&, const Occurrence&, std::size_t step, const std::vector<std::int64_t>& left);
+
     const PlannerOptions options;
     const JobTable& table;
     std::shared_ptr<const Catalog> catalog;
--- /dev/null
+++ b/src/tasks/task_planner_violations.cc
@@ -0,0 +1,120 @@
+// What must always hold of a planner's books, looked at by tests after each of its turns.
+
+#include "tasks/task_planner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace rattan::tasks {
+
+using namespace detail;
+
+std::vector<std::string> TaskPlanner::violations() const
+{
+    std::vector<std::string> found;
+    this->checkWorkers(found);
+    this->checkUnits(found);
+    this->checkJobs(found);
+    return found;
+}
+
+void TaskPlanner::checkWorkers(std::vector<std::string>& found) const
+{
+    // No record of such a run is on its way, so nobody would ever send its start.
+    const auto isRecorded = [this](const std::string& worker, const RunRef& run) {
+        const std::pair<std::string, RunRef> start { worker, run };
+        const auto holds = [&start](const auto& starts) { return std::find(starts.begin(), starts.end(), start) != starts.end(); };
+        return holds(this->startsToRecord) || (this->batchUnderWay && holds(this->startsInBatch));
+    };
+    std::map<TaskRef, int> live;
+    for (const auto& [id, worker] : this->workers) {
+        Room used;
+        for (const auto& [run, placedRun] : worker.placedRuns) {
+            used += placedRun.room;
+            const auto unit = this->units.find(placedRun.unit);
+            if (!placedRun.stray && (unit == this->units.end() || unit->second.run != run.run || unit->second.state != UnitState::Running))
+                found.push_back("a run without its unit: " + run.task.job);
+            if (!placedRun.stray && ++live[run.task] > 1)
+                found.push_back("a task twice: " + run.task.job);
+            if (placedRun.phase == RunPhase::Recording && !isRecorded(id, run))
+                found.push_back("a run that waits for a record nobody makes: " + run.task.job);
+        }
+        if (!(used == worker.used))
+            found.push_back("the room of " + id + " is not that of its runs");
+    }
+}
+
+void TaskPlanner::checkUnits(std::vector<std::string>& found) const
+{
+    for (const auto& [key, unit] : this->units) {
+        if ((unit.state == UnitState::Waiting) != this->waitingUnits.contains(key))
+            found.push_back("the queue is not the set of waiting units: " + key.job);
+        if (this->urgentUnits.contains(key) != (unit.state == UnitState::Waiting && unit.job->terms.priority == 0))
+            found.push_back("the urgent queue is not the set of urgent units that wait: " + key.job);
+        if (this->isolatedUnits.contains(key) && (unit.state != UnitState::Running || !unit.suspect))
+            found.push_back("isolated without being suspect: " + key.job);
+        if (!this->jobs.contains(key.job))
+            found.push_back("a unit without its job: " + key.job);
+        if (unit.state == UnitState::Waiting)
+            continue;
+        const std::int64_t placed = this->membersPlaced(unit);
+        if (unit.state != UnitState::Running || placed == 0 || placed != unit.left || (placed < unit.members() && !unit.stopping))
+            found.push_back(fmt::format("a unit with {} of {} members on workers that counts {}: {}", placed, unit.members(), unit.left, key.job));
+    }
+    for (const UnitKey& key : this->waitingUnits) {
+        if (!this->units.contains(key))
+            found.push_back("the queue holds a unit that is gone: " + key.job);
+    }
+}
+
+std::int64_t TaskPlanner::membersPlaced(const Unit& unit) const
+{
+    std::int64_t placed = 0;
+    for (std::size_t member = 0; member < unit.workers.size(); ++member) {
+        const auto worker = this->workers.find(unit.workers[member].id);
+        if (worker == this->workers.end())
+            continue;
+        const auto run = worker->second.placedRuns.find({ unit.task(static_cast<std::int64_t>(member)), unit.run });
+        placed += run != worker->second.placedRuns.end() && !run->second.stray ? 1 : 0;
+    }
+    return placed;
+}
+
+void TaskPlanner::checkJobs(std::vector<std::string>& found) const
+{
+    for (const auto& [id, active] : this->jobs) {
+        if (isFinal(active.state))
+            continue;
+        using StepNumber = std::pair<std::int64_t, std::int64_t>; // Occurrence and step.
+        std::map<StepNumber, std::vector<std::int64_t>> left;
+        for (auto next = this->units.lower_bound({ id, 0, 0, wholeGang }); next != this->units.end() && next->first.job == id; ++next)
+            left[{ next->first.occurrence, next->first.step }].push_back(next->first.index);
+        for (const auto& [number, occurrence] : active.occurrences) {
+            for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+                const std::string problem = problemOf(active, occurrence, i, left[{ number, static_cast<std::int64_t>(i) }]);
+                if (!problem.empty())
+                    found.push_back(fmt::format("{}: {}.{}.{}", problem, id, number, i));
+            }
+        }
+    }
+}
+
+std::string TaskPlanner::problemOf(const ActiveJob& active, const Occurrence& occurrence, std::size_t index, const std::vector<std::int64_t>& left)
+{
+    const StepState& state = occurrence.steps[index];
+    const Step& step = active.job->steps[index];
+    if (!state.begun) {
+        const auto isDone = [&occurrence](std::int64_t earlier) { return occurrence.steps[static_cast<std::size_t>(earlier)].done; };
+        return std::all_of(step.dependsOn.begin(), step.dependsOn.end(), isDone) ? "a step whose turn has come has not begun" : "";
+    }
+    const auto number = static_cast<std::int64_t>(index);
+    if (std::any_of(left.begin(), left.end(), [&](std::int64_t unit) { return occurrence.doneUnits.contains({ number, unit }); }))
+        return "a unit that is done and is still there";
+    const auto done = std::distance(occurrence.doneUnits.lower_bound({ number, wholeGang }), occurrence.doneUnits.lower_bound({ number + 1, wholeGang }));
+    if (static_cast<std::int64_t>(left.size()) + done != (step.gang ? 1 : step.count))
+        return "a unit that is neither there nor done";
+    const auto count = static_cast<std::int64_t>(left.size());
+    return state.left != count || state.done != (count == 0) ? "a step that miscounts its units" : "";
+}
+
+} // namespace rattan::tasks
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -7,6 +7,7 @@
 
 void VirtualSite::newPlanner()
 {
+    this->disturb();
     this->planner.reset();
     ++this->term;
     ++this->generation;
@@ -36,6 +37,7 @@
 
 void VirtualSite::cancel(const std::string& id)
 {
+    this->cancelled.insert(id);
     this->write(keyText({ RecordKind::Cancel, id }), encodeCancel());
     if (this->planner)
         this->planner->jobCancelled(id, this->now);
@@ -132,10 +134,25 @@
     }
     for (auto& [id, worker] : this->workers)
         this->work(id, worker);
-    if (!this->planner || this->now < this->nextTurn)
-        return;
+    this->judgeLostWork();
+    if (this->planner && this->now >= this->nextTurn)
+        this->plan();
+    else if (this->planner && this->pollsBetweenTurns && this->planner->hasPollsLeft())
+        this->pollLeftOver();
+}
+
+void VirtualSite::pollLeftOver()
+{
+    for (const PollOrder& order : this->planner->takePolls(this->now).polls)
+        this->poll(order);
+}
+
+void VirtualSite::plan()
+{
     this->nextTurn = this->now + this->turnGap;
     this->planner->step(this->now, this->now);
+    if (this->planner->lastRound().kind == RoundKind::Whole)
+        this->planner->stepTook(this->roundTime, this->now + this->roundTime);
     Orders orders = this->planner->take(this->now);
     this->planEvents.insert(this->planEvents.end(), orders.events.begin(), orders.events.end());
     for (const RecordBatch& batch : orders.batches)
@@ -212,6 +229,7 @@
     } else if (luck < late) {
         // It waits at the worker, and is gone if that crashes meanwhile.
         this->at(this->now + this->between(2000, 12000), [this, id, carry, born = worker.born] {
+            this->disturb();
             if (this->workers.at(id).born == born && !this->workers.at(id).crashed)
                 carry();
         });
@@ -251,7 +269,10 @@
     const Millis until = order.decidedAt + this->options.lease;
     if (const Millis wait = std::exchange(this->nextStartLate, 0); wait > 0) {
         constexpr Millis timeout = 230;
-        this->at(this->now + wait, [this, order, term, until] { this->carryStart(order, term, until); });
+        this->at(this->now + wait, [this, order, term, until] {
+            this->disturb();
+            this->carryStart(order, term, until);
+        });
         this->at(this->now + timeout, [this, order, mine = this->generation] {
             if (mine == this->generation && this->planner)
                 this->planner->startAnswered(order.worker, order.run, StartAnswer::NoAnswer, this->now);
@@ -306,10 +327,12 @@
         this->send(
             order.worker.id, [this, order, term, until] { return this->carryPoll(order, term, until); },
             [this, order, sentAt](const std::optional<WorkerReport>& report) {
-                if (report)
+                if (report) {
+                    this->noteListed(*report);
                     this->planner->pollAnswered(order.worker, sentAt, order.beside, *report, this->now);
-                else
+                } else {
                     this->planner->pollFailed(order.worker, order.beside, this->workers.at(order.worker.id).replaced ? WorkerFault::OtherIncarnation : WorkerFault::NoAnswer, this->now);
+                }
             });
     });
 }
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -8,9 +8,11 @@
 // planner believes: no worker over its room, no task twice at a time or again
 // after its end was acknowledged, no step before those that it depends on, no
 // task begun again after its last attempt or for long after three workers have
-// crashed under it, no job shown as failed without cause.
+// crashed under it, no job shown as failed without cause, no work left lying beside
+// idle workers (see lost_work_judge.h; judged only where no fault is near).
 
 #include "tasks/task_planner.h"
+#include "tasks/testing/lost_work_judge.h"
 
 #include <fmt/format.h>
 #include <functional>
@@ -34,6 +36,7 @@
     double lateOrders { 0 }; // Share that is carried out 2 to 12 s later and not answered.
     double failures { 0.02 }; // Share of runs that fail.
     double lostAdvice { 0 }; // Share of questions to the advice service without an answer.
+    int racks { 0 }; // Workers are spread over so many; 0: four in each.
     bool uneven { false }; // All tasks but the first of a step have a quarter of its work.
 };
 
@@ -71,7 +74,8 @@
     void cancel(const std::string& id);
 
     void cut(const std::string& id, bool isCut) { this->workers.at(id).cut = isCut; }
-    void stall(const std::string& id, bool stalls) { this->workers.at(id).stalls = stalls; }
+    void cutDomain(const std::string& domain, bool isCut);
+    void stall(const std::string& id, bool stalls);
 
     // Starts are sent this much after they were decided, as those are that wait behind others.
     void delayStarts(Millis wait) { this->startsWait = wait; }
@@ -90,6 +94,12 @@
     void failAll(const std::string& id, bool fails) { this->workers.at(id).failsAll = fails; }
     void leave(const std::string& id);
 
+    // It leaves, and is gone soon after.
+    void depart(const std::string& id);
+
+    // This share of orders is carried out 2 to 12 s later and not answered.
+    void carryLate(double share) { this->options.lateOrders = share; }
+
     // The worker crashes and comes back under its id, running nothing.
     void restart(const std::string& id);
 
@@ -114,6 +124,13 @@
     // Records become durable this much later.
     void delayRecords(Millis wait) { this->recordsWait = wait; }
 
+    // What a caller does who counts the time of rounds: none of all units is held for three
+    // times as long as the last one took.
+    void roundsTake(Millis time) { this->roundTime = time; }
+
+    // Polls that a turn leaves over go out before the next one.
+    void pollBetweenTurns() { this->pollsBetweenTurns = true; }
+
     void run(Millis until);
 
     // Runs until every job is over, at most until then.
@@ -162,6 +179,8 @@
         std::vector<EndedTask> ended;
         std::int64_t endNumber { 0 };
         std::set<std::int64_t> lapsedEnds; // Its lease ran out before they were acknowledged: nobody has to know of them.
+        int failuresInARow { 0 };
+        bool hasStalled { false };
         Millis leaseUntil { 0 };
         bool cut { false };
         bool stalls { false };
@@ -189,6 +208,8 @@
     void write(const std::string& key, const std::string& value) { this->table.apply(key, value, this->offset++, this->now); }
 
     void advance();
+    void plan();
+    void pollLeftOver();
 
     void record(const RecordBatch& batch);
 
@@ -209,6 +230,14 @@
     void judgeRoom(const StartOrder& order, const Worker& worker);
     void judgeFailed(const std::string& job);
 
+    // Lost work: see virtual_site_calm.cc.
+    bool isDisturbed() const;
+    void disturb() { this->disturbedAt = this->now; }
+    void judgeLostWork();
+    LostWorkJudge::View viewOfWork() const;
+    bool hasFailedForGood(const std::string& job) const;
+    void noteListed(const WorkerReport&);
+
     void breach(const std::string& what, const StartOrder& order);
 
     void stop(const StopOrder& order);
@@ -227,9 +256,10 @@
 
     bool allThrough(const RunRef& run) const;
 
-    void work(const std::string&, Worker& worker);
+    void work(const std::string& id, Worker& worker);
 
-    void finish(Worker& worker, const RunRef& ref, RunEnd end);
+    void finish(const std::string& id, Worker& worker, const RunRef& ref, RunEnd end);
+    void noteFailures(Worker& worker, const std::string& id, const RunRef& ref, RunEnd end);
 
     SiteOptions options;
     Millis startsWait { 0 };
@@ -237,11 +267,18 @@
     Millis recordsWait { 0 };
     Millis turnGap { 0 };
     Millis nextTurn { 0 };
+    Millis roundTime { 0 };
+    bool pollsBetweenTurns { false };
     int startsKeptBack { 0 };
     std::map<std::string, Millis> crashing; // Jobs whose first task crashes its worker, and how long after its start.
     std::map<TaskRef, std::int64_t> crashes; // Workers that crashed under a task.
     std::map<TaskRef, std::int64_t> startsAfterCrashes; // After the third.
     std::map<UnitKey, std::set<std::int64_t>> failedRuns;
+    std::map<UnitKey, std::set<std::string>> failedOn; // Workers.
+    std::set<TaskRef> doneListed; // In an answer that a planner got.
+    std::set<std::string> cancelled;
+    Millis disturbedAt { 0 };
+    LostWorkJudge lostWork;
     std::shared_ptr<const Catalog> catalog;
     std::map<std::string, Worker> workers;
     std::map<std::string, Job> jobs;
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -6,15 +6,42 @@
 
 void VirtualSite::leave(const std::string& id)
 {
+    this->disturb();
     this->workers.at(id).leaving = true;
     this->relist();
 }
 
+void VirtualSite::depart(const std::string& id)
+{
+    constexpr Millis stays = 2500;
+    constexpr Millis listedFor = 1500;
+    this->leave(id);
+    this->at(this->now + stays, [this, id] {
+        this->disturb();
+        Worker& worker = this->workers.at(id);
+        worker.crashed = true;
+        worker.running.clear();
+        worker.ended.clear();
+    });
+    this->at(this->now + stays + listedFor, [this, id] {
+        this->disturb();
+        this->workers.at(id).listed = false;
+        this->relist();
+    });
+}
+
+void VirtualSite::cutDomain(const std::string& domain, bool isCut)
+{
+    for (auto& [id, worker] : this->workers)
+        worker.cut = worker.rack == domain ? isCut : worker.cut;
+}
+
 void VirtualSite::restart(const std::string& id)
 {
     Worker& worker = this->workers.at(id);
     if (worker.crashed)
         return;
+    this->disturb();
     this->loseRuns(worker, id);
     worker.endNumber = 0;
     worker.lapsedEnds.clear();
@@ -41,9 +68,11 @@
     Worker& worker = this->workers.at(id);
     if (worker.crashed)
         return;
+    this->disturb();
     worker.crashed = true;
     this->loseRuns(worker, id);
     this->at(this->now + absence, [this, id] {
+        this->disturb();
         Worker& before = this->workers.at(id);
         before.replaced = true;
         const std::string next = fmt::format("w{:02}", this->workers.size());
@@ -52,11 +81,19 @@
         this->relist();
     });
     this->at(this->now + listedFor, [this, id] {
+        this->disturb();
         this->workers.at(id).listed = false;
         this->relist();
     });
 }
 
+void VirtualSite::stall(const std::string& id, bool stalls)
+{
+    Worker& worker = this->workers.at(id);
+    worker.stalls = stalls;
+    worker.hasStalled = worker.hasStalled || stalls;
+}
+
 std::int64_t VirtualSite::crashesUnder(const std::string& job) const
 {
     const auto found = this->crashes.find({ job, 0, 0, 0 });
@@ -65,6 +102,7 @@
 
 void VirtualSite::resize(const std::string& id, Room capacity)
 {
+    this->disturb();
     Worker& worker = this->workers.at(id);
     worker.formerCapacities.emplace_back(this->now, worker.capacity);
     worker.capacity = capacity;
@@ -74,7 +112,8 @@
 void VirtualSite::addWorker(const std::string& id)
 {
     constexpr int perRack = 4;
-    this->addWorker(id, fmt::format("r{}", this->workers.size() / perRack));
+    const std::size_t number = this->workers.size();
+    this->addWorker(id, fmt::format("r{}", this->options.racks > 0 ? number % static_cast<std::size_t>(this->options.racks) : number / perRack));
 }
 
 void VirtualSite::addWorker(const std::string& id, const std::string& rack)
@@ -270,7 +309,7 @@
     return true;
 }
 
-void VirtualSite::work(const std::string&, Worker& worker)
+void VirtualSite::work(const std::string& id, Worker& worker)
 {
     std::vector<std::pair<RunRef, RunEnd>> over;
     if (worker.leaseUntil <= this->now) {
@@ -305,10 +344,22 @@
             over.emplace_back(ref, RunEnd::Done);
     }
     for (const auto& [ref, end] : over)
-        this->finish(worker, ref, end);
+        this->finish(id, worker, ref, end);
+}
+
+void VirtualSite::noteFailures(Worker& worker, const std::string& id, const RunRef& ref, RunEnd end)
+{
+    if (end == RunEnd::Done)
+        worker.failuresInARow = 0;
+    if (end != RunEnd::Failed)
+        return;
+    ++worker.failuresInARow;
+    const UnitKey unit { ref.task.job, ref.task.occurrence, ref.task.step, this->stepOf(ref.task).gang ? wholeGang : ref.task.index };
+    this->failedRuns[unit].insert(ref.run);
+    this->failedOn[unit].insert(id);
 }
 
-void VirtualSite::finish(Worker& worker, const RunRef& ref, RunEnd end)
+void VirtualSite::finish(const std::string& id, Worker& worker, const RunRef& ref, RunEnd end)
 {
     const Run run = worker.running.at(ref);
     this->tell(ref, "", nameOf(end).data());
@@ -318,8 +369,7 @@
     const bool saves = this->stepOf(ref.task).savesProgress;
     worker.ended.push_back({ ++worker.endNumber, ref, end, saves && end != RunEnd::Done ? run.checkpoint : "" });
     ++this->ends[end];
-    if (end == RunEnd::Failed)
-        this->failedRuns[{ ref.task.job, ref.task.occurrence, ref.task.step, run.members > 1 ? wholeGang : ref.task.index }].insert(ref.run);
+    this->noteFailures(worker, id, ref, end);
     if (run.members > 1)
         this->gone.emplace(std::tuple { ref.task.job, ref.task.occurrence, ref.task.step, ref.run }, end == RunEnd::Done);
     if (end == RunEnd::Done) {
