Let a step go on past a task that may not use the worker with room

What callers saw: tasks that could run and did not. A task had failed on a worker and did not go back there; the other tasks of its step waited as long as it did, beside that worker, which was idle. No limit: it lasted until some other worker had room.

Cause: a round looks for a place for one unit of a step, and passes over the units after it, since they ask for the same. They do not where that unit avoids workers on which it has failed or stalled: the others may go there.

Evidence: FreeRoomTest::aTaskThatMayNotUseAWorkerHoldsUpNoSibling, two workers, one of them busy for a minute: 2 of 3 runs begun after 8 s before this change.

Change: a unit that avoids workers does not stop the search for its siblings.

Result: the third run begins.

--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -314,7 +314,7 @@
     this->round.candidates = static_cast<std::int64_t>(candidates.size());
     std::map<std::string, FailedRequests> failedRequests;
     int evictionSearches = 0;
-    const UnitKey* blocked = nullptr; // A step of which a unit found no place.
+    const UnitKey* blocked = nullptr; // A step of which a unit that may use every worker found no place.
     const UnitKey* counted = nullptr; // Of the step that `siblings` tells of.
     WorkerCounts siblings;
     for (Candidate& candidate : candidates) {
@@ -384,7 +384,8 @@
         }
         unit.waitReason = WaitReason::NoRoom;
         this->reportWait(candidate, snapshot->second, request, now);
-        blocked = &unit.key;
+        if (unit.avoid.empty())
+            blocked = &unit.key;
         if (plain && !hopeless)
             failed.add(request);
         if (reservations[service]++ < mostReservations) {
