Try a worker again whatever has run there since before it was distrusted

What callers saw: tasks wait although a worker has room for them. After two failures in a row a worker gets nothing for some seconds, then one run on trial. Where a run lasted there (a long one, or one that serves) the trial never came: the rest of the worker stood idle until that run was over.

Cause: a trial began only on a worker without any runs, so that one run at a time is tried; runs from before the distrust counted as well.

Evidence: FreeRoomTest::aWorkerIsTriedAgainBesideARunThatLasts: with a run of two minutes there, three short tasks were not over 10 s after the failures.

Change: only runs that began after the distrust ended count.

Result: they are.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -191,6 +191,7 @@
     WorkerCounts siblingsOf(const UnitKey&) const;
     void decide(Millis now, Millis wall);
     std::int64_t urgentDemand(const std::string& service, Millis now);
+    static bool isOnTrial(const Worker&);
     detail::Absence absenceOf(const Worker&, Millis now) const;
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
     Millis expectedRun(const Unit&) const;
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -198,6 +198,15 @@
     return allocation;
 }
 
+// What ran there before its trust ended says nothing of it, and may last.
+bool TaskPlanner::isOnTrial(const Worker& worker)
+{
+    return std::any_of(worker.placedRuns.begin(), worker.placedRuns.end(), [&](const auto& row) {
+        const PlacedRun& placedRun = row.second;
+        return placedRun.phase != RunPhase::Running || placedRun.confirmedAt >= worker.trust.distrustedUntil();
+    });
+}
+
 Absence TaskPlanner::absenceOf(const Worker& worker, Millis now) const
 {
     if (!worker.listed)
@@ -210,7 +219,7 @@
         return Absence::Resting;
     if (this->isDoubted(worker, now))
         return Absence::Doubted;
-    if (!worker.trust.takesWork(now, worker.placedRuns.empty()))
+    if (!worker.trust.takesWork(now, !isOnTrial(worker)))
         return Absence::Distrusted;
     return worker.known ? Absence::None : Absence::Unknown;
 }
--- a/src/tasks/testing/free_room_test.cc
+++ b/src/tasks/testing/free_room_test.cc
@@ -24,6 +24,8 @@
 }
 
 constexpr Room whole { 10000, 10000, 8 };
+constexpr Room half { 10000, 10000, 4 };
+constexpr Room one { 10000, 10000, 1 };
 
 void assertSound(const VirtualSite& site)
 {
@@ -33,6 +35,7 @@
 class FreeRoomTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(FreeRoomTest);
     CPPUNIT_TEST(aTaskThatMayNotUseAWorkerHoldsUpNoSibling);
+    CPPUNIT_TEST(aWorkerIsTriedAgainBesideARunThatLasts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +57,29 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, site.runsOf("three"));
         assertSound(site);
     }
+
+    // Guards against room that nothing uses until the run beside it is over, which may last.
+    void aWorkerIsTriedAgainBesideARunThatLasts()
+    {
+        VirtualSite site({ .seed = 71, .workers = 1, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("long", 1, half, 120000));
+        site.run(2000);
+        site.failAll("w00", true);
+        site.submit(job("bad", 1, one, 400));
+        while (site.countEnds(RunEnd::Failed) < 2 && site.now < 10000)
+            site.run(site.now + 5);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.countEnds(RunEnd::Failed));
+        site.run(site.now + 300);
+        site.failAll("w00", false);
+        site.submit(job("good", 3, one, 400));
+        site.run(site.now + 1000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.runsOf("good")); // It is not trusted yet.
+        site.run(site.now + 9000);
+        CPPUNIT_ASSERT(site.stateOf("good") == JobState::Completed);
+        CPPUNIT_ASSERT(site.stateOf("long") == JobState::Running);
+        assertSound(site);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FreeRoomTest);
--- a/src/tasks/worker_trust.cc
+++ b/src/tasks/worker_trust.cc
@@ -32,11 +32,11 @@
     this->until = now + this->lastSpan;
 }
 
-bool WorkerTrust::takesWork(Millis now, bool idle) const
+bool WorkerTrust::takesWork(Millis now, bool free) const
 {
     if (this->strikes < strikesToDistrust)
         return true;
-    return now >= this->until && idle;
+    return now >= this->until && free;
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/worker_trust.h
+++ b/src/tasks/worker_trust.h
@@ -16,8 +16,9 @@
     void failed(Millis now);
     void stalled(Millis now); // Counts as enough failures by itself.
 
-    // False: nothing may start there. While on trial, one run at a time.
-    bool takesWork(Millis now, bool idle) const;
+    // False: nothing may start there. While on trial, one run at a time: `free` tells that
+    // none has begun since the distrust ended.
+    bool takesWork(Millis now, bool free) const;
     bool onTrial() const { return this->strikes >= strikesToDistrust; }
 
     // The end of the present distrust; 0 if trusted.
