Keep no room for the end of a run that lasts

What callers saw: tasks wait beside free room, without a limit. Where a large task waits for a worker on which a run serves, the rest of that worker stays empty: it is kept for the large task, up to 16 such tasks at a time in a service, for all their members.

Cause: a run that serves tells all of its work as done, and one that has lasted longer than its estimate is overdue, so its end was expected at once, always. A reservation takes the worker where it can begin first, which is then just the one that never becomes free. Runs that serve on a worker that leaves were also not moved until it left, since they seemed to end before.

Evidence: LastingRunsTest::roomBesideARunThatLastsIsNotKeptForItsEnd, one worker, half of it used by a run that serves, a task for a whole worker waits: of four small tasks none had begun after 4 s.

Result: all four begin.

--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -77,6 +77,10 @@
 // and for at most this share of the work that it is going to do itself.
 inline constexpr double mostLostShare = 0.3;
 
+// What a run that goes on until its job is cancelled is expected to take yet: nothing is
+// kept free for its end.
+inline constexpr Millis lasts = 24L * 3600 * 1000;
+
 // A run that would end this shortly before its worker leaves is moved instead.
 inline constexpr Millis leaveMargin = 200;
 
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -76,6 +76,8 @@
 
 Millis TaskPlanner::expectedEnd(const Unit& unit, Millis now) const
 {
+    if (unit.step().longRunning)
+        return now + lasts; // One that serves tells all of its work as done.
     if (unit.startedAt == 0)
         return now + this->expectedRun(unit);
     const double done = unit.progress - unit.progressAtStart;
