Trust a worker again once the run that it was tried with serves

What callers saw: tasks wait although a worker is nearly empty. It had been distrusted and was tried with a task that lasts; that one served, and nothing else was placed there for as long as it did.

Cause: trust came back only with a run that ended well, and a run that serves does not end.

Evidence: LastingRunsTest::aTrialThatServesIsOver: two short tasks had not begun 4 s after they were handed in, with half of the worker free.

Change: a run that lasts and has come to serve counts as one that ended well.

Result: they begin.

--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -197,6 +197,8 @@
         placedRun.progress = progress;
         unit->movedAt = now;
         unit->progress = this->leastProgress(*unit);
+        if (unit->step().longRunning && progress >= 1 && placedRun.confirmedAt >= worker.trust.distrustedUntil())
+            worker.trust.done(); // It serves, and no end will tell so.
     }
     if (!running.checkpoint.empty() && running.checkpoint != unit->checkpoint) {
         unit->checkpoint = running.checkpoint;
--- a/src/tasks/testing/lasting_runs_test.cc
+++ b/src/tasks/testing/lasting_runs_test.cc
@@ -151,6 +151,7 @@
 class LastingRunsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(LastingRunsTest);
     CPPUNIT_TEST(roomBesideARunThatLastsIsNotKeptForItsEnd);
+    CPPUNIT_TEST(aTrialThatServesIsOver);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -167,6 +168,25 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, hands.runsOf("small"));
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, hands.runsOf("large"));
     }
+
+    // Guards against a worker that gets nothing more because the run that it was tried with lasts.
+    void aTrialThatServesIsOver()
+    {
+        Hands hands(1);
+        hands.failAll(true);
+        hands.submit(job("bad", 1, one, 400));
+        hands.run(1500);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, hands.runsOf("bad"));
+        hands.failAll(false);
+        hands.cancel("bad");
+        hands.run(500);
+        hands.submit(lasting("serving", 1, half));
+        hands.run(6000);
+        hands.submit(job("good", 2, one, 1000));
+        hands.run(4000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, hands.runsOf("serving"));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, hands.runsOf("good"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LastingRunsTest);
