Look for room beside its data although a task like it found none elsewhere

What callers saw: tasks whose data lies in a rack wait beside free room in it, for as long as some task without such a rack waits.

Cause: workers that are kept for urgent units are closed to all others but those whose data lies in their rack. A request without a rack that found no room was taken to say that one with a rack finds none either.

Evidence: PlacingTest::whatFailedElsewhereSaysNothingOfClosedWorkers.

Change: it says so only of urgent ones, to which no worker is closed.

Not measured: what the further searches cost, at most one for each rack and size of a round.

--- a/src/tasks/placing.cc
+++ b/src/tasks/placing.cc
@@ -271,7 +271,9 @@
 bool FailedRequests::cover(const PlacementRequest& request) const
 {
     return std::any_of(this->asks.begin(), this->asks.end(), [&](const PlacementRequest& failed) {
-        const bool looser = (failed.rack.empty() || failed.rack == request.rack) && (!failed.sameRack || request.sameRack || !request.rack.empty());
+        // Workers that are kept for urgent units are open to those whose data lies beside them.
+        const bool sameWorkers = failed.rack == request.rack || (failed.rack.empty() && request.urgent);
+        const bool looser = sameWorkers && (!failed.sameRack || request.sameRack || !request.rack.empty());
         return failed.urgent == request.urgent && failed.members <= request.members && failed.each.within(request.each) && looser
             && (failed.label.empty() || failed.label == request.label) && failed.expected <= request.expected;
     });
--- a/src/tasks/testing/placing_test.cc
+++ b/src/tasks/testing/placing_test.cc
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(urgentUnitsGoWhereTheyEndFirst);
     CPPUNIT_TEST(gangsAreOfOnePace);
     CPPUNIT_TEST(keptWorkersAreClosedUnderLoad);
+    CPPUNIT_TEST(whatFailedElsewhereSaysNothingOfClosedWorkers);
     CPPUNIT_TEST(evictionLosesLeast);
     CPPUNIT_TEST(evictionForAWideUnitAsksOnceAboutEachRun);
     CPPUNIT_TEST(evictionCountsGangsOnce);
@@ -60,6 +61,28 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against tasks that wait beside free room in the rack of their data, since others,
+    // to which that rack is closed, found none.
+    void whatFailedElsewhereSaysNothingOfClosedWorkers()
+    {
+        Snapshot snapshot;
+        snapshot.workers = { worker("a", "r0", 0), worker("b", "r1", 4) };
+        snapshot.keep(8);
+        const PlacementRequest anywhere = ask(1, 1);
+        CPPUNIT_ASSERT(!snapshot.findFree(anywhere));
+        FailedRequests failed;
+        failed.add(anywhere);
+        PlacementRequest beside = anywhere;
+        beside.rack = "r1";
+        CPPUNIT_ASSERT(idsOf(snapshot, snapshot.findFree(beside)) == Ids { "b" });
+        CPPUNIT_ASSERT(!failed.cover(beside));
+        CPPUNIT_ASSERT(failed.cover(anywhere));
+        beside.urgent = true;
+        failed.add(beside);
+        beside.rack.clear();
+        CPPUNIT_ASSERT(!failed.cover(beside));
+    }
+
     // Guards against a task that crashes its workers being placed beside others.
     void suspectTasksAndOthersAreKeptApart()
     {
