--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -76,6 +76,8 @@
 
 Millis TaskPlanner::expectedEnd(const Unit& unit, Millis now) const
 {
+    if (unit.step().longRunning)
+        return now + lasts; // One that serves tells all of its work as done.
     if (unit.startedAt == 0)
         return now + this->expectedRun(unit);
     const double done = unit.progress - unit.progressAtStart;
@@ -198,6 +200,15 @@
     return allocation;
 }
 
+// What ran there before its trust ended says nothing of it, and may last.
+bool TaskPlanner::isOnTrial(const Worker& worker)
+{
+    return std::any_of(worker.placedRuns.begin(), worker.placedRuns.end(), [&](const auto& row) {
+        const PlacedRun& placedRun = row.second;
+        return placedRun.phase != RunPhase::Running || placedRun.confirmedAt >= worker.trust.distrustedUntil();
+    });
+}
+
 Absence TaskPlanner::absenceOf(const Worker& worker, Millis now) const
 {
     if (!worker.listed)
@@ -210,7 +221,7 @@
         return Absence::Resting;
     if (this->isDoubted(worker, now))
         return Absence::Doubted;
-    if (!worker.trust.takesWork(now, worker.placedRuns.empty()))
+    if (!worker.trust.takesWork(now, !isOnTrial(worker)))
         return Absence::Distrusted;
     return worker.known ? Absence::None : Absence::Unknown;
 }
@@ -314,7 +325,7 @@
     this->round.candidates = static_cast<std::int64_t>(candidates.size());
     std::map<std::string, FailedRequests> failedRequests;
     int evictionSearches = 0;
-    const UnitKey* blocked = nullptr; // A step of which a unit found no place.
+    const UnitKey* blocked = nullptr; // A step of which a unit that may use every worker found no place.
     const UnitKey* counted = nullptr; // Of the step that `siblings` tells of.
     WorkerCounts siblings;
     for (Candidate& candidate : candidates) {
@@ -384,7 +395,8 @@
         }
         unit.waitReason = WaitReason::NoRoom;
         this->reportWait(candidate, snapshot->second, request, now);
-        blocked = &unit.key;
+        if (unit.avoid.empty())
+            blocked = &unit.key;
         if (plain && !hopeless)
             failed.add(request);
         if (reservations[service]++ < mostReservations) {
--- /dev/null
+++ b/src/tasks/testing/free_room_test.cc
@@ -0,0 +1,87 @@
+// Room that is free and nobody else's is used: nothing waits beside it without a limit.
+
+#include "tasks/task_planner.h"
+
+#include "tasks/testing/virtual_site.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace rattan;
+using namespace rattan::tasks;
+using rattan::tasks::testing::VirtualSite;
+
+namespace {
+
+Job job(const std::string& id, std::int64_t count, Room each, Millis time, std::int64_t priority = 1)
+{
+    Job result;
+    result.id = id;
+    result.workspace = "a";
+    result.terms = { .queue = "q", .service = "s", .priority = priority, .mostAttempts = 4, .stretch = 3, .latencyTarget = 1000 };
+    result.text = "work";
+    result.steps.push_back({ .count = count, .each = each, .estimate = time });
+    return result;
+}
+
+constexpr Room whole { 10000, 10000, 8 };
+constexpr Room half { 10000, 10000, 4 };
+constexpr Room one { 10000, 10000, 1 };
+
+void assertSound(const VirtualSite& site)
+{
+    CPPUNIT_ASSERT_MESSAGE(site.broken.empty() ? "" : site.broken.front(), site.broken.empty());
+}
+
+class FreeRoomTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(FreeRoomTest);
+    CPPUNIT_TEST(aTaskThatMayNotUseAWorkerHoldsUpNoSibling);
+    CPPUNIT_TEST(aWorkerIsTriedAgainBesideARunThatLasts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a whole step that waits because the first of its tasks has failed on the
+    // only worker with room.
+    void aTaskThatMayNotUseAWorkerHoldsUpNoSibling()
+    {
+        VirtualSite site({ .seed = 70, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("long", 1, whole, 60000));
+        site.run(2000);
+        const std::string idle = site.hostOf("long", 0) == "w00" ? "w01" : "w00";
+        site.failAll(idle, true);
+        site.submit(job("three", 3, whole, 1000));
+        site.run(2300);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.runsOf("three"));
+        site.failAll(idle, false);
+        site.run(10000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, site.runsOf("three"));
+        assertSound(site);
+    }
+
+    // Guards against room that nothing uses until the run beside it is over, which may last.
+    void aWorkerIsTriedAgainBesideARunThatLasts()
+    {
+        VirtualSite site({ .seed = 71, .workers = 1, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("long", 1, half, 120000));
+        site.run(2000);
+        site.failAll("w00", true);
+        site.submit(job("bad", 1, one, 400));
+        while (site.countEnds(RunEnd::Failed) < 2 && site.now < 10000)
+            site.run(site.now + 5);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.countEnds(RunEnd::Failed));
+        site.run(site.now + 300);
+        site.failAll("w00", false);
+        site.submit(job("good", 3, one, 400));
+        site.run(site.now + 1000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.runsOf("good")); // It is not trusted yet.
+        site.run(site.now + 9000);
+        CPPUNIT_ASSERT(site.stateOf("good") == JobState::Completed);
+        CPPUNIT_ASSERT(site.stateOf("long") == JobState::Running);
+        assertSound(site);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FreeRoomTest);
+
+} // namespace
