Append a large batch of records in parts

What callers would see: no task starts any more and no job is shown as over. Not seen yet; found by reading.

Cause: all that changed while the last batch was under way goes out as one append, however much it is. One that the store does not take for its size, or that a thin link does not carry within the 800 ms of the call, goes out again as it is, for good; what changes meanwhile only makes the next one larger.

Evidence: TermStreamTest::aBatchThatIsLargerThanTheStoreTakesGoesInParts: 3.9 MB for a store that takes 2 MB at once; refused in every turn before this change.

Change: parts of 256 KB, one after the other, each with the next number. Parts hold whole records, each of which stands for itself.

Result: test-instance: 35 passed.

--- a/src/instance/term_stream.cc
+++ b/src/instance/term_stream.cc
@@ -16,6 +16,10 @@
 
     constexpr Millis appendRetry = 60; // After an append that the store did not take.
 
+    // Of one append: well below what the store takes at once, and little enough to arrive in
+    // time over a thin link.
+    constexpr std::size_t mostBytesAtOnce = 256 << 10;
+
 } // namespace
 
 TermStream::TermStream(Stream stream, std::int64_t term, http::AsyncClient& client, const StoreProtocol& protocol, const Clock& clock, std::string storeAddress, Metrics& metrics)
@@ -71,24 +75,39 @@
         this->retryAt = now + appendRetry;
 }
 
+// Each part is repeated as it is until its fate is known, so it must not depend on the time.
+std::vector<StoreRecord> TermStream::nextPart() const
+{
+    std::size_t bytes = 0;
+    auto end = this->waiting.begin();
+    while (end != this->waiting.end()) {
+        bytes += end->key.size() + end->value.size();
+        if (end != this->waiting.begin() && bytes > mostBytesAtOnce)
+            break;
+        ++end;
+    }
+    return { this->waiting.begin(), end };
+}
+
 void TermStream::sendBatch()
 {
+    const std::vector<StoreRecord> part = this->nextPart();
     this->callUnderWay = true;
     this->metrics.count("rattan_store_calls_total", { { "call", "record" } });
-    this->client.send(this->callFor(this->waiting, this->nextNumber), [this](const http::Reply& reply) {
+    this->client.send(this->callFor(part, this->nextNumber), [this, sent = part.size()](const http::Reply& reply) {
         this->callUnderWay = false;
-        this->batchAnswered(this->protocol.parseAppend(reply).status);
+        this->partAnswered(this->protocol.parseAppend(reply).status, sent);
     });
 }
 
-void TermStream::batchAnswered(AppendStatus status)
+void TermStream::partAnswered(AppendStatus status, std::size_t sent)
 {
     if (status == AppendStatus::Appended) {
         ++this->nextNumber;
-        this->waiting.clear();
+        this->waiting.erase(this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(sent));
         return;
     }
-    logEvent(events::appendFailed, { { "stream", nameOf(this->stream) }, { "status", nameOf(status) }, { "records", this->waiting.size() } });
+    logEvent(events::appendFailed, { { "stream", nameOf(this->stream) }, { "status", nameOf(status) }, { "records", sent } });
     // Something else was appended in this epoch, such as a fence carried out late. A new
     // term starts from what the log holds and numbers anew.
     if (status == AppendStatus::Fenced || status == AppendStatus::WrongNumber)
--- a/src/instance/term_stream.h
+++ b/src/instance/term_stream.h
@@ -9,7 +9,8 @@
 //     if (stream.isIdle()) ...                 // all of it is durable
 //     if (stream.isLost()) ...                 // a later term has begun, or may have
 //
-// A batch goes out again, with the same number, until its fate is known: the store tells a
+// A large batch goes out in parts, one after the other and each with a number of its own. A
+// part goes out again, with the same number, until its fate is known: the store tells a
 // repeat what became of the first. Its calls are of the group that is in use when step() is
 // called, and must be abandoned before it is destroyed. On the thread of the client.
 
@@ -40,7 +41,8 @@
     void sendBatch();
     http::Call callFor(const std::vector<StoreRecord>&, std::int64_t number) const;
     void fenceAnswered(AppendStatus);
-    void batchAnswered(AppendStatus);
+    void partAnswered(AppendStatus, std::size_t sent);
+    std::vector<StoreRecord> nextPart() const;
 
     const Stream stream;
     const std::int64_t term;
