Let every step have its turn to ask the advice service

What callers saw: a task of a queue with a policy waits although a worker that may run it has room, for as long as a few tasks before it wait.

Cause: four questions are under way at most, given to the first steps in the order of their turns. Tickets run out, so steps whose workers are busy ask again and again, and the same four or more had all questions, always.

Evidence: FreeRoomTest::questionsToTheAdviceServiceGoRound: ten tasks that wait for whole workers, all in use, then a small one: not begun after 10 s.

Change: in rounds of all units a step that has asked asks again only when all others have. Rounds of urgent units ask as before.

Result: it begins.

--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -53,6 +53,7 @@
 
     std::vector<Incarnation> underWay; // Named in the question that has no answer yet.
     Millis notBefore { 0 }; // No question before then.
+    std::int64_t askedIn { 0 }; // The last pass over all steps in which it had its question.
 
 private:
     struct Verdict {
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -205,6 +205,7 @@
     // Advice on where a step may run.
     std::set<std::string> allowedWorkers(const StepAdvice&, const Snapshot&, Millis now) const;
     std::vector<detail::Askable> askable(const StepAdvice&, const Snapshot&, const PlacementRequest&, Millis now) const;
+    bool isAdviceTurn(StepAdvice&);
     bool isAdvised(const Unit&, const Snapshot&, PlacementRequest&, Millis now);
     const std::string* ticketFor(const UnitKey&, const Incarnation&, Millis now) const;
     void forgetAdvice(const std::string& job);
@@ -277,6 +278,8 @@
     std::map<StepKey, StepAdvice> advice; // Of steps whose queue has a policy.
     std::vector<AdviceOrder> adviceOrders;
     int adviceUnderWay { 0 };
+    std::int64_t advicePass { 1 }; // Each step has its question once in a pass.
+    bool isAdviceLeft { false }; // A step had none in this round.
     std::vector<PlanEvent> events;
     std::map<PlanEventKind, std::size_t> eventCounts; // In `events`.
     std::int64_t unitsDone { 0 }; // Since the last such event.
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -49,6 +49,23 @@
     return open;
 }
 
+// Tickets run out, so a step whose workers are busy asks again and again; a few of those
+// would take all questions, and steps after them would never have one. So who has asked lets
+// all others go first. Rounds of urgent units come between and need not wait.
+bool TaskPlanner::isAdviceTurn(StepAdvice& known)
+{
+    const bool takesTurns = this->round.kind == RoundKind::Whole;
+    if (takesTurns && known.askedIn == this->advicePass)
+        return false;
+    if (this->adviceUnderWay >= mostAdviceUnderWay) {
+        this->isAdviceLeft = true;
+        return false;
+    }
+    if (takesTurns)
+        known.askedIn = this->advicePass;
+    return true;
+}
+
 // Whether the unit can be placed, or waited for, on the workers that `request.allowed`
 // holds; else the advice service is asked about others.
 bool TaskPlanner::isAdvised(const Unit& unit, const Snapshot& snapshot, PlacementRequest& request, Millis now)
@@ -68,7 +85,7 @@
     if (open.empty())
         return known.underWay.empty();
     std::stable_sort(open.begin(), open.end(), [](const Askable& a, const Askable& b) { return std::pair(a.near, a.free) > std::pair(b.near, b.free); });
-    if (known.underWay.empty() && now >= known.notBefore && this->adviceUnderWay < mostAdviceUnderWay) {
+    if (known.underWay.empty() && now >= known.notBefore && this->isAdviceTurn(known)) {
         AdviceOrder order { .step = stepOf(unit.key), .terms = unit.job->terms.advice, .workers = {} };
         for (std::size_t i = 0; i < std::min(open.size(), mostWorkersAdvised); ++i) {
             order.workers.push_back(open[i].worker->id);
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -325,6 +325,7 @@
     this->round.candidates = static_cast<std::int64_t>(candidates.size());
     std::map<std::string, FailedRequests> failedRequests;
     int evictionSearches = 0;
+    this->isAdviceLeft = false;
     const UnitKey* blocked = nullptr; // A step of which a unit that may use every worker found no place.
     const UnitKey* counted = nullptr; // Of the step that `siblings` tells of.
     WorkerCounts siblings;
@@ -404,6 +405,8 @@
             snapshot->second.reserve(request);
         }
     }
+    if (this->round.kind == RoundKind::Whole && !this->isAdviceLeft)
+        ++this->advicePass;
     if (this->round.kind == RoundKind::Whole)
         this->reportOldestWait(candidates, snapshots, now);
 }
--- a/src/tasks/testing/free_room_test.cc
+++ b/src/tasks/testing/free_room_test.cc
@@ -36,6 +36,7 @@
     CPPUNIT_TEST_SUITE(FreeRoomTest);
     CPPUNIT_TEST(aTaskThatMayNotUseAWorkerHoldsUpNoSibling);
     CPPUNIT_TEST(aWorkerIsTriedAgainBesideARunThatLasts);
+    CPPUNIT_TEST(questionsToTheAdviceServiceGoRound);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,6 +81,29 @@
         CPPUNIT_ASSERT(site.stateOf("long") == JobState::Running);
         assertSound(site);
     }
+
+    // Guards against a step that is never asked for, since a few before it, whose workers are
+    // busy, have their tickets renewed all the time.
+    void questionsToTheAdviceServiceGoRound()
+    {
+        VirtualSite site({ .seed = 73, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("long", 4, half, 120000, 0));
+        site.submit(job("long2", 3, one, 120000, 0));
+        site.run(3000);
+        for (int i = 0; i < 10; ++i) {
+            Job stuck = job("stuck" + std::to_string(i), 1, whole, 4000);
+            stuck.terms.advice = { 700, 0, 1500 };
+            site.submit(stuck);
+        }
+        site.run(4000);
+        Job small = job("small", 1, one, 20000);
+        small.terms.advice = { 700, 0, 1500 };
+        site.submit(small);
+        site.run(14000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.runsOf("small"));
+        assertSound(site);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FreeRoomTest);
