Spend no search for runs to stop on what no worker could hold

What callers would see: an urgent task waits for as long as six others before it wait which no worker could hold even if it were empty, such as those whose label no worker has. A round has six searches for runs to stop.

Evidence: FreeRoomTest::whatNoWorkerCouldHoldTakesNoSearchForRunsToStop, not begun after 1.9 s without the change.

Change: a unit that fits on no set of workers, all of them empty, has no search.

--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -368,8 +368,10 @@
             request.rack.clear();
             request.sameRack = false;
         }
-        if (!snapshot->second.couldEverFit(request)) {
+        bool couldFit = snapshot->second.couldEverFit(request);
+        if (!couldFit) {
             request.avoid = nullptr; // Rather one that failed it than none.
+            couldFit = !unit.avoid.empty() && snapshot->second.couldEverFit(request);
         }
         const bool plain = request.isolatedFor.empty() && request.mostPerWorker == 0 && unit.avoid.empty() && !hasPolicy;
         FailedRequests& failed = failedRequests[service];
@@ -385,7 +387,7 @@
         // Stopping others throws work away; the idle workers that a planner which has
         // just taken over has not heard yet answer within a fraction of a second.
         const bool roomIsNear = !snapshot->second.unpolled.empty() && snapshot->second.couldFitUnpolled(request);
-        if (!roomIsNear && evictionSearches < mostEvictionSearches && this->mayEvict(candidate, now)) {
+        if (couldFit && !roomIsNear && evictionSearches < mostEvictionSearches && this->mayEvict(candidate, now)) {
             ++evictionSearches;
             ++this->round.evictionSearches;
             if (this->tryEvict(candidate, snapshot->second, request, now)) {
--- a/src/tasks/testing/free_room_test.cc
+++ b/src/tasks/testing/free_room_test.cc
@@ -36,6 +36,7 @@
     CPPUNIT_TEST_SUITE(FreeRoomTest);
     CPPUNIT_TEST(aTaskThatMayNotUseAWorkerHoldsUpNoSibling);
     CPPUNIT_TEST(aWorkerIsTriedAgainBesideARunThatLasts);
+    CPPUNIT_TEST(whatNoWorkerCouldHoldTakesNoSearchForRunsToStop);
     CPPUNIT_TEST(questionsToTheAdviceServiceGoRound);
     CPPUNIT_TEST_SUITE_END();
 
@@ -82,6 +83,27 @@
         assertSound(site);
     }
 
+    // Guards against an urgent task that waits for as long as a few others before it, which no
+    // worker could hold.
+    void whatNoWorkerCouldHoldTakesNoSearchForRunsToStop()
+    {
+        VirtualSite site({ .seed = 72, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.submit(job("patient", 4, whole, 60000, 2));
+        site.run(3000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, site.runsOf("patient"));
+        for (int i = 0; i < 8; ++i) {
+            Job nowhere = job("nowhere" + std::to_string(i), 1, one, 4000, 0);
+            nowhere.steps.front().label = std::string("none");
+            site.submit(nowhere);
+        }
+        site.run(3100);
+        site.submit(job("urgent", 1, half, 4000, 0));
+        site.run(5000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.runsOf("urgent"));
+        assertSound(site);
+    }
+
     // Guards against a step that is never asked for, since a few before it, whose workers are
     // busy, have their tickets renewed all the time.
     void questionsToTheAdviceServiceGoRound()
