Take an occurrence that ended before an earlier one for over after a takeover

What callers would see: a job with occurrences in time stays running for good. Found by reading.

Cause: an occurrence that ended while an earlier one ran is recorded by its units, all done. Whoever took over began it anew, without a unit that could end and tell that it is over, so the job never came to its last occurrence.

Evidence: FreeRoomTest::anOccurrenceThatEndedBeforeAnEarlierOneOutlivesATakeover: the job was not over 16 s after the takeover.

Change: such an occurrence counts as over when it is taken over.

Result: the job ends.

--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -71,8 +71,14 @@
         if (unit.state == UnitState::Done)
             active.occurrences[unit.occurrence].doneUnits.emplace(unit.step, unit.index);
     }
-    for (std::int64_t occurrence = active.occurrencesDone; occurrence < active.nextOccurrence; ++occurrence)
-        this->beginOccurrence(active, occurrence, now);
+    for (std::int64_t number = active.occurrencesDone; number < active.nextOccurrence; ++number) {
+        this->beginOccurrence(active, number, now);
+        const std::vector<StepState>& steps = active.occurrences.at(number).steps;
+        if (!std::all_of(steps.begin(), steps.end(), [](const StepState& step) { return step.done; }))
+            continue;
+        active.occurrences.erase(number); // No end of a unit will tell that it is over.
+        active.doneOutOfOrder.insert(number);
+    }
     for (const UnitProgress& progress : plan.units) {
         Unit* unit = this->find({ active.job->id, progress.occurrence, progress.step, progress.index });
         if (!unit)
--- a/src/tasks/testing/free_room_test.cc
+++ b/src/tasks/testing/free_room_test.cc
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(aWorkerIsTriedAgainBesideARunThatLasts);
     CPPUNIT_TEST(whatNoWorkerCouldHoldTakesNoSearchForRunsToStop);
     CPPUNIT_TEST(questionsToTheAdviceServiceGoRound);
+    CPPUNIT_TEST(anOccurrenceThatEndedBeforeAnEarlierOneOutlivesATakeover);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +127,28 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.runsOf("small"));
         assertSound(site);
     }
+
+    // Guards against a job that is never over, as its planner was followed while a later
+    // occurrence had ended and an earlier one had not.
+    void anOccurrenceThatEndedBeforeAnEarlierOneOutlivesATakeover()
+    {
+        VirtualSite site({ .seed = 74, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        Job timed = job("timed", 1, whole, 500);
+        timed.repeats = 2;
+        timed.startAt = 2000;
+        timed.interval = 400;
+        site.submit(timed);
+        site.run(2200);
+        const std::string host = site.hostOf("timed", 0);
+        site.stall(host, true);
+        site.run(3800);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.countEnds(RunEnd::Done));
+        site.newPlanner();
+        site.stall(host, false);
+        CPPUNIT_ASSERT(site.runUntilOver(20000));
+        assertSound(site);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FreeRoomTest);
