Count the work that runs had done before a takeover when some have to be stopped

Cause: when an adopted run began, the planner that follows does not know; it took the first time that it heard of the run for its start. So after each takeover runs that were nearly done cost next to nothing to stop. They were stopped first, for jobs that may cost others little, begun anew, and stopped again.

Change: an adopted run's progress tells how long it has been at work; of a gang, the least of what its members tell, since their work is unequal.

Tests, failing before: aRunThatIsNearlyDoneIsNotStoppedAsIfItHadJustBegun, ofRunsOfTheEarlierPlannerTheYoungestIsStopped, aGangIsAsOldAsItsMemberWithMostWork. 114 tests of src/tasks pass.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -150,6 +150,7 @@
     void acceptLateDone(const RunRef&, Millis now);
     void applyRunning(Worker&, const RunningTask&, Millis now);
     double leastProgress(const Unit&);
+    void learnWorkBefore(Unit&, double progress, Millis now) const;
     void settleUnlisted(Worker&, const WorkerReport&, Millis sentAt, Millis now);
     void loseIncarnation(Worker&, Millis now, const char* why);
     void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, Millis now);
--- a/src/tasks/task_planner_evictions.cc
+++ b/src/tasks/task_planner_evictions.cc
@@ -18,7 +18,7 @@
     const double weight = weightOf(unit.step().each) * static_cast<double>(unit.members());
     if (unit.startedAt == 0)
         return weight * restartSeconds;
-    const double ran = static_cast<double>(now - unit.startedAt) / 1000.0;
+    const double ran = static_cast<double>(now - unit.startedAt + unit.ranBefore.value_or(0)) / 1000.0;
     return weight * (unit.step().savesProgress ? restartSeconds : ran + restartSeconds);
 }
 
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -451,6 +451,7 @@
     unit.placedAt = now;
     unit.adopted = false;
     unit.startedAt = 0;
+    unit.ranBefore.reset();
     unit.progress = unit.saved;
     unit.progressAtStart = unit.saved;
     unit.movedAt = now;
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -179,6 +179,7 @@
     PlacedRun& placedRun = found->second;
     if (placedRun.phase != RunPhase::Running)
         this->confirmStart(placedRun, now);
+    const bool firstListed = placedRun.listedAt == 0;
     placedRun.listedAt = now;
     Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
     if (!unit || unit->run != running.run.run)
@@ -192,6 +193,8 @@
         unit->progressAtStart = progress;
         unit->movedAt = now;
     }
+    if (unit->adopted && firstListed)
+        this->learnWorkBefore(*unit, progress, now);
     // Members have unequal work, and one that is through waits for the others.
     if (progress > placedRun.progress) {
         placedRun.progress = progress;
@@ -207,6 +210,15 @@
     unit->heardAt = now;
 }
 
+// Nobody knows when a run began that an earlier planner started. Of a gang, the member with most
+// work tells how long it has been at work: others are further in the same time.
+void TaskPlanner::learnWorkBefore(Unit& unit, double progress, Millis now) const
+{
+    const Millis whole = this->runTimes.expect(unit.job->terms.queue, unit.step().estimate).work;
+    const Millis ran = static_cast<Millis>(static_cast<double>(whole) * progress) - (now - unit.startedAt);
+    unit.ranBefore = std::min(unit.ranBefore.value_or(whole), std::max<Millis>(ran, 0));
+}
+
 double TaskPlanner::leastProgress(const Unit& unit)
 {
     double least = 1;
--- a/src/tasks/unit.h
+++ b/src/tasks/unit.h
@@ -49,6 +49,7 @@
     Millis startedAt { 0 }; // First start confirmed; 0: none yet.
     double progress { 0 }; // Share of the work done, as last heard; of a gang, of its member that has most left.
     double progressAtStart { 0 };
+    std::optional<Millis> ranBefore; // Its work under an earlier planner, as its progress tells.
     Millis heardAt { 0 };
     Millis movedAt { 0 }; // When the progress of any member last changed.
 
