Fear an acknowledgement that is under way when a poll beside it shows a restart

What callers would see: a task that runs again after its end (TWICE). Found by reading, not seen in a play.

Cause: after a restart nothing is placed on a worker while a poll that acknowledged ends of the incarnation before may be carried out late. That was remembered only of polls that had failed already. Where a poll beside it was answered first, the one that acknowledges was still under way, and its later failure counted for nothing: tasks were placed at once, and that poll could acknowledge their ends unread.

Change: such a poll counts as lost when another one shows the restart.

Test, failing before (a start goes to the restarted worker): anAcknowledgementUnderWayIsFearedAtTheNextIncarnation. 115 tests of src/tasks pass.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -153,7 +153,7 @@
     void learnWorkBefore(Unit&, double progress, Millis now) const;
     void settleUnlisted(Worker&, const WorkerReport&, Millis sentAt, Millis now);
     void loseIncarnation(Worker&, Millis now, const char* why);
-    void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, Millis now);
+    void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, bool quick, Millis now);
     static void rememberLostStart(Worker&, PlacedRun&, Millis now);
     static bool mayStartLate(const Worker&, const RunRef&, Millis now);
     void stopLateStarts(Worker&, Millis now);
--- a/src/tasks/task_planner_incarnations.cc
+++ b/src/tasks/task_planner_incarnations.cc
@@ -26,11 +26,14 @@
 
 // The worker has started again and knows nothing of before. Runs that it lists
 // are of its present incarnation; a start without an answer may still arrive there.
-void TaskPlanner::changeIncarnation(Worker& worker, const WorkerReport& report, Millis sentAt, Millis now)
+void TaskPlanner::changeIncarnation(Worker& worker, const WorkerReport& report, Millis sentAt, bool quick, Millis now)
 {
     this->emit(PlanEventKind::WorkerGone, {}, 0, worker.seen.incarnation.id, "a later incarnation answers");
     const Incarnation before = worker.seen.incarnation;
     worker.seen.incarnation.born = report.born;
+    // Another poll showed it, so the one that acknowledges ends may still be on its way.
+    if (quick && worker.pollUnderWay && worker.ackUnderWay > 0)
+        worker.ackLostAt = now;
     if (worker.ackLostAt > 0)
         worker.takesNothingUntil = worker.ackLostAt + longestLateCall;
     worker.handled = worker.durable = worker.acknowledged = worker.ackUnderWay = 0;
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -69,7 +69,7 @@
     if (report.born < worker->seen.incarnation.born && report.born > 0)
         return this->pollFailed(incarnation, quick, WorkerFault::NoAnswer, now); // Overtaken by a poll at the present incarnation.
     if (report.born > worker->seen.incarnation.born)
-        this->changeIncarnation(*worker, report, sentAt, now);
+        this->changeIncarnation(*worker, report, sentAt, quick, now);
     if (!worker->known)
         this->emit(PlanEventKind::WorkerKnown, {}, 0, incarnation.id, fmt::format("{} runs, {} ends", report.running.size(), report.ended.size()));
     (quick ? worker->quickPollUnderWay : worker->pollUnderWay) = false;
--- a/src/tasks/testing/task_planner_polls_test.cc
+++ b/src/tasks/testing/task_planner_polls_test.cc
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(noWorkerIsPassedOverWhereMorePollsAreDueThanAreSent);
     CPPUNIT_TEST(idleWorkersAreNotPassedOverForBusyOnes);
     CPPUNIT_TEST(runsOfAWorkerThatWasNotAskedAreNotGivenUpUnread);
+    CPPUNIT_TEST(anAcknowledgementUnderWayIsFearedAtTheNextIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +88,85 @@
             CPPUNIT_ASSERT(event.kind != PlanEventKind::RunLost);
         assertSound(site);
     }
+
+    // Guards against ends of the next incarnation that a poll to the one before, still on its way
+    // when another shows the restart, acknowledges unread: their tasks would run again.
+    void anAcknowledgementUnderWayIsFearedAtTheNextIncarnation()
+    {
+        this->submit("ended");
+        this->submit("running");
+        TaskPlanner planner({}, this->table, PlanTable(), this->now, this->now);
+        WorkerSighting worker;
+        worker.incarnation = { "w", 1 };
+        worker.address = "10.0.0.1:1";
+        worker.service = "s";
+        worker.capacity = { 128000, 512000, 8 };
+        planner.workersSeen({ worker }, this->now);
+        this->turn(planner);
+        planner.pollAnswered(worker.incarnation, this->now, false, { .born = 1 }, this->now);
+        for (const StartOrder& start : this->turn(planner).starts)
+            planner.startAnswered(worker.incarnation, start.run, StartAnswer::Started, this->now);
+        const RunRef running { { "running", 0, 0, 0 }, 1 };
+        const RunRef ended { { "ended", 0, 0, 0 }, 1 };
+        planner.pollAnswered(worker.incarnation, this->now, false, { .born = 1, .running = { { running, "", 1 } }, .ended = { { 1, ended, RunEnd::Done, "" } } }, this->now);
+
+        // The poll that acknowledges the end gets no answer while this test lasts.
+        bool acknowledges = false;
+        for (int i = 0; i < 100 && !acknowledges; ++i) {
+            for (const PollOrder& poll : this->turn(planner).polls) {
+                acknowledges = acknowledges || poll.acknowledged == 1;
+                if (poll.acknowledged == 0)
+                    planner.pollAnswered(worker.incarnation, this->now, poll.beside, { .born = 1, .running = { { running, "", 1 } } }, this->now);
+            }
+        }
+        CPPUNIT_ASSERT(acknowledges);
+
+        // A poll beside it goes for a start that was there before, and shows the restart.
+        this->submit("next");
+        planner.jobAccepted(this->table.find("next")->job, this->now, this->now);
+        bool shown = false;
+        bool startedAnew = false;
+        for (int i = 0; i < 100 && !startedAnew; ++i) {
+            const Orders orders = this->turn(planner);
+            startedAnew = shown && !orders.starts.empty();
+            for (const StartOrder& start : orders.starts)
+                planner.startAnswered(worker.incarnation, start.run, StartAnswer::Old, this->now);
+            for (const PollOrder& poll : orders.polls) {
+                CPPUNIT_ASSERT(poll.beside || shown);
+                planner.pollAnswered(worker.incarnation, this->now, poll.beside, { .born = 2 }, this->now);
+                shown = true;
+            }
+        }
+        CPPUNIT_ASSERT(shown);
+        CPPUNIT_ASSERT(!startedAnew);
+    }
+
+private:
+    void submit(const std::string& id)
+    {
+        this->table.apply("job/" + id, encodeJob(job(id, 1, one, 5000)), this->offset++, this->now);
+    }
+
+    // One turn, some time after the last; what it records is durable at once.
+    Orders turn(TaskPlanner& planner)
+    {
+        constexpr Millis gap = 20;
+        Orders all;
+        for (int i = 0; i < 3; ++i) {
+            this->now += gap;
+            planner.step(this->now, this->now);
+            Orders orders = planner.take(this->now);
+            for (const RecordBatch& batch : orders.batches)
+                planner.recorded(batch.number, this->now);
+            all.starts.insert(all.starts.end(), orders.starts.begin(), orders.starts.end());
+            all.polls.insert(all.polls.end(), orders.polls.begin(), orders.polls.end());
+        }
+        return all;
+    }
+
+    JobTable table;
+    std::int64_t offset { 1 };
+    Millis now { 1000 };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TaskPlannerPollsTest);
