Keep a worker in mind while calls to it may be carried out late

What callers would see: a task that runs again after its end, or twice at a time (TWICE).

Cause: a worker without runs that left the list was forgotten, and with it that an acknowledgement or a start had got no answer.

Change: it is kept, unlisted, until no call can be carried out late any more.

Test, failing before (a start goes to the worker that is back): aLostAcknowledgementIsNotForgottenWithItsWorker. 116 tests of src/tasks pass.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -156,6 +156,7 @@
     void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, bool quick, Millis now);
     static void rememberLostStart(Worker&, PlacedRun&, Millis now);
     static bool mayStartLate(const Worker&, const RunRef&, Millis now);
+    static bool mayHaveLateCalls(const Worker&, Millis now);
     void stopLateStarts(Worker&, Millis now);
     void grantLease(Worker&, Millis now) const;
     void fellSilent(Worker&, Millis now);
--- a/src/tasks/task_planner_incarnations.cc
+++ b/src/tasks/task_planner_incarnations.cc
@@ -4,6 +4,8 @@
 #include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
 
+#include <algorithm>
+
 namespace rattan::tasks {
 
 using namespace detail;
@@ -92,6 +94,13 @@
     return found != worker.lostStarts.end() && now < found->second + longestLateCall;
 }
 
+// Calls that got no answer, which a later incarnation would take for its own.
+bool TaskPlanner::mayHaveLateCalls(const Worker& worker, Millis now)
+{
+    const bool ackMayCome = worker.ackLostAt > 0 && now < worker.ackLostAt + longestLateCall;
+    return ackMayCome || std::any_of(worker.lostStarts.begin(), worker.lostStarts.end(), [now](const auto& row) { return now < row.second + longestLateCall; });
+}
+
 // A later incarnation knows of no run that ended before. Of one whose start had no answer it
 // would take that start for a new one, and the task would run there beside its next run.
 void TaskPlanner::stopLateStarts(Worker& worker, Millis now)
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -51,7 +51,8 @@
         Worker& worker = next->second;
         if (!listed.contains(next->first)) {
             worker.listed = false;
-            if (worker.placedRuns.empty()) {
+            // What may be carried out late has to be known if its next incarnation is listed.
+            if (worker.placedRuns.empty() && !mayHaveLateCalls(worker, now)) {
                 this->emit(PlanEventKind::WorkerGone, {}, 0, next->first, "no longer listed");
                 next = this->workers.erase(next);
                 continue;
--- a/src/tasks/testing/task_planner_polls_test.cc
+++ b/src/tasks/testing/task_planner_polls_test.cc
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(idleWorkersAreNotPassedOverForBusyOnes);
     CPPUNIT_TEST(runsOfAWorkerThatWasNotAskedAreNotGivenUpUnread);
     CPPUNIT_TEST(anAcknowledgementUnderWayIsFearedAtTheNextIncarnation);
+    CPPUNIT_TEST(aLostAcknowledgementIsNotForgottenWithItsWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,6 +142,51 @@
         CPPUNIT_ASSERT(!startedAnew);
     }
 
+    // Guards against the same where the worker has left the list in between, and comes back.
+    void aLostAcknowledgementIsNotForgottenWithItsWorker()
+    {
+        this->submit("ended");
+        TaskPlanner planner({}, this->table, PlanTable(), this->now, this->now);
+        WorkerSighting worker;
+        worker.incarnation = { "w", 1 };
+        worker.address = "10.0.0.1:1";
+        worker.service = "s";
+        worker.capacity = { 128000, 512000, 8 };
+        planner.workersSeen({ worker }, this->now);
+        this->turn(planner);
+        planner.pollAnswered(worker.incarnation, this->now, false, { .born = 1 }, this->now);
+        for (const StartOrder& start : this->turn(planner).starts)
+            planner.startAnswered(worker.incarnation, start.run, StartAnswer::Started, this->now);
+        this->turn(planner);
+        planner.pollAnswered(worker.incarnation, this->now, false, { .born = 1, .ended = { { 1, { { "ended", 0, 0, 0 }, 1 }, RunEnd::Done, "" } } }, this->now);
+        bool acknowledges = false;
+        for (int i = 0; i < 100 && !acknowledges; ++i) {
+            for (const PollOrder& poll : this->turn(planner).polls) {
+                acknowledges = acknowledges || poll.acknowledged == 1;
+                if (poll.acknowledged == 0)
+                    planner.pollAnswered(worker.incarnation, this->now, poll.beside, { .born = 1 }, this->now);
+            }
+        }
+        CPPUNIT_ASSERT(acknowledges);
+        planner.pollFailed(worker.incarnation, false, WorkerFault::NoAnswer, this->now);
+
+        planner.workersSeen({}, this->now);
+        worker.incarnation.born = 2;
+        planner.workersSeen({ worker }, this->now);
+        this->submit("next");
+        planner.jobAccepted(this->table.find("next")->job, this->now, this->now);
+        bool shown = false;
+        for (int i = 0; i < 100; ++i) {
+            const Orders orders = this->turn(planner);
+            CPPUNIT_ASSERT(orders.starts.empty());
+            for (const PollOrder& poll : orders.polls) {
+                planner.pollAnswered(worker.incarnation, this->now, poll.beside, { .born = 2 }, this->now);
+                shown = true;
+            }
+        }
+        CPPUNIT_ASSERT(shown);
+    }
+
 private:
     void submit(const std::string& id)
     {
