--- a/src/tasks/testing/busy_day.cc
+++ b/src/tasks/testing/busy_day.cc
@@ -8,7 +8,6 @@
 
     constexpr int racks = 10;
     constexpr Millis trafficEnds = 44000;
-    constexpr Millis judged = 58000;
     constexpr int acceleratorsEach = 8;
 
 } // namespace
@@ -34,7 +33,7 @@
         this->site.run(when);
         event();
     }
-    this->site.run(judged);
+    this->site.run(this->options.until);
 }
 
 void BusyDay::each(Millis from, Millis until, int times, const std::function<void(int)>& event)
--- a/src/tasks/testing/busy_day.h
+++ b/src/tasks/testing/busy_day.h
@@ -24,6 +24,7 @@
         Millis turnGap { 250 };
         Millis roundTime { 0 };
         bool pollsBetweenTurns { true };
+        Millis until { 58000 };
         double load { 0.5 }; // Of all accelerators, by jobs as they come without the burst.
     };
 
--- a/src/tasks/testing/busy_day_test.cc
+++ b/src/tasks/testing/busy_day_test.cc
@@ -1,5 +1,5 @@
 // The faults of a busy day one after the other, and what is left of them when all is well
-// again. RATTAN_SEEDS=FIRST-LAST plays others.
+// again. RATTAN_DAYS=FIRST-LAST plays other seeds.
 
 #include "tasks/testing/busy_day.h"
 
@@ -46,7 +46,7 @@
     {
         unsigned long long first = 1;
         unsigned long long last = 1;
-        if (const char* text = std::getenv("RATTAN_SEEDS"))
+        if (const char* text = std::getenv("RATTAN_DAYS"))
             std::sscanf(text, "%llu-%llu", &first, &last);
         for (auto seed = first; seed <= last; ++seed) {
             BusyDay day({ .seed = seed });
