Settle a run that was stopped before its start also where turns are rare

What callers would see: a task that never runs again. A stop reaches its worker before the start of its run; where turns are 900 ms apart or more, the run keeps its room and its task for ever.

Cause: a poll settles the run if it was sent after the stop was answered. Each turn sent the stop again beside the poll, and the answer to it came after that poll had been sent.

Change: a stop that was taken before the run began is not sent again before a poll has told of the run.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -230,6 +230,7 @@
     void poll(Worker&, Millis now, Orders&) const;
     static void pollBeside(Worker&, Orders&);
     void sendDuePolls(Millis now, Orders&);
+    static bool isStoppedBeforeStart(const Worker&, const PlacedRun&);
     void makeStops(Millis now, Orders&);
     void emit(PlanEventKind, const UnitKey&, std::int64_t run, std::string worker, std::string detail);
     void reportPlaced(const Unit&, Millis now);
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -194,6 +194,13 @@
     this->startOrders.push_back({ worker.seen.incarnation, worker.seen.address, placedRun.run, this->jobs.at(placedRun.run.task.job).text, unit.checkpoint, ticket ? *ticket : "", now });
 }
 
+// A run that had not begun when its worker took the stop: a poll sent since then tells that it
+// is not there. The answer to another stop would have a later poll waited for, each time.
+bool TaskPlanner::isStoppedBeforeStart(const Worker& worker, const PlacedRun& placedRun)
+{
+    return placedRun.phase == RunPhase::Starting && placedRun.stopAnsweredAt > 0 && placedRun.stopAnsweredAt >= worker.incarnationShownAt;
+}
+
 void TaskPlanner::makeStops(Millis now, Orders& orders)
 {
     for (auto& [id, worker] : this->workers) {
@@ -202,7 +209,7 @@
         for (auto& [run, placedRun] : worker.placedRuns) {
             if (!placedRun.stopWanted || placedRun.phase == RunPhase::Recording || placedRun.stopUnderWay)
                 continue;
-            if (now < placedRun.nextStopAt)
+            if (now < placedRun.nextStopAt || isStoppedBeforeStart(worker, placedRun))
                 continue;
             placedRun.stopUnderWay = true;
             placedRun.nextStopAt = now + stopRetry + this->options.stopTimeout;
