--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -18,6 +18,7 @@
 
 TaskPlanner::TaskPlanner(PlannerOptions options, const JobTable& table, const PlanTable& plans, Millis now, Millis wall)
     : options(options)
+    , begunAt(now)
     , table(table)
     , catalog(std::make_shared<Catalog>())
 {
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -249,6 +249,7 @@
     static std::string problemOf(const ActiveJob&, const Occurrence&, std::size_t step, const std::vector<std::int64_t>& left);
 
     const PlannerOptions options;
+    const Millis begunAt; // The term.
     const JobTable& table;
     std::shared_ptr<const Catalog> catalog;
     std::map<std::string, ActiveJob> jobs;
--- a/src/tasks/task_planner_reports.cc
+++ b/src/tasks/task_planner_reports.cc
@@ -95,10 +95,12 @@
     std::int64_t unread = 0;
     for (const auto& [id, worker] : this->workers) {
         unread += worker.handled > worker.durable ? 1 : 0;
-        if (worker.pollUnderWay || !worker.isLive() || now - worker.nextPollAt < pollOverdue)
+        // An idle worker is not polled, so what was due before its start does not count.
+        const Millis waited = now - std::max({ worker.nextPollAt, worker.lastStartAt, this->begunAt });
+        if (worker.pollUnderWay || !worker.isLive() || waited < pollOverdue)
             continue;
         ++overdue;
-        longest = std::max(longest, now - worker.nextPollAt);
+        longest = std::max(longest, waited);
     }
     return fmt::format("{} polls overdue, the longest for {} ms, {} workers with ends not recorded", overdue, longest, unread);
 }
