Log the transmissions of a call, and what another instance answered

The hypotheses on rejected jobs that ran could not be told apart afterwards: the logs held neither how often libcurl had sent a request, nor what the instance said that a request was passed on to, nor of which jobs an append had failed.

No decision changes. caller.passed_on gives both answers, both versions of the configuration and the one that counted; store.append_repeated and store.append_failed give the transmissions, the status and the keys.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -246,9 +246,11 @@
         this->appendUnderWay = false;
         const AppendStatus status = this->protocols.store.parseAppend(reply).status;
         const Millis now = this->clock.now();
+        if (reply.transmissions > 1)
+            logEvent(events::appendRepeated, { { "stream", "jobs" }, { "status", nameOf(status) }, { "http_status", reply.status }, { "transmissions", reply.transmissions }, { "keys", fmt::format("{}", fmt::join(keys, ",")) } });
         if (status != AppendStatus::Appended) {
             this->nextAppendAt = now + appendPause;
-            logEvent(events::appendFailed, { { "stream", "jobs" }, { "status", nameOf(status) }, { "records", keys.size() }, { "first", keys.front() } });
+            logEvent(events::appendFailed, { { "stream", "jobs" }, { "status", nameOf(status) }, { "http_status", reply.status }, { "transmissions", reply.transmissions }, { "records", keys.size() }, { "keys", fmt::format("{}", fmt::join(keys, ",")) } });
         }
         this->gateway.appended(keys, status, now);
     });
--- a/src/instance/events.h
+++ b/src/instance/events.h
@@ -23,6 +23,7 @@
 inline constexpr Event streamLoaded { 6022, "store.loaded", Level::Info, "A stream of the store was loaded whole." };
 inline constexpr Event recordUnreadable { 6023, "store.record_unreadable", Level::Warning, "A record of a stream cannot be read and is passed over." };
 inline constexpr Event appendFailed { 6024, "store.append_failed", Level::Warning, "An append had no effect, or none that is known." };
+inline constexpr Event appendRepeated { 6025, "store.append_repeated", Level::Warning, "An append was sent more than once, as its connection broke without an answer; the answer is that to the last transmission." };
 inline constexpr Event leading { 6030, "lead.taken", Level::Info, "This instance plans; its term." };
 inline constexpr Event leadLost { 6031, "lead.lost", Level::Warning, "This instance does not plan any more, and why." };
 inline constexpr Event leadSeen { 6032, "lead.seen", Level::Info, "Another instance plans." };
@@ -31,6 +32,7 @@
 inline constexpr Event relayFailed { 6041, "caller.relay_failed", Level::Warning, "A request was passed on to another instance, which gave no answer." };
 inline constexpr Event relayLost { 6042, "plan.relay_lost", Level::Warning, "An instance that carried orders for this one cannot be reached; its workers are reached another way." };
 inline constexpr Event carriesNothing { 6043, "instance.carries_nothing", Level::Warning, "This instance cannot carry orders for others, nor have others carry its own." };
+inline constexpr Event passedOn { 6044, "caller.passed_on", Level::Info, "Another instance answered a request that was passed on to it; what each of the two told, and which of these the caller hears." };
 inline constexpr Event decided { 6050, "plan.decided", Level::Info, "A decision on a task, a job or a worker, and what it was based on." };
 inline constexpr Event orderRefused { 6051, "plan.order_refused", Level::Warning, "A worker did not take an order as wanted." };
 
@@ -38,6 +40,6 @@
 inline constexpr Event recordSlow { 6053, "plan.record_slow", Level::Info, "A batch of records became durable late; starts wait for it." };
 inline constexpr Event roundSlow { 6054, "plan.round_slow", Level::Info, "A round of decisions took long; what was searched for in it." };
 
-inline constexpr std::array instanceEvents { started, stopping, stopped, reloaded, reloadRefused, startFailed, slowTurn, traffic, configurationInForce, configurationUnreadable, storeLost, storeRegained, streamLoaded, recordUnreadable, appendFailed, leading, leadLost, leadSeen, watchImpossible, answered, relayFailed, relayLost, carriesNothing, decided, orderRefused, orderSlow, recordSlow, roundSlow };
+inline constexpr std::array instanceEvents { started, stopping, stopped, reloaded, reloadRefused, startFailed, slowTurn, traffic, configurationInForce, configurationUnreadable, storeLost, storeRegained, streamLoaded, recordUnreadable, appendFailed, appendRepeated, leading, leadLost, leadSeen, watchImpossible, answered, relayFailed, relayLost, carriesNothing, passedOn, decided, orderRefused, orderSlow, recordSlow, roundSlow };
 
 } // namespace rattan::instance::events
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -63,14 +63,18 @@
     call.timeout = std::chrono::milliseconds(passed.patience);
     call.connectTimeout = connectTimeout;
     const RequestKind kind = request.kind;
-    this->client.send(std::move(call), [this, peer, kind, own, handler = std::move(handler)](const http::Reply& reply) {
+    const std::string job = request.path.substr(request.path.rfind('/') + 1);
+    this->client.send(std::move(call), [this, peer, kind, job, own, handler = std::move(handler)](const http::Reply& reply) {
         const std::optional<CallerAnswer> other = reply.error ? std::nullopt : this->protocol.parseAnswer(kind, reply);
         if (other) {
             this->peers.answered(peer);
-            return handler(reconcile(own, *other));
+            const CallerAnswer answer = reconcile(own, *other);
+            if (kind != RequestKind::State)
+                logEvent(events::passedOn, { { "job", job }, { "peer", peer }, { "own", nameOf(own.outcome) }, { "own_configuration", own.configurationVersion }, { "other", nameOf(other->outcome) }, { "other_configuration", other->configurationVersion }, { "transmissions", reply.transmissions }, { "told", nameOf(answer.outcome) } });
+            return handler(answer);
         }
         this->peers.failed(peer, this->clock.now());
-        logEvent(events::relayFailed, { { "peer", peer }, { "status", reply.status }, { "why", reply.error ? reply.error->message : "an answer that cannot be read" } });
+        logEvent(events::relayFailed, { { "job", job }, { "peer", peer }, { "status", reply.status }, { "transmissions", reply.transmissions }, { "why", reply.error ? reply.error->message : "an answer that cannot be read" } });
         CallerAnswer answer = own;
         if (reply.sent != http::Sent::Nothing && kind != RequestKind::State)
             answer.outcome = Outcome::Unknown; // The other instance may have stored it.
