Show that rejected jobs can be stored: two transmissions, and an older configuration

The 503 to the second transmission is taken for the outcome of both, so that a caller is told that its job never runs, and its record is in the store.

Another instance accepts a request that is passed on to it, by an older version of the configuration: the caller hears the rejection of the first instance.

DroppingPeer moves to a header of its own and answers with what it is given.

--- a/src/http/testing/async_client_test.cc
+++ b/src/http/testing/async_client_test.cc
@@ -1,6 +1,7 @@
 #include "http/async_client.h"
 
 #include "http/server.h"
+#include "http/testing/dropping_peer.h"
 
 #include <arpa/inet.h>
 #include <array>
@@ -22,19 +23,8 @@
 namespace {
 
     using namespace std::chrono_literals;
-
-    // Binds a socket to a free port of the loopback address and listens; returns the port.
-    int listenOnLoopback(int socket, int backlog)
-    {
-        sockaddr_in name {};
-        name.sin_family = AF_INET;
-        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(name);
-        CPPUNIT_ASSERT_EQUAL(0, bind(socket, reinterpret_cast<sockaddr*>(&name), size));
-        CPPUNIT_ASSERT_EQUAL(0, listen(socket, backlog));
-        getsockname(socket, reinterpret_cast<sockaddr*>(&name), &size);
-        return ntohs(name.sin_port);
-    }
+    using testing::DroppingPeer;
+    using testing::listenOnLoopback;
 
     // Takes connections and never answers.
     class SilentPeer {
@@ -55,61 +45,6 @@
         int port { 0 };
     };
 
-    // Answers the first request on a connection, and drops the connection when it
-    // has read a second one.
-    class DroppingPeer {
-    public:
-        DroppingPeer()
-            : listener(::socket(AF_INET, SOCK_STREAM, 0))
-        {
-            this->port = listenOnLoopback(this->listener, 4);
-            this->thread = std::thread([this] { this->serve(); });
-        }
-        ~DroppingPeer()
-        {
-            shutdown(this->listener, SHUT_RDWR);
-            this->thread.join();
-            close(this->listener);
-        }
-        DroppingPeer(const DroppingPeer&) = delete;
-        DroppingPeer& operator=(const DroppingPeer&) = delete;
-
-        std::string address() const { return fmt::format("127.0.0.1:{}", this->port); }
-        int requests() const { return this->seen; }
-
-    private:
-        void serve()
-        {
-            constexpr timeval longest { 2, 0 };
-            for (int taken = accept(this->listener, nullptr, nullptr); taken >= 0; taken = accept(this->listener, nullptr, nullptr)) {
-                setsockopt(taken, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
-                const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-                if (this->readRequest(taken))
-                    static_cast<void>(write(taken, answer.data(), answer.size()));
-                this->readRequest(taken);
-                close(taken);
-            }
-        }
-
-        // Every request of these tests ends in a full stop.
-        bool readRequest(int taken)
-        {
-            std::array<char, 4096> buffer {};
-            for (ssize_t got = read(taken, buffer.data(), buffer.size()); got > 0; got = read(taken, buffer.data(), buffer.size())) {
-                if (buffer.at(static_cast<std::size_t>(got) - 1) == '.') {
-                    ++this->seen;
-                    return true;
-                }
-            }
-            return false;
-        }
-
-        int listener;
-        int port { 0 };
-        std::atomic<int> seen { 0 };
-        std::thread thread;
-    };
-
     // Takes connections, reads a request on each, and answers all of them when told to.
     class HoldingPeer {
     public:
--- a/src/instance/testing/relay_test.cc
+++ b/src/instance/testing/relay_test.cc
@@ -1,6 +1,7 @@
 #include "instance/relay.h"
 
 #include "http/server.h"
+#include "http/testing/dropping_peer.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
@@ -25,7 +26,7 @@
     }
     std::optional<CallerAnswer> parseAnswer(RequestKind, const http::Reply& reply) const override
     {
-        for (const Outcome outcome : { Outcome::Accepted, Outcome::NotNow, Outcome::State, Outcome::UnknownKey }) {
+        for (const Outcome outcome : { Outcome::Accepted, Outcome::Cancelled, Outcome::Unknown, Outcome::NotNow, Outcome::State, Outcome::UnknownKey }) {
             if (reply.body == nameOf(outcome))
                 return CallerAnswer { .outcome = outcome, .message = "from the other" };
         }
@@ -41,6 +42,8 @@
     CPPUNIT_TEST(requestsArePassedOnOnlyWhereItHelps);
     CPPUNIT_TEST(anUnknownOutcomeStaysUnknown);
     CPPUNIT_TEST(aPeerWithAnOlderConfigurationIsNotBelieved);
+    CPPUNIT_TEST(whatAPeerAcceptedByAnOlderConfigurationIsAccepted);
+    CPPUNIT_TEST(aRejectionOfWhatWasSentTwiceLeavesTheOutcomeUnknown);
     CPPUNIT_TEST(aPeerThatIsGoneIsAvoided);
     CPPUNIT_TEST(anAnswerThatNeverComesMayHaveStoredIt);
     CPPUNIT_TEST(thePlannerBeforeIsAskedNext);
@@ -100,6 +103,30 @@
         CPPUNIT_ASSERT(this->pass(Outcome::Accepted, own).outcome == Outcome::NotNow);
     }
 
+    // A job that the other instance had stored was rejected, and ran.
+    void whatAPeerAcceptedByAnOlderConfigurationIsAccepted()
+    {
+        for (const Outcome outcome : { Outcome::NotNow, Outcome::UnknownKey, Outcome::NoSuchQueue }) {
+            CallerAnswer own = wanting(outcome);
+            own.configurationVersion = 8;
+            CPPUNIT_ASSERT(this->pass(Outcome::Accepted, own).outcome == Outcome::Accepted);
+            CPPUNIT_ASSERT(this->pass(Outcome::Cancelled, own).outcome == Outcome::Cancelled);
+            CPPUNIT_ASSERT(this->pass(Outcome::Unknown, own).outcome == Outcome::Unknown);
+        }
+    }
+
+    // A job that the other instance stored at the first transmission was rejected, and ran.
+    void aRejectionOfWhatWasSentTwiceLeavesTheOutcomeUnknown()
+    {
+        const std::string rejection(nameOf(Outcome::NotNow));
+        const http::testing::DroppingPeer peer({ { 200, std::string(nameOf(Outcome::Accepted)) }, { 200, rejection } });
+        this->relay->planned(peer.address());
+        CallerRequest request { .kind = RequestKind::Submit, .path = "/any" };
+        CPPUNIT_ASSERT(this->pass(request, wanting(Outcome::NotNow)).outcome == Outcome::Accepted);
+        CPPUNIT_ASSERT(this->pass(request, wanting(Outcome::NotNow)).outcome == Outcome::Unknown);
+        CPPUNIT_ASSERT_EQUAL(3, peer.requests());
+    }
+
     // The planner's machine is gone as well. Offering it each request would cost every
     // caller a connection attempt before the refusal that it gets anyway.
     void aPeerThatIsGoneIsAvoided()
