Take a rejection for the last transmission's only

Callers were told that their job was not accepted and never runs, and it ran.

libcurl sends a request again by itself when a kept connection breaks before any byte of an answer. The peer may have acted on the first transmission; the store's 503 to the second one says that this one did nothing, and was taken for the outcome of the call. The same for starts at workers (a task could run twice) and for requests that are passed on to another instance.

Reply tells how often its request was sent. A call with a body is repeated only where its sender says so, which a new call does not by default. A repeat that succeeds still succeeds, so callers lose nothing where a kept connection was merely old.

--- a/src/ctl/entry_client.cc
+++ b/src/ctl/entry_client.cc
@@ -85,9 +85,10 @@
         call.headers.emplace_back("Authorization", "Bearer " + this->token);
     call.headers.emplace_back("Content-Type", "application/json");
     call.timeout = this->timeout;
+    call.resend = true;
     const http::Reply raw = this->client.send(call);
     EntryReply reply;
-    reply.mayHaveActed = raw.sent == http::Sent::Perhaps;
+    reply.mayHaveActed = raw.sent == http::Sent::Perhaps || raw.isRepeat();
     if (raw.error) {
         reply.error = *raw.error;
         return reply;
--- a/src/http/async_client.h
+++ b/src/http/async_client.h
@@ -11,8 +11,7 @@
 // exactly one handler call, soon after its timeout at the latest, unless abandon()
 // drops it. An answer that has arrived is never taken for a timeout, however late
 // run() comes to read it. A reused connection that turns out dead is replaced and the request
-// sent again by libcurl, unless its `resend` is false: so only requests that are
-// idempotent, or that may not be sent again, go through here.
+// sent again by libcurl if it has no body or its `resend` is true; Reply::isRepeat() tells.
 // Only wake() may be called from another thread.
 
 #include "base/clock.h"
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -40,7 +40,9 @@
     std::chrono::milliseconds connectTimeout { 500 };
     std::size_t replyLimit { 4 << 20 }; // Bytes; a longer answer is an error.
     bool once { false }; // Never sent twice, whatever happens.
-    bool resend { true }; // May be sent again when a kept connection turns out dead.
+    // May be sent again when a kept connection turns out dead; what has no body always may.
+    // Only where the reader of the reply heeds Reply::isRepeat().
+    bool resend { false };
     // The timeout counts from the last byte that came, for answers that a narrow link takes
     // long to carry; heeded by AsyncClient only.
     bool timeoutWhileSilent { false };
@@ -61,6 +63,9 @@
     std::map<std::string, std::string> headers; // Names in lower case.
     std::optional<Error> error; // Set unless sent is Answered.
 
+    // An earlier transmission may have been acted on: a rejection speaks for the last one only.
+    bool isRepeat() const { return this->transmissions > 1; }
+
     bool ok() const { return !this->error && this->status >= 200 && this->status < 300; }
 };
 
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -17,7 +17,7 @@
 
     // What this instance did or may have done stays true whatever the other says.
     // The other may be cut off as well and go by a text that is older than the one here.
-    CallerAnswer reconcile(const CallerAnswer& own, const CallerAnswer& other)
+    CallerAnswer reconcile(const CallerAnswer& own, const CallerAnswer& other, bool sentTwice)
     {
         if (other.configurationVersion < own.configurationVersion)
             return own;
@@ -26,6 +26,9 @@
         const bool otherServed = other.outcome == Outcome::Accepted || other.outcome == Outcome::Cancelled || other.outcome == Outcome::State;
         if (own.outcome == Outcome::Unknown)
             return otherServed ? other : own;
+        // A rejection tells nothing of the transmission before it.
+        if (sentTwice && !otherServed)
+            return { .outcome = Outcome::Unknown, .message = other.message, .configurationVersion = other.configurationVersion };
         const bool otherKnowsNothing = other.outcome == Outcome::NotNow || other.outcome == Outcome::Unknown;
         return otherKnowsNothing && own.outcome != Outcome::NotNow ? own : other;
     }
@@ -62,13 +65,14 @@
     call.purpose = "callers_relayed";
     call.timeout = std::chrono::milliseconds(passed.patience);
     call.connectTimeout = connectTimeout;
+    call.resend = true;
     const RequestKind kind = request.kind;
     const std::string job = request.path.substr(request.path.rfind('/') + 1);
     this->client.send(std::move(call), [this, peer, kind, job, own, handler = std::move(handler)](const http::Reply& reply) {
         const std::optional<CallerAnswer> other = reply.error ? std::nullopt : this->protocol.parseAnswer(kind, reply);
         if (other) {
             this->peers.answered(peer);
-            const CallerAnswer answer = reconcile(own, *other);
+            const CallerAnswer answer = reconcile(own, *other, reply.isRepeat() && kind != RequestKind::State);
             if (kind != RequestKind::State)
                 logEvent(events::passedOn, { { "job", job }, { "peer", peer }, { "own", nameOf(own.outcome) }, { "own_configuration", own.configurationVersion }, { "other", nameOf(other->outcome) }, { "other_configuration", other->configurationVersion }, { "transmissions", reply.transmissions }, { "told", nameOf(answer.outcome) } });
             return handler(answer);
--- a/src/instance/store_protocol.h
+++ b/src/instance/store_protocol.h
@@ -47,7 +47,7 @@
 
 enum class AppendStatus {
     Appended,
-    Elsewhere, // The log ends elsewhere.
+    Elsewhere, // The log ends elsewhere; a lost answer to this very append may be why.
     Fenced, // A later epoch has begun.
     WrongNumber, // Of the producer; `expected` tells the right one.
     NotDone,
--- a/src/platform/worker.cc
+++ b/src/platform/worker.cc
@@ -185,6 +185,7 @@
     call.path = "/v1/exchange";
     call.body = platform::toJson(exchange).dump(-1, ' ', false, Json::error_handler_t::replace);
     call.timeout = timeout;
+    call.resend = true;
     BOOST_LEAF_AUTO(json, detail::jsonReply(client.send(call), "worker.exchange", address));
     return parseReport(json, address);
 }
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -269,8 +269,7 @@
     Unit* unit = placedRun.stray ? nullptr : this->find(placedRun.unit);
     this->pacer.changed();
     // What an earlier try may still bring about is not undone by the answer to a later one.
-    const bool settles = answer == StartAnswer::Started || answer == StartAnswer::OtherIncarnation || answer == StartAnswer::Old;
-    if (placedRun.startLost && !settles)
+    if (placedRun.startLost && !settlesEarlierTries(answer))
         answer = StartAnswer::NoAnswer;
     const bool maySendAgain = unit && !unit->stopping && placedRun.startsSent < mostStarts && isWithinCapacity(*worker);
     switch (answer) {
--- a/src/tasks/worker.cc
+++ b/src/tasks/worker.cc
@@ -16,6 +16,8 @@
     return names.at(static_cast<std::size_t>(fault));
 }
 
+bool settlesEarlierTries(StartAnswer answer) { return answer == StartAnswer::Started || answer == StartAnswer::OtherIncarnation || answer == StartAnswer::Old; }
+
 std::string_view nameOf(StartAnswer answer)
 {
     constexpr std::array<std::string_view, 11> names { "started", "no_answer", "not_sent", "no_room", "old", "late", "unwell",
--- a/src/tasks/worker.h
+++ b/src/tasks/worker.h
@@ -78,6 +78,9 @@
     Deposed,
 };
 
+// Whether the answer to one try tells what became of all tries before it as well.
+bool settlesEarlierTries(StartAnswer);
+
 std::string_view nameOf(WorkerFault);
 std::string_view nameOf(StartAnswer);
 
--- a/testing/standins/standin.cc
+++ b/testing/standins/standin.cc
@@ -139,7 +139,7 @@
     if (list.empty())
         return true;
     http::Client client;
-    const http::Call call { .method = "PUT", .address = list, .path = "/v1/instances/" + instance.id, .body = platform::toJson(instance).dump() };
+    const http::Call call { .method = "PUT", .address = list, .path = "/v1/instances/" + instance.id, .body = platform::toJson(instance).dump(), .resend = true };
     for (int i = 0; i < registrationTries; ++i) {
         if (client.send(call).ok())
             return true;
