Tell what another instance did, whatever the versions of the two

Callers were told that their job was not accepted, or that its queue or key is unknown, and it ran: an instance without the store passed the request on, the other one stored the job, and this one dropped that answer for the older configuration behind it. Two more ways to the same end: the other's "unknown" gave way to a denial of this instance, and, with an older version, to its rejection.

A version tells which of two may know better about queues and keys. It says nothing against what was done. reconcile() now asks first what either instance did or may have done, and goes by versions only for what neither did.

--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -15,22 +15,23 @@
     constexpr Millis shortest = 100; // With less left, a caller hears sooner by coming back.
     constexpr std::chrono::milliseconds connectTimeout { 250 }; // Ten times the way there and back between distant failure domains.
 
-    // What this instance did or may have done stays true whatever the other says.
-    // The other may be cut off as well and go by a text that is older than the one here.
+    bool wasDone(const CallerAnswer& answer) { return answer.outcome == Outcome::Accepted || answer.outcome == Outcome::Cancelled; }
+
+    // What either instance did, or may have done, stays true whatever else the two say.
+    // Only of what neither did may one of them know better.
     CallerAnswer reconcile(const CallerAnswer& own, const CallerAnswer& other, bool sentTwice)
     {
-        if (other.configurationVersion < own.configurationVersion)
-            return own;
-        // An append of this instance may still be carried out: whatever the other turns
-        // the request away for, a key that was withdrawn meanwhile too, the job may run.
-        const bool otherServed = other.outcome == Outcome::Accepted || other.outcome == Outcome::Cancelled || other.outcome == Outcome::State;
+        if (wasDone(other))
+            return other;
         if (own.outcome == Outcome::Unknown)
-            return otherServed ? other : own;
+            return other.outcome == Outcome::State && other.configurationVersion >= own.configurationVersion ? other : own;
         // A rejection tells nothing of the transmission before it.
-        if (sentTwice && !otherServed)
+        if (other.outcome == Outcome::Unknown || sentTwice)
             return { .outcome = Outcome::Unknown, .message = other.message, .configurationVersion = other.configurationVersion };
-        const bool otherKnowsNothing = other.outcome == Outcome::NotNow || other.outcome == Outcome::Unknown;
-        return otherKnowsNothing && own.outcome != Outcome::NotNow ? own : other;
+        // The other may be cut off as well and go by a text that is older than the one here.
+        if (other.configurationVersion < own.configurationVersion)
+            return own;
+        return other.outcome == Outcome::NotNow && own.outcome != Outcome::NotNow ? own : other;
     }
 
 } // namespace
