Let a stop end each connection between two requests

What callers saw: at a planned stop a request could end without an answer, though the instance had read it whole.

Cause: Server::stop() waited for a moment without requests in progress, and then had the daemon close all connections. Callers with open connections went on sending. If they left no such moment, the requests in progress at the limit were cut; if there was one, a request could be read between it and the closing of its connection.

Change: the server knows its connections and how far the request of each has got. A stop ends the reading of idle connections at once, and of the others with their request: what has arrived is answered, and nothing that arrives later is read. The daemon closes what is left when no connection is open any more, or at the limit. stop() tells how many requests were in progress, and how many were read whole and not answered at the limit. drain() has each answer end its connection.

--- /dev/null
+++ b/src/http/open_connections.cc
@@ -0,0 +1,70 @@
+#include "http/open_connections.h"
+
+#include <algorithm>
+#include <chrono>
+#include <sys/socket.h>
+
+namespace rattan::http {
+
+OpenConnection& OpenConnections::opened(int socket)
+{
+    const std::lock_guard lock(this->mutex);
+    if (this->ending)
+        shutdown(socket, SHUT_RD);
+    return this->connections.emplace_back(OpenConnection { socket });
+}
+
+void OpenConnections::began(OpenConnection& connection)
+{
+    const std::lock_guard lock(this->mutex);
+    connection.stage = RequestStage::Reading;
+}
+
+void OpenConnections::tookOver(OpenConnection& connection)
+{
+    const std::lock_guard lock(this->mutex);
+    connection.stage = RequestStage::Answering;
+}
+
+void OpenConnections::finished(OpenConnection& connection)
+{
+    const std::lock_guard lock(this->mutex);
+    connection.stage = RequestStage::None;
+    if (this->ending)
+        shutdown(connection.socket, SHUT_RD);
+}
+
+void OpenConnections::closing(OpenConnection& connection)
+{
+    const std::lock_guard lock(this->mutex);
+    this->connections.remove_if([&](const OpenConnection& other) { return &other == &connection; });
+    this->changed.notify_all();
+}
+
+void OpenConnections::end()
+{
+    const std::lock_guard lock(this->mutex);
+    this->ending = true;
+    for (const OpenConnection& connection : this->connections) {
+        if (connection.stage == RequestStage::None)
+            shutdown(connection.socket, SHUT_RD);
+    }
+}
+
+bool OpenConnections::waitUntilNone(Millis limit)
+{
+    std::unique_lock lock(this->mutex);
+    return this->changed.wait_for(lock, std::chrono::milliseconds(limit), [this] { return this->connections.empty(); });
+}
+
+std::int64_t OpenConnections::inProgress() const { return this->count(RequestStage::Reading); }
+
+std::int64_t OpenConnections::answering() const { return this->count(RequestStage::Answering); }
+
+std::int64_t OpenConnections::count(RequestStage least) const
+{
+    const std::lock_guard lock(this->mutex);
+    return std::count_if(this->connections.begin(), this->connections.end(), [&](const OpenConnection& connection) { return connection.stage >= least; });
+}
+
+} // namespace rattan::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -5,11 +5,13 @@
 
 #include "http/server.h"
 
+#include "http/open_connections.h"
+
 #include <arpa/inet.h>
 #include <array>
 #include <fmt/format.h>
+#include <optional>
 #include <sys/socket.h>
-#include <thread>
 #include <ulfius.h>
 #include <unistd.h>
 
@@ -19,12 +21,13 @@
 
     constexpr std::size_t threadStackBytes = 512 * 1024;
     constexpr int portTries = 8;
-    constexpr int checksPerSecond = 200;
+    constexpr Millis millisPerSecond = 1000;
 
     struct Endpoint {
         const Server* server;
         std::string pattern;
         std::int64_t bodyLimit;
+        OpenConnections* connections;
     };
 
     std::string lowerCase(std::string text)
@@ -78,38 +81,58 @@
             u_map_put(to->map_header, name.c_str(), value.c_str());
     }
 
+    // ulfius does not hand the connection on; one thread serves one connection.
+    thread_local OpenConnection* servedHere = nullptr;
+
     int onRequest(const _u_request* from, _u_response* to, void* data)
     {
         const auto* endpoint = static_cast<const Endpoint*>(data);
+        endpoint->connections->tookOver(*servedHere);
         const Request request = readRequest(from);
         if (static_cast<std::int64_t>(request.body.size()) > endpoint->bodyLimit) {
             writeAnswer(errorAnswer({ ErrorCode::TooLarge, "http.body", request.peer,
                             fmt::format("the body is over {} bytes", endpoint->bodyLimit), {} }),
                 to);
-            return U_CALLBACK_COMPLETE;
-        }
-        try {
-            writeAnswer(endpoint->server->handle(endpoint->pattern, request), to);
-        } catch (const std::exception& problem) {
-            writeAnswer(errorAnswer({ ErrorCode::Internal, "http.handler", request.peer, problem.what(), {} }), to);
+        } else {
+            try {
+                writeAnswer(endpoint->server->handle(endpoint->pattern, request), to);
+            } catch (const std::exception& problem) {
+                writeAnswer(errorAnswer({ ErrorCode::Internal, "http.handler", request.peer, problem.what(), {} }), to);
+            }
         }
+        if (endpoint->server->isDraining())
+            u_map_put(to->map_header, "Connection", "close");
         return U_CALLBACK_COMPLETE;
     }
 
+    OpenConnections& connectionsOf(void* data) { return *static_cast<OpenConnections*>(data); }
+
+    OpenConnection& connectionOf(MHD_Connection* connection)
+    {
+        return *static_cast<OpenConnection*>(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context);
+    }
+
+    void onConnection(void* data, MHD_Connection* connection, void** context, MHD_ConnectionNotificationCode code)
+    {
+        if (code == MHD_CONNECTION_NOTIFY_STARTED)
+            *context = &connectionsOf(data).opened(MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+        else
+            connectionsOf(data).closing(*static_cast<OpenConnection*>(*context));
+    }
+
     // libmicrohttpd pairs these two: the first when a request line is read, the
     // second when the answer is written or the connection is gone.
-    std::atomic<std::int64_t>& inProgress(void* data) { return *static_cast<std::atomic<std::int64_t>*>(data); }
-
-    void* onRequestBegun(void* data, const char* uri, MHD_Connection*)
+    void* onRequestBegun(void* data, const char* uri, MHD_Connection* connection)
     {
-        ++inProgress(data);
+        servedHere = &connectionOf(connection);
+        connectionsOf(data).began(*servedHere);
         return ulfius_uri_logger(nullptr, uri);
     }
 
     void onRequestEnded(void* data, MHD_Connection* connection, void** state, MHD_RequestTerminationCode code)
     {
         mhd_request_completed(nullptr, connection, state, code);
-        --inProgress(data);
+        connectionsOf(data).finished(connectionOf(connection));
     }
 
     // A port that was free a moment ago; start() tries again if somebody was faster.
@@ -133,7 +156,7 @@
     _u_instance instance {};
     std::vector<std::unique_ptr<Endpoint>> endpoints;
     bool running { false };
-    std::atomic<std::int64_t> inProgress { 0 };
+    std::optional<OpenConnections> connections; // Since the last start.
 };
 
 Server::Server(ServerOptions options)
@@ -160,6 +183,8 @@
     if (colon == std::string::npos || inet_pton(AF_INET, host.c_str(), &bindTo.sin_addr) != 1)
         return fail(ErrorCode::BadInput, "http.start", this->options.address, "an IPv4 number and port are expected");
     const auto wanted = static_cast<std::uint16_t>(std::stoi(this->options.address.substr(colon + 1)));
+    this->native->connections.emplace();
+    this->draining = false;
     for (int attempt = 0; attempt < portTries; ++attempt) {
         const std::uint16_t port = wanted != 0 ? wanted : freePort(bindTo);
         bindTo.sin_port = htons(port);
@@ -170,15 +195,16 @@
         this->native->instance.check_utf8 = 0;
         this->native->endpoints.clear();
         for (const auto& [pattern, methods] : this->routes) {
-            this->native->endpoints.push_back(std::make_unique<Endpoint>(Endpoint { this, pattern, this->options.bodyLimit }));
+            this->native->endpoints.push_back(std::make_unique<Endpoint>(Endpoint { this, pattern, this->options.bodyLimit, &*this->native->connections }));
             ulfius_add_endpoint_by_val(&this->native->instance, "*", nullptr, pattern.c_str(), 0, &onRequest, this->native->endpoints.back().get());
         }
-        this->native->endpoints.push_back(std::make_unique<Endpoint>(Endpoint { this, "", this->options.bodyLimit }));
+        this->native->endpoints.push_back(std::make_unique<Endpoint>(Endpoint { this, "", this->options.bodyLimit, &*this->native->connections }));
         ulfius_set_default_endpoint(&this->native->instance, &onRequest, this->native->endpoints.back().get());
         MHD_OptionItem items[] = {
-            { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&onRequestEnded), &this->native->inProgress },
+            { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&onRequestEnded), &*this->native->connections },
+            { MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&onConnection), &*this->native->connections },
             { MHD_OPTION_SOCK_ADDR, 0, &bindTo },
-            { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&onRequestBegun), &this->native->inProgress },
+            { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&onRequestBegun), &*this->native->connections },
             { MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(this->options.connectionLimit), nullptr },
             { MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(this->options.idleSeconds), nullptr },
             { MHD_OPTION_THREAD_STACK_SIZE, static_cast<intptr_t>(threadStackBytes), nullptr },
@@ -197,21 +223,28 @@
     return fail(ErrorCode::Unavailable, "http.start", this->options.address, "the address cannot be listened on");
 }
 
-void Server::stop()
+StopReport Server::stop() { return this->stop(this->options.stopSeconds * millisPerSecond); }
+
+StopReport Server::stop(Millis limit)
 {
+    StopReport report;
     if (!this->native->running)
-        return;
+        return report;
     this->native->running = false;
-    // Stopping the daemon closes every connection, also one whose answer is just
-    // being written; the caller would see a cut answer at a planned stop. So the
-    // listening socket goes first and the requests in progress may end.
+    this->drain();
+    // Stopping the daemon closes every connection, also one whose request is just being
+    // read or answered. So the listening socket goes first, then each connection once it
+    // is idle, and the daemon closes only what is left at the limit.
     const MHD_socket listening = MHD_quiesce_daemon(this->native->instance.mhd_daemon);
     if (listening != MHD_INVALID_SOCKET)
         close(listening);
-    for (int i = 0; i<this->options.stopSeconds * checksPerSecond&& this->native->inProgress> 0; ++i)
-        std::this_thread::sleep_for(std::chrono::milliseconds(1000 / checksPerSecond));
+    report.inProgress = this->native->connections->inProgress();
+    this->native->connections->end();
+    if (!this->native->connections->waitUntilNone(limit))
+        report.cut = this->native->connections->answering();
     ulfius_stop_framework(&this->native->instance);
     ulfius_clean_instance(&this->native->instance);
+    return report;
 }
 
 Answer Server::handle(const std::string& pattern, const Request& request) const
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -5,24 +5,26 @@
 //     http::Server server({ .address = "127.0.0.1:8080", .bodyLimit = 65536 });
 //     server.route("GET", "/v1/jobs/:key", [&](const http::Request& request) { ... });
 //     if (auto error = attemptVoid([&] { return server.start(); })) ...
-//     server.stop();   // no new connections; waits for handlers in progress
+//     server.drain();  // callers are told to come back on another connection
+//     server.stop();   // no new connections; waits for requests in progress
 //
 // Handlers run on a thread per connection, at most connectionLimit of them, and
 // may block. An exception in a handler becomes a 500 and does not end the
 // process. A path without a route gives 404, a route without that method 405, a
 // body above the limit 413; each with the JSON error of http/answer.h.
+// A handler has to end within the time that a stop gives it: it is not interrupted,
+// and stop() returns after it.
 // Routes are added before start().
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "http/answer.h"
 
 #include <atomic>
-#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace rattan::http {
@@ -35,6 +37,11 @@
     std::int64_t stopSeconds { 10 }; // Longest wait of stop() for requests in progress.
 };
 
+struct StopReport {
+    std::int64_t inProgress { 0 }; // Requests of which something was read when the stop began.
+    std::int64_t cut { 0 }; // Requests that were read whole, and whose answer was not written by the limit.
+};
+
 using Handler = std::function<Answer(const Request&)>;
 
 class Server {
@@ -52,9 +59,15 @@
     // Unavailable when the address cannot be taken.
     Result<void> start();
 
-    // Takes no new connections, lets requests in progress be answered whole, then
-    // closes what is left; idempotent.
-    void stop();
+    // From now on each answer ends its connection.
+    void drain() { this->draining = true; }
+    bool isDraining() const { return this->draining; }
+
+    // Takes no new connections, lets each request that was read be answered whole and
+    // closes its connection; after the limit in milliseconds, what is left is closed
+    // too. Idempotent.
+    StopReport stop(Millis limit);
+    StopReport stop(); // Limited by stopSeconds.
 
     // The address in use, with the port that was chosen.
     const std::string& address() const { return this->options.address; }
@@ -68,6 +81,7 @@
     ServerOptions options;
     std::map<std::string, std::map<std::string, Handler>> routes; // pattern, method
     Handler otherwise;
+    std::atomic<bool> draining { false };
     std::unique_ptr<Native> native;
 };
 
--- /dev/null
+++ b/src/http/testing/raw_caller.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// A caller with one connection, on which nothing is ever sent a second time: each
+// request is answered, or its connection ends.
+
+#include <arpa/inet.h>
+#include <array>
+#include <cppunit/TestAssert.h>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace rattan::http::testing {
+
+class RawCaller {
+public:
+    explicit RawCaller(const std::string& address)
+        : socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in name {};
+        name.sin_family = AF_INET;
+        name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        name.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+        CPPUNIT_ASSERT_EQUAL(0, connect(this->socket, reinterpret_cast<sockaddr*>(&name), sizeof(name)));
+        constexpr timeval longest { 20, 0 };
+        setsockopt(this->socket, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
+    }
+    ~RawCaller() { close(this->socket); }
+    RawCaller(const RawCaller&) = delete;
+    RawCaller& operator=(const RawCaller&) = delete;
+
+    void send(const std::string& bytes) const { ::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+
+    void get(const std::string& path) const { this->send("GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n"); }
+
+    // No request comes after those sent by now.
+    void endSending() const { shutdown(this->socket, SHUT_WR); }
+
+    // Reads one whole answer; its status, or 0 if the connection ended before.
+    int readAnswer()
+    {
+        const std::string end = "\r\n\r\n";
+        std::array<char, 4096> buffer {};
+        for (;;) {
+            const std::size_t head = this->read.find(end);
+            if (head != std::string::npos && this->read.size() >= head + end.size() + lengthOf(this->read.substr(0, head))) {
+                const int status = std::stoi(this->read.substr(this->read.find(' ') + 1));
+                this->read.erase(0, head + end.size() + lengthOf(this->read.substr(0, head)));
+                return status;
+            }
+            const ssize_t got = recv(this->socket, buffer.data(), buffer.size(), 0);
+            if (got <= 0)
+                return 0;
+            this->read.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+    }
+
+private:
+    static std::size_t lengthOf(const std::string& head)
+    {
+        const std::string name = "Content-Length: ";
+        const std::size_t at = head.find(name);
+        return at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size()));
+    }
+
+    int socket;
+    std::string read;
+};
+
+} // namespace rattan::http::testing
