Answer every request in progress before a planned stop closes its connection

What callers saw: at a planned stop connections ended without an answer, though the instance had read the request and was working on it.

Cause: after the notice of 2.6 s the listener of callers gave requests in progress one second, while an answer may take 2.5 s and up to 1.5 s more when it is passed on to another instance. Then the connections were closed, and the control loop gave its answers to nobody. The end of the whole stop was not bounded by the grace either.

Change: planStop() divides the grace: until when new connections may come, by when every request is answered, and by when the answers are written. The control loop answers what waits at the second of these times: "unknown" where an append or another instance may have done it, "not now" where nothing was begun; what is asked later is rejected at once. instance.stopped tells how many requests were in progress at the end of the notice and how many were cut.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -90,6 +90,13 @@
     this->deliveries.stop();
 }
 
+void ControlLoop::drain(Millis lastAnswerAt)
+{
+    this->lastAnswerAt = lastAnswerAt;
+    this->draining = true;
+    this->client.wake();
+}
+
 void ControlLoop::apply(const InstanceSettings& fresh)
 {
     const std::lock_guard lock(this->freshMutex);
@@ -122,9 +129,7 @@
     this->commands.close();
     while (auto command = this->commands.pop())
         command->answer.set_value({ .outcome = Outcome::NotNow, .retryAfter = 1000, .message = "this instance stops" });
-    for (auto& [ticket, waiting] : this->asked)
-        waiting.answer.set_value({ .outcome = Outcome::Unknown, .message = "this instance stops" });
-    this->asked.clear();
+    this->answerAll({ .outcome = Outcome::Unknown, .message = "this instance stops" });
 }
 
 void ControlLoop::round()
@@ -141,9 +146,14 @@
     this->claimsReader.step(now);
     if (this->gateway.wantsRead() || (this->leadership && this->leadership->wantsRead()))
         this->jobsReader.probe();
+    this->gateway.answerEverythingBy(this->lastAnswerAt);
+    this->relay.answerEverythingBy(this->lastAnswerAt);
     this->gateway.step(now);
     this->appendRecords(now);
     this->answerCallers();
+    // Requests that another instance has not answered yet.
+    if (now >= this->lastAnswerAt)
+        this->answerAll({ .outcome = Outcome::Unknown, .message = "this instance stops" });
     this->watchPlanner(now);
     this->runElection(now);
     this->lead(now, wall);
@@ -224,6 +234,13 @@
     this->asked.erase(found);
 }
 
+void ControlLoop::answerAll(const CallerAnswer& answer)
+{
+    for (auto& [ticket, waiting] : this->asked)
+        waiting.answer.set_value(answer);
+    this->asked.clear();
+}
+
 void ControlLoop::appendRecords(Millis now)
 {
     if (this->appendUnderWay || now < this->nextAppendAt)
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -7,7 +7,7 @@
 //     ControlLoop loop(settings, protocols, clock, metrics);
 //     loop.start();
 //     CallerAnswer answer = loop.ask(request);      // from any thread; blocks
-//     loop.drain();                                 // hand the term over
+//     loop.drain(clock.now() + 5000);               // hand the term over, answer all by then
 //     loop.stop();
 //
 // Callers' threads reach it through a bounded ring; when that is full, a request
@@ -32,6 +32,7 @@
 
 #include <atomic>
 #include <future>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -57,8 +58,9 @@
     void start();
     void stop();
 
-    // Gives the term up, so that another instance follows at once.
-    void drain() { this->draining = true; }
+    // Gives the term up, so that another instance follows at once. Whatever is asked is
+    // answered by that time, also where the outcome is not known by then.
+    void drain(Millis lastAnswerAt);
 
     // Settings that were read again; taken by the loop's next round.
     void apply(const InstanceSettings&);
@@ -91,6 +93,7 @@
     void takeCommands(Millis now, Millis wall);
     void answerCallers();
     void answerCaller(const GatewayAnswer&);
+    void answerAll(const CallerAnswer&);
     void appendRecords(Millis now);
     void runElection(Millis now);
     bool readyToClaim(Millis now);
@@ -155,6 +158,7 @@
     std::thread thread;
     std::atomic<bool> stopping { false };
     std::atomic<bool> draining { false };
+    std::atomic<Millis> lastAnswerAt { std::numeric_limits<Millis>::max() };
     std::atomic<bool> isReady { false };
 };
 
--- a/src/instance/events.h
+++ b/src/instance/events.h
@@ -10,7 +10,7 @@
 
 inline constexpr Event started { 6000, "instance.started", Level::Info, "The program serves; its addresses." };
 inline constexpr Event stopping { 6001, "instance.stopping", Level::Info, "A signal to stop came; what is handed over." };
-inline constexpr Event stopped { 6002, "instance.stopped", Level::Info, "The program ends." };
+inline constexpr Event stopped { 6002, "instance.stopped", Level::Info, "The program ends; how many requests were in progress when it took no more connections, and how many of these were cut." };
 inline constexpr Event reloaded { 6003, "instance.reloaded", Level::Info, "The settings were read again." };
 inline constexpr Event reloadRefused { 6004, "instance.reload_refused", Level::Warning, "The settings on disk are wrong; the old ones stay." };
 inline constexpr Event startFailed { 6005, "instance.start_failed", Level::Error, "The program cannot serve and ends." };
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -271,7 +271,7 @@
 {
     for (auto next = this->questions.begin(); next != this->questions.end();) {
         const auto current = next++;
-        if (now < current->second.answerBy)
+        if (now < std::min(current->second.answerBy, this->lastAnswerAt))
             continue;
         const Question copy = current->second;
         const std::uint64_t ticket = current->first;
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -25,6 +25,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -76,6 +77,9 @@
     std::vector<StoreRecord> takeRecords(std::size_t mostRecords, std::size_t mostBytes);
     void appended(const std::vector<std::string>& keys, AppendStatus, Millis now);
 
+    // This instance stops: whatever is asked, before or after this call, is answered by then.
+    void answerEverythingBy(Millis at) { this->lastAnswerAt = at; }
+
     void step(Millis now);
     std::vector<GatewayAnswer> takeAnswers();
 
@@ -121,6 +125,7 @@
     std::shared_ptr<const tasks::Catalog> catalog;
     bool hasConfiguration { false };
     std::int64_t versionElsewhere { 0 };
+    Millis lastAnswerAt { std::numeric_limits<Millis>::max() };
     bool jobsLoaded { false };
     Millis configurationConfirmedAt { 0 };
     Millis jobsConfirmedAt { 0 };
--- a/src/instance/program.cc
+++ b/src/instance/program.cc
@@ -6,6 +6,7 @@
 #include "base/stop_signal.h"
 #include "http/server.h"
 #include "instance/events.h"
+#include "instance/stop_plan.h"
 
 #include <fmt/format.h>
 #include <thread>
@@ -22,11 +23,8 @@
     constexpr std::int64_t mostProbes = 16; // Connections of the balancer and of who reads metrics.
     constexpr std::int64_t callerIdleSeconds = 20; // Longer than the operators' configuration lets a caller be idle.
 
-    // From the signal to stop until no new connection comes: the balancer asks once
-    // a second and acts on the second miss.
-    constexpr Millis balancerNotices = 2600;
     constexpr Millis pollStep = 20;
-    constexpr Millis graceKept = 1200; // Left of the grace for ending.
+    constexpr Millis probesClosed = 100; // Their answers need no waiting.
 
     http::Answer readiness(const ControlLoop& loop)
     {
@@ -42,8 +40,8 @@
             : settings(std::move(settings))
             , protocols(protocols)
             , loop(this->settings, protocols, this->clock, this->metrics)
-            , callers({ .address = this->settings.callerAddress, .bodyLimit = mostBody, .connectionLimit = mostCallers, .idleSeconds = callerIdleSeconds, .stopSeconds = 1 })
-            , probes({ .address = this->settings.readyAddress, .connectionLimit = mostProbes, .idleSeconds = callerIdleSeconds, .stopSeconds = 1 })
+            , callers({ .address = this->settings.callerAddress, .bodyLimit = mostBody, .connectionLimit = mostCallers, .idleSeconds = callerIdleSeconds })
+            , probes({ .address = this->settings.readyAddress, .connectionLimit = mostProbes, .idleSeconds = callerIdleSeconds })
         {
             this->callers.fallback([this](const http::Request& request) { return this->serve(request); });
             this->probes.route("GET", "/readyz", [this](const http::Request&) { return readiness(this->loop); });
@@ -71,11 +69,7 @@
     private:
         http::Answer serve(const http::Request& request)
         {
-            const CallerRequest asked = this->protocols.callers.parseRequest(request);
-            http::Answer answer = this->protocols.callers.encode(this->loop.ask(asked));
-            if (this->draining)
-                answer.headers.emplace_back("Connection", "close"); // The next request of this caller goes elsewhere.
-            return answer;
+            return this->protocols.callers.encode(this->loop.ask(this->protocols.callers.parseRequest(request)));
         }
 
         void reload(const ReadSettings& read)
@@ -89,21 +83,22 @@
             logEvent(events::reloaded, { { "store", fresh.value->storeAddress } });
         }
 
-        // A planned stop: the balancer is told, the term is handed over, and callers
-        // are served until none comes any more.
+        // A planned stop: the balancer is told, the term is handed over, and callers are
+        // served until no new one comes; each answer ends its connection. Then what is in
+        // progress is answered.
         void drain()
         {
             logEvent(events::stopping, { { "grace_ms", this->settings.grace } });
-            this->draining = true;
-            this->loop.drain();
             const Millis begun = this->clock.now();
-            const Millis until = begun + std::min(balancerNotices, std::max<Millis>(this->settings.grace - graceKept, 0));
-            while (this->clock.now() < until)
-                std::this_thread::sleep_for(std::chrono::milliseconds(pollStep * 5));
-            this->callers.stop();
-            this->probes.stop();
+            const StopPlan plan = planStop(this->settings.grace);
+            this->callers.drain();
+            this->loop.drain(begun + plan.answeredAt);
+            while (this->clock.now() < begun + plan.noticedAt)
+                std::this_thread::sleep_for(std::chrono::milliseconds(pollStep));
+            const http::StopReport report = this->callers.stop(std::max<Millis>(begun + plan.closedAt - this->clock.now(), 0));
+            this->probes.stop(probesClosed);
             this->loop.stop();
-            logEvent(events::stopped, { { "took_ms", this->clock.now() - begun } });
+            logEvent(events::stopped, { { "took_ms", this->clock.now() - begun }, { "in_progress", report.inProgress }, { "cut", report.cut } });
         }
 
         InstanceSettings settings;
@@ -113,7 +108,6 @@
         ControlLoop loop;
         http::Server callers;
         http::Server probes;
-        std::atomic<bool> draining { false };
     };
 
 } // namespace
--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -47,7 +47,7 @@
 Millis Relay::timeLeft(const CallerRequest& request, Millis waited) const
 {
     const Millis patience = request.patience > 0 ? request.patience : usualPatience;
-    return std::min(patience - waited - kept, longest);
+    return std::min({ patience - waited - kept, longest, this->lastAnswerAt - this->clock.now() });
 }
 
 bool Relay::wants(const CallerRequest& request, const CallerAnswer& answer, Millis waited) const
--- a/src/instance/relay.h
+++ b/src/instance/relay.h
@@ -21,6 +21,7 @@
 #include "instance/relay_peers.h"
 
 #include <functional>
+#include <limits>
 #include <string>
 
 namespace rattan::instance {
@@ -34,6 +35,9 @@
     // The instance at this address holds the newest claim.
     void planned(const std::string& address) { this->peers.planned(address); }
 
+    // This instance stops: no answer is waited for after that.
+    void answerEverythingBy(Millis at) { this->lastAnswerAt = at; }
+
     // Whether another instance may know better than this answer, and there is time to
     // ask it; the caller has waited so long already.
     bool wants(const CallerRequest&, const CallerAnswer&, Millis waited) const;
@@ -48,6 +52,7 @@
     const CallerProtocol& protocol;
     const Clock& clock;
     RelayPeers peers;
+    Millis lastAnswerAt { std::numeric_limits<Millis>::max() };
 };
 
 } // namespace rattan::instance
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(theEndOfARunningJobIsAwaited);
     CPPUNIT_TEST(aJobThatGoesOnIsToldSoSoon);
     CPPUNIT_TEST(noEndIsAwaitedWithoutTheStore);
+    CPPUNIT_TEST(whateverIsAskedAroundAStopIsAnsweredBeforeIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,6 +284,28 @@
         this->expect(1, Outcome::State);
     }
 
+    // The connections close at a stop, and who waited on one of them would not know
+    // whether its job was accepted.
+    void whateverIsAskedAroundAStopIsAnsweredBeforeIt()
+    {
+        const std::string other = "0123456789abcdef";
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->answerEverythingBy(begin + 400);
+        this->ask(2, RequestKind::Submit, begin + 100, "/p/" + other);
+        this->gateway->step(begin + 399);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        this->gateway->step(begin + 400);
+        const auto answers = this->gateway->takeAnswers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, answers.size());
+        CPPUNIT_ASSERT(answers[0].answer.outcome == Outcome::Unknown); // Its append is under way.
+        CPPUNIT_ASSERT(answers[1].answer.outcome == Outcome::NotNow);
+        this->ask(3, RequestKind::State, begin + 450, "/p/" + other);
+        this->gateway->step(begin + 450);
+        this->expect(3, Outcome::NotNow);
+        CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
+    }
+
     void aVersionOfTheConfigurationNeverGoesBack()
     {
         this->gateway->configurationRead(this->text(3, "newer"));
--- a/src/instance/testing/relay_test.cc
+++ b/src/instance/testing/relay_test.cc
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(aPeerThatIsGoneIsAvoided);
     CPPUNIT_TEST(anAnswerThatNeverComesMayHaveStoredIt);
     CPPUNIT_TEST(thePlannerBeforeIsAskedNext);
+    CPPUNIT_TEST(nothingIsPassedOnThatAStopWouldCut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -169,6 +170,13 @@
         CPPUNIT_ASSERT(peers.choose(2100) == "second");
     }
 
+    // The other instance's answer would come after the connection of the caller closed.
+    void nothingIsPassedOnThatAStopWouldCut()
+    {
+        this->relay->answerEverythingBy(this->clock.now());
+        CPPUNIT_ASSERT(!this->relay->wants({}, wanting(Outcome::NotNow), 0));
+    }
+
 private:
     CallerAnswer pass(Outcome others, const CallerAnswer& own)
     {
