--- a/src/instance/relay.cc
+++ b/src/instance/relay.cc
@@ -1,6 +1,7 @@
 #include "instance/relay.h"
 
 #include "instance/events.h"
+#include "instance/relay_answer.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,25 +16,6 @@
     constexpr Millis shortest = 100; // With less left, a caller hears sooner by coming back.
     constexpr std::chrono::milliseconds connectTimeout { 250 }; // Ten times the way there and back between distant failure domains.
 
-    bool wasDone(const CallerAnswer& answer) { return answer.outcome == Outcome::Accepted || answer.outcome == Outcome::Cancelled; }
-
-    // What either instance did, or may have done, stays true whatever else the two say.
-    // Only of what neither did may one of them know better.
-    CallerAnswer reconcile(const CallerAnswer& own, const CallerAnswer& other, bool sentTwice)
-    {
-        if (wasDone(other))
-            return other;
-        if (own.outcome == Outcome::Unknown)
-            return other.outcome == Outcome::State && other.configurationVersion >= own.configurationVersion ? other : own;
-        // A rejection tells nothing of the transmission before it.
-        if (other.outcome == Outcome::Unknown || sentTwice)
-            return { .outcome = Outcome::Unknown, .message = other.message, .configurationVersion = other.configurationVersion };
-        // The other may be cut off as well and go by a text that is older than the one here.
-        if (other.configurationVersion < own.configurationVersion)
-            return own;
-        return other.outcome == Outcome::NotNow && own.outcome != Outcome::NotNow ? own : other;
-    }
-
 } // namespace
 
 Relay::Relay(http::AsyncClient& client, const CallerProtocol& protocol, const Clock& clock, std::string own)
@@ -71,18 +53,15 @@
     const std::string job = request.path.substr(request.path.rfind('/') + 1);
     this->client.send(std::move(call), [this, peer, kind, job, own, handler = std::move(handler)](const http::Reply& reply) {
         const std::optional<CallerAnswer> other = reply.error ? std::nullopt : this->protocol.parseAnswer(kind, reply);
+        const CallerAnswer answer = answerAfterRelay(kind, own, other, reply);
         if (other) {
             this->peers.answered(peer);
-            const CallerAnswer answer = reconcile(own, *other, reply.isRepeat() && kind != RequestKind::State);
             if (kind != RequestKind::State)
                 logEvent(events::passedOn, { { "job", job }, { "peer", peer }, { "own", nameOf(own.outcome) }, { "own_configuration", own.configurationVersion }, { "other", nameOf(other->outcome) }, { "other_configuration", other->configurationVersion }, { "transmissions", reply.transmissions }, { "told", nameOf(answer.outcome) } });
             return handler(answer);
         }
         this->peers.failed(peer, this->clock.now());
         logEvent(events::relayFailed, { { "job", job }, { "peer", peer }, { "status", reply.status }, { "transmissions", reply.transmissions }, { "why", reply.error ? reply.error->message : "an answer that cannot be read" } });
-        CallerAnswer answer = own;
-        if (reply.sent != http::Sent::Nothing && kind != RequestKind::State)
-            answer.outcome = Outcome::Unknown; // The other instance may have stored it.
         handler(answer);
     });
 }
