Reject no job for the configuration's sake while an append of it is under way

Callers were told "not now", which promises that the job never runs, by an instance that was about to store it: an attempt was under way, and a second one at the same instance came while a newer configuration was known elsewhere, or while the configuration had not been read for too long.

A rejection asks first whether an append of the job is under way or may come late. These two were given before the job's id had been taken from the path, so they asked for a record without an id, and found none. The id is known from the start now.

REFUSED needs every attempt to be rejected, and the first one here is not, so this alone can't be the cause of the reported cases.

noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive failed before the change (expected unknown, actual not_now).

--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -52,7 +52,7 @@
 
 void Gateway::ask(std::uint64_t ticket, const CallerRequest& request, Millis now, Millis wall)
 {
-    Question question { .request = request, .askedAt = now };
+    Question question { .request = request, .job = request.path.substr(request.path.rfind('/') + 1), .askedAt = now };
     const Millis patience = request.patience > 0 ? std::max<Millis>(request.patience - this->options.answerMargin, 0) : this->options.longestAnswer;
     question.answerBy = now + std::min(patience, this->options.longestAnswer);
     if (!this->hasConfiguration || !this->jobsLoaded)
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(aLostAnswerOfTheStoreIsNoRefusal);
     CPPUNIT_TEST(aRecordReadBackCountsAsDurable);
     CPPUNIT_TEST(noRefusalWhileAnEarlierTryMayStillArrive);
+    CPPUNIT_TEST(noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive);
     CPPUNIT_TEST(aStoreOutOfReachIsToldAtOnce);
     CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf);
     CPPUNIT_TEST(whatAnOldConfigurationLacksIsAskedForElsewhere);
@@ -130,6 +131,22 @@
         this->expect(3, Outcome::NotNow);
     }
 
+    // A job whose first try was under way was told "never runs" for a configuration that
+    // had yet to be read.
+    void noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->configurationUsedElsewhere(2);
+        this->ask(2, RequestKind::Submit, begin + 10);
+        this->expect(2, Outcome::Unknown);
+        this->gateway->configurationRead(this->text(2, "key"));
+        this->ask(3, RequestKind::Submit, begin + 4001);
+        this->expect(3, Outcome::Unknown);
+        this->ask(4, RequestKind::Submit, begin + 4001, "/p/0000000000000001"); // Never tried.
+        this->expect(4, Outcome::NotNow);
+    }
+
     void aStoreOutOfReachIsToldAtOnce()
     {
         this->ask(1, RequestKind::Submit, begin + 1500);
