Reject no attempt while another one waits for the same record

Two attempts to submit a job came to one instance at the same time, directly or passed on by another instance. The one with less patience, or one that came while the store was out of reach, was told "not now", which promises that the job never runs; the other one's record, which was waiting for its turn, was then stored.

The instance looked at appends that are under way, not at those that are about to begin. Now a record that somebody still waits for counts as well. Questions that end together are taken out first, so that the last ones of a record that was not stored are rejected as before.

noRejectionWhileAnotherTryWaitsForTheSameRecord failed before the change (expected unknown, actual not_now).

--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -186,22 +186,27 @@
         if (status == AppendStatus::Unknown)
             this->uncertain[key] = now;
     }
+    const auto isMeant = [&](const Question& question) { return question.awaits == Awaits::Record && std::find(keys.begin(), keys.end(), question.record) != keys.end(); };
+    for (const auto& [ticket, question] : this->take(isMeant)) {
+        if (status == AppendStatus::Appended)
+            this->answer(ticket, question, { .outcome = question.request.kind == RequestKind::Submit ? Outcome::Accepted : Outcome::Cancelled }, now);
+        else
+            this->refuse(ticket, question, "the store took no record", now);
+    }
+}
+
+// All of them at once: a rejection depends on who still waits.
+std::vector<std::pair<std::uint64_t, Gateway::Question>> Gateway::take(const std::function<bool(const Question&)>& isMeant)
+{
+    std::vector<std::pair<std::uint64_t, Question>> taken;
     for (auto next = this->questions.begin(); next != this->questions.end();) {
         const auto current = next++;
-        const Question& question = current->second;
-        if (question.awaits != Awaits::Record || std::find(keys.begin(), keys.end(), question.record) == keys.end())
+        if (!isMeant(current->second))
             continue;
-        const Question copy = question;
-        const std::uint64_t ticket = current->first;
-        if (status == AppendStatus::Appended) {
-            this->questions.erase(current);
-            const bool submit = copy.request.kind == RequestKind::Submit;
-            this->answer(ticket, copy, { .outcome = submit ? Outcome::Accepted : Outcome::Cancelled }, now);
-        } else {
-            this->questions.erase(current);
-            this->refuse(ticket, copy, "the store took no record", now);
-        }
+        taken.emplace_back(current->first, std::move(current->second));
+        this->questions.erase(current);
     }
+    return taken;
 }
 
 // Whether what is known of a job now answers a question about it.
@@ -269,18 +274,12 @@
 
 void Gateway::step(Millis now)
 {
-    for (auto next = this->questions.begin(); next != this->questions.end();) {
-        const auto current = next++;
-        if (now < current->second.answerBy)
-            continue;
-        const Question copy = current->second;
-        const std::uint64_t ticket = current->first;
-        this->questions.erase(current);
-        const JobEntry* entry = copy.awaits == Awaits::End ? this->jobs.find(copy.job) : nullptr;
+    for (const auto& [ticket, question] : this->take([&](const Question& row) { return now >= row.answerBy; })) {
+        const JobEntry* entry = question.awaits == Awaits::End ? this->jobs.find(question.job) : nullptr;
         if (entry)
-            this->answer(ticket, copy, { .outcome = Outcome::State, .state = entry->shown() }, now);
+            this->answer(ticket, question, { .outcome = Outcome::State, .state = entry->shown() }, now);
         else
-            this->refuse(ticket, copy, "no answer from the store in time", now);
+            this->refuse(ticket, question, "no answer from the store in time", now);
     }
     std::erase_if(this->uncertain, [&](const auto& row) { return now - row.second > appendsLate; });
     // A record whose questions have all been answered must not be appended later.
@@ -289,14 +288,21 @@
     });
 }
 
-// "Not now" says that nothing was done and nothing will be. While an append of
-// the job is under way, or may be carried out late, that could turn out false:
-// the caller is told that the outcome is not known, and asks again.
+// Its append is under way, may be carried out late, or waits for its turn.
+bool Gateway::mayBeStored(const std::string& record) const
+{
+    return this->underWay.contains(record) || this->uncertain.contains(record)
+        || std::any_of(this->questions.begin(), this->questions.end(), [&](const auto& row) { return row.second.record == record; });
+}
+
+// "Not now" says that nothing was done and nothing will be. While a record of
+// the job may be stored, that could turn out false: the caller is told that the
+// outcome is not known, and asks again.
 void Gateway::refuse(std::uint64_t ticket, const Question& question, std::string why, Millis now)
 {
-    const std::string job = tasks::keyText({ RecordKind::Job, question.job });
-    const bool perhaps = this->underWay.contains(question.record) || this->uncertain.contains(question.record)
-        || (question.request.kind == RequestKind::Submit && (this->underWay.contains(job) || this->uncertain.contains(job)));
+    const RequestKind kind = question.request.kind;
+    const bool perhaps = (kind == RequestKind::Submit && this->mayBeStored(tasks::keyText({ RecordKind::Job, question.job })))
+        || (kind == RequestKind::Cancel && this->mayBeStored(tasks::keyText({ RecordKind::Cancel, question.job })));
     this->answer(ticket, question, { .outcome = perhaps ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryElsewhere, .message = std::move(why), .wantsStore = true }, now);
 }
 
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -12,7 +12,7 @@
 //
 // Rules it keeps. A job is accepted once it is durable: its append was
 // acknowledged, or it was read back. A refusal that says "not run" is given only
-// where no append of the job is under way. That there is no such job is told only
+// where no append of the job is under way or about to begin. That there is no such job is told only
 // after the log was read up to the moment of the question. Keys are believed for
 // as long as the text was confirmed lately enough.
 //
@@ -25,9 +25,11 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rattan::instance {
@@ -113,6 +115,8 @@
     bool knowsEnough(const Question&, const tasks::JobEntry&) const;
     void answer(std::uint64_t ticket, const Question&, CallerAnswer, Millis now);
     void refuse(std::uint64_t ticket, const Question&, std::string why, Millis now);
+    std::vector<std::pair<std::uint64_t, Question>> take(const std::function<bool(const Question&)>&);
+    bool mayBeStored(const std::string& record) const;
     bool storeInReach(Millis now) const;
 
     const GatewayOptions options;
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(aRecordReadBackCountsAsDurable);
     CPPUNIT_TEST(noRefusalWhileAnEarlierTryMayStillArrive);
     CPPUNIT_TEST(noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive);
+    CPPUNIT_TEST(noRejectionWhileAnotherTryWaitsForTheSameRecord);
     CPPUNIT_TEST(aStoreOutOfReachIsToldAtOnce);
     CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf);
     CPPUNIT_TEST(whatAnOldConfigurationLacksIsAskedForElsewhere);
@@ -147,6 +148,23 @@
         this->expect(4, Outcome::NotNow);
     }
 
+    // Two tries came at the same time; one was told "never runs", the other one's record
+    // was stored.
+    void noRejectionWhileAnotherTryWaitsForTheSameRecord()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->ask(2, { .kind = RequestKind::Submit, .host = "h", .path = "/p/" + id, .key = "key", .patience = 400, .body = "job" }, begin, begin);
+        this->gateway->step(begin + 100);
+        this->expect(2, Outcome::Unknown);
+        this->ask(3, RequestKind::Submit, begin + 1500); // The store is out of reach by then.
+        this->expect(3, Outcome::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
+        this->ask(4, RequestKind::Submit, begin + 1);
+        this->gateway->appended({ jobKey }, AppendStatus::NotDone, begin + 1600);
+        for (const GatewayAnswer& answer : this->gateway->takeAnswers())
+            CPPUNIT_ASSERT(answer.answer.outcome == Outcome::NotNow); // Nobody waits any more.
+    }
+
     void aStoreOutOfReachIsToldAtOnce()
     {
         this->ask(1, RequestKind::Submit, begin + 1500);
