Keep an append of unknown outcome in mind until the log was read past it

An append without an answer was carried out, and the instance could not read the log for longer than 15 s, for which it remembered the append. The next attempt at this instance was told "not now", which promises that the job never runs, and the job was stored.

Such an append is forgotten only once the log was read up to 15 s after it: then the record has been read, or was never stored. The number of these is bounded: beyond it no further job is taken.

REFUSED needs every attempt to be rejected, and the first one here was told "unknown", so this alone can't be the cause of the reported cases.

noRejectionUntilALateAppendWouldHaveBeenRead failed before the change (expected unknown, actual not_now).

--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -18,8 +18,8 @@
     // retry there.
     constexpr Millis retryElsewhere = 1000;
 
-    // An append without an answer may be carried out for this long; after that it
-    // is either in the log or never will be.
+    // An append without an answer may be carried out for this long; what was appended by
+    // then has been read, or was never stored.
     constexpr Millis appendsLate = 15000;
 
 } // namespace
@@ -112,6 +112,8 @@
     question.record = tasks::keyText({ RecordKind::Job, question.job });
     if (!this->storeInReach(now))
         return this->refuse(ticket, question, "the store is out of reach", now);
+    if (this->uncertain.size() >= this->options.mostUncertain)
+        return this->refuse(ticket, question, "too many records have an unknown outcome", now);
     job.value->id = question.job;
     job.value->workspace = std::move(workspace);
     job.value->terms = queue.terms;
@@ -281,7 +283,7 @@
         else
             this->refuse(ticket, question, "no answer from the store in time", now);
     }
-    std::erase_if(this->uncertain, [&](const auto& row) { return now - row.second > appendsLate; });
+    std::erase_if(this->uncertain, [&](const auto& row) { return this->jobsConfirmedAt - row.second > appendsLate; });
     // A record whose questions have all been answered must not be appended later.
     std::erase_if(this->records, [&](const StoreRecord& record) {
         return std::none_of(this->questions.begin(), this->questions.end(), [&](const auto& row) { return row.second.record == record.key; });
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -17,7 +17,7 @@
 // as long as the text was confirmed lately enough.
 //
 // Bounded: at most `mostWaiting` questions wait at once; further ones are refused
-// at once. Each is answered within its caller's patience.
+// at once, and so are submissions while `mostUncertain` appends have no outcome. Each is answered within its caller's patience.
 
 #include "instance/caller_protocol.h"
 #include "instance/store_protocol.h"
@@ -36,6 +36,7 @@
 
 struct GatewayOptions {
     std::size_t mostWaiting { 2000 }; // Questions; about 5 KB each with their job.
+    std::size_t mostUncertain { 20000 }; // Appends without an answer; about 100 bytes each. Beyond, no job is taken.
     Millis longestAnswer { 2500 }; // Callers wait three seconds, and answers take time to arrive.
     Millis answerMargin { 300 }; // Kept of a caller's patience for the way back.
     Millis configurationTrusted { 4000 }; // Without a newer reading of the text no key is believed for longer.
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(noRefusalWhileAnEarlierTryMayStillArrive);
     CPPUNIT_TEST(noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive);
     CPPUNIT_TEST(noRejectionWhileAnotherTryWaitsForTheSameRecord);
+    CPPUNIT_TEST(noRejectionUntilALateAppendWouldHaveBeenRead);
     CPPUNIT_TEST(aStoreOutOfReachIsToldAtOnce);
     CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf);
     CPPUNIT_TEST(whatAnOldConfigurationLacksIsAskedForElsewhere);
@@ -52,6 +53,7 @@
     CPPUNIT_TEST(strangeRequestsAreTurnedAway);
     CPPUNIT_TEST(waitingRequestsAreBounded);
     CPPUNIT_TEST(appendsAreBounded);
+    CPPUNIT_TEST(appendsOfUnknownOutcomeAreBounded);
     CPPUNIT_TEST(aVersionOfTheConfigurationNeverGoesBack);
     CPPUNIT_TEST(nothingIsDecidedByAnOlderConfigurationThanAnotherInstanceUsed);
     CPPUNIT_TEST(theEndOfARunningJobIsAwaited);
@@ -64,7 +66,7 @@
     {
         this->table = JobTable();
         this->offset = 0;
-        this->gateway.emplace(GatewayOptions { .mostWaiting = 3 }, this->protocol, this->table);
+        this->gateway.emplace(GatewayOptions { .mostWaiting = 3, .mostUncertain = 2 }, this->protocol, this->table);
         this->gateway->configurationRead(this->text(1, "key"));
         this->hear(begin);
     }
@@ -165,6 +167,23 @@
             CPPUNIT_ASSERT(answer.answer.outcome == Outcome::NotNow); // Nobody waits any more.
     }
 
+    // An append without an answer was carried out, and the log could not be read until the
+    // append was forgotten: the next try was told that the stored job never runs.
+    void noRejectionUntilALateAppendWouldHaveBeenRead()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->appended({ jobKey }, AppendStatus::Unknown, begin + 700);
+        this->expect(1, Outcome::Unknown);
+        this->gateway->step(begin + 20000);
+        this->ask(2, RequestKind::Submit, begin + 20000);
+        this->expect(2, Outcome::Unknown);
+        this->hear(begin + 20010);
+        this->gateway->step(begin + 20020);
+        this->ask(3, RequestKind::Submit, begin + 30000);
+        this->expect(3, Outcome::NotNow);
+    }
+
     void aStoreOutOfReachIsToldAtOnce()
     {
         this->ask(1, RequestKind::Submit, begin + 1500);
@@ -269,6 +288,20 @@
         CPPUNIT_ASSERT(this->gateway->takeRecords(2, 1).empty());
     }
 
+    void appendsOfUnknownOutcomeAreBounded()
+    {
+        for (int i = 0; i < 3; ++i) {
+            this->ask(1, RequestKind::Submit, begin, fmt::format("/p/000000000000000{}", i));
+            const auto records = this->gateway->takeRecords(1, 1);
+            if (i == 2) {
+                CPPUNIT_ASSERT(records.empty());
+                return this->expect(1, Outcome::NotNow);
+            }
+            this->gateway->appended({ records.at(0).key }, AppendStatus::Unknown, begin);
+            this->expect(1, Outcome::Unknown);
+        }
+    }
+
     // The instance is cut off, and another one that has heard of a new version of the
     // text has just answered for it. From its own, older text it would tell the next
     // caller that there is no such queue.
