--- a/src/http/client.h
+++ b/src/http/client.h
@@ -58,6 +58,7 @@
 struct Reply {
     Sent sent { Sent::Nothing };
     int transmissions { 0 }; // How often the request was sent, the repeats by libcurl included.
+    std::chrono::milliseconds repeatedAfter { 0 }; // From the first transmission to the last.
     int status { 0 };
     std::string body;
     std::map<std::string, std::string> headers; // Names in lower case.
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -66,13 +66,21 @@
     // Whether a block of headers is the first one of a transmission; long headers take several.
     bool beginsRequest(const Call& call, std::string_view block) { return block.starts_with(fmt::format("{} {} HTTP/", call.method, call.path)); }
 
+    void countTransmission(Transfer& transfer)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (++transfer.reply.transmissions == 1)
+            transfer.firstSent = now;
+        transfer.reply.repeatedAfter = std::chrono::duration_cast<std::chrono::milliseconds>(now - transfer.firstSent);
+    }
+
     // libcurl reports each block of the request as it is handed to the socket, so
     // the first report means that from here on the peer may have acted.
     int onDebug(CURL*, curl_infotype type, char* data, std::size_t size, void* user)
     {
         auto* transfer = static_cast<Transfer*>(user);
         if (type == CURLINFO_HEADER_OUT && beginsRequest(transfer->call, { data, size }))
-            ++transfer->reply.transmissions;
+            countTransmission(*transfer);
         if (type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT) {
             transfer->wroteBytes = true;
             transfer->bytesSent += size;
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -14,6 +14,7 @@
     Reply reply;
     bool overLimit { false };
     bool wroteBytes { false };
+    std::chrono::steady_clock::time_point firstSent; // When the first transmission began.
     std::size_t bodySent { 0 }; // Bytes handed over, of a call that must not be sent again.
     std::uint64_t bytesSent { 0 }; // Headers and bodies, without what the network adds.
     std::uint64_t bytesReceived { 0 };
--- a/testing/relay/relay_hub.cc
+++ b/testing/relay/relay_hub.cc
@@ -84,6 +84,7 @@
         LinkRule rule;
         int listener { -1 };
         std::uint64_t carried { 0 };
+        bool resets { false }; // All its connections, at the next sweep.
     };
 
     struct Connection {
@@ -186,6 +187,8 @@
         Connection& connection = *watch.connection;
         const Millis now = this->clock.now();
         Link& link = this->links.at(connection.link);
+        if (link.resets)
+            return;
         if (ready.fd == watch.pump->source()) {
             const std::uint64_t before = watch.pump->bytesRead();
             connection.broken = !watch.pump->readSome(now, link.rule, this->random) || connection.broken;
@@ -198,7 +201,8 @@
     void sweep()
     {
         for (auto it = this->connections.begin(); it != this->connections.end();) {
-            const bool closed = this->links.at(it->link).rule.mode == LinkMode::Closed;
+            const Link& link = this->links.at(it->link);
+            const bool closed = link.resets || link.rule.mode == LinkMode::Closed;
             if (it->broken || closed || (it->up.finished() && it->down.finished()) || it->down.finished()) {
                 close(it->server);
                 if (closed)
@@ -210,6 +214,8 @@
                 ++it;
             }
         }
+        for (auto& [id, link] : this->links)
+            link.resets = false;
     }
 };
 
@@ -269,6 +275,13 @@
     this->state->links.at(id).options.target = target;
 }
 
+void RelayHub::resetConnections(LinkId id)
+{
+    const std::lock_guard lock(this->mutex);
+    this->state->links.at(id).resets = true;
+    this->wake();
+}
+
 void RelayHub::stop()
 {
     {
--- a/testing/relay/relay_hub.h
+++ b/testing/relay/relay_hub.h
@@ -61,6 +61,9 @@
     void setRule(LinkId, LinkRule);
     void setTarget(LinkId, const std::string& target);
 
+    // Breaks the connections that are open now, before any further byte passes; new ones are served.
+    void resetConnections(LinkId);
+
     // Bytes that the link has carried, both ways.
     std::uint64_t carried(LinkId) const;
 
--- a/testing/relay/testing/relay_hub_test.cc
+++ b/testing/relay/testing/relay_hub_test.cc
@@ -4,6 +4,7 @@
 #include "http/server.h"
 #include "relay/answer_framer.h"
 
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace rattan::testing {
@@ -14,6 +15,7 @@
     CPPUNIT_TEST(silentLinkLeavesTheCallerWaiting);
     CPPUNIT_TEST(closedLinkTellsAtOnce);
     CPPUNIT_TEST(delayCountsInBothDirections);
+    CPPUNIT_TEST(brokenConnectionsCarryNoAnswer);
     CPPUNIT_TEST(damagedAnswers);
     CPPUNIT_TEST(framesAnswersAcrossChunks);
     CPPUNIT_TEST_SUITE_END();
@@ -25,6 +27,11 @@
         this->server.route("GET", "/faulty/:fault", [](const http::Request& request) {
             return http::Answer { 200, "hello", "text/plain", { { answerFaultHeader, request.parameter("fault") } } };
         });
+        this->server.route("GET", "/broken", [this](const http::Request&) {
+            if (++this->broken == 1)
+                this->hub.resetConnections(this->link);
+            return http::Answer { 200, "hello", "text/plain", {} };
+        });
         CPPUNIT_ASSERT(!attemptVoid([&] { return this->server.start(); }));
         this->link = this->hub.open({ .target = this->server.address(), .answers = true });
     }
@@ -62,6 +69,21 @@
         CPPUNIT_ASSERT(clock.now() - before >= 40);
     }
 
+    // A request is carried out and its connection reset before the answer. The client sends
+    // it again on a kept connection, and tells when.
+    void brokenConnectionsCarryNoAnswer()
+    {
+        const http::Reply reply = this->get("/broken");
+        CPPUNIT_ASSERT(reply.sent == http::Sent::Perhaps && reply.error->code == ErrorCode::Interrupted);
+        CPPUNIT_ASSERT(this->get("/hello").ok());
+        this->broken = 0;
+        this->hub.setRule(this->link, { .delay = 20 });
+        const http::Reply repeated = this->get("/broken");
+        CPPUNIT_ASSERT(repeated.ok() && repeated.isRepeat());
+        CPPUNIT_ASSERT(repeated.repeatedAfter.count() >= 20);
+        CPPUNIT_ASSERT_EQUAL(2, this->broken.load());
+    }
+
     // An executor dies in the middle of its answer, or writes more than it said.
     // The caller must be able to see the first; the second must not become the
     // start of the next caller's answer.
@@ -96,6 +118,7 @@
     RelayHub hub;
     http::Client client;
     LinkId link { 0 };
+    std::atomic<int> broken { 0 };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayHubTest);
