Count a term from the first try of the renewal that is read

A planner could take itself for one beyond the end of its term, beside the next one; workers that the later one had not asked yet still took its orders.

Several tries of one renewal are the same record. When the answer to the first was lost and the record was read only while a second try was on its way, the term was counted from the second one, although others count from the first, which lies in the log.

A renewal that is read counts from the first try that may lie in the log. A try that surely had no effect does not count, which aTryThatHadNoEffectDoesNotShortenATerm holds; an answer still counts from the try that it is to.

--- a/src/tasks/election.cc
+++ b/src/tasks/election.cc
@@ -22,7 +22,8 @@
         return; // Read again after a reload.
     this->end = offset + 1;
     const bool own = claim.holder == this->options.holder;
-    const bool sent = this->underWay && own && claim.term == this->underWay->claim.term && claim.renewal == this->underWay->claim.renewal;
+    // Which of several tries lies there is not known: others may count from the first.
+    const bool sent = this->underWay && own && claim == this->underWay->claim && now < this->triedFrom + this->options.term;
     this->newest = claim;
     this->newestReadAt = now;
     this->suspectedAt = 0;
@@ -31,19 +32,19 @@
     this->holds = own;
     this->resigning = this->resigning && own;
     if (sent)
-        this->confirm(claim.term, now);
+        this->confirm(claim.term, this->triedFrom, now);
     if (own && !sent && this->confirmedTerm != claim.term)
         this->nextRenewal = now;
 }
 
 // A confirmation that comes when the term has run out is of no use: whoever asked
 // meanwhile was told that it is over.
-void Election::confirm(std::int64_t term, Millis now)
+void Election::confirm(std::int64_t term, Millis from, Millis now)
 {
     this->failedInTerm = 0;
     if (this->confirmedTerm == term && now >= this->leadsUntil)
         return;
-    this->leadsUntil = this->sentAt + this->options.term;
+    this->leadsUntil = from + this->options.term;
     this->confirmedTerm = term;
 }
 
@@ -76,6 +77,9 @@
 
 Election::Append Election::propose(Claim claim, Millis now)
 {
+    if (this->tried != claim)
+        this->triedFrom = now;
+    this->tried = claim;
     this->underWay = Append { std::move(claim), this->end };
     this->sentAt = now;
     this->nextRenewal = now + this->options.renewEvery;
@@ -103,6 +107,8 @@
         return;
     const Append done = *this->underWay;
     this->underWay.reset();
+    if (outcome == AppendOutcome::NotDone && this->triedFrom == this->sentAt)
+        this->tried.reset();
     if (outcome == AppendOutcome::Elsewhere) {
         // Somebody else's claim, or ours whose answer was lost, lies there unread.
         // Trying again before it is read would only fail again.
@@ -127,7 +133,7 @@
     this->holds = done.claim.holder == this->options.holder;
     this->resigning = this->resigning && this->holds;
     if (this->holds)
-        this->confirm(done.claim.term, now);
+        this->confirm(done.claim.term, this->sentAt, now);
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/election.h
+++ b/src/tasks/election.h
@@ -12,10 +12,10 @@
 //
 // Why two that wait never lead at once: a claim is appended only at the end of the log
 // that its writer has read, so each claim follows one that its writer knew. A
-// holder counts its term from before it sent its last acknowledged renewal, and
-// for `term`. Another waits `takeover`, which is longer, from when it read that
-// renewal, which was later. Times come from a clock that goes on while a machine
-// is suspended, so a holder that was frozen finds its term over.
+// holder counts its term from before it sent its last acknowledged renewal, or the first
+// try of one that it reads, and for `term`. Another waits `takeover`, which is longer,
+// from when it read that renewal, which was later. Times come from a clock that goes on
+// while a machine is suspended, so a holder that was frozen finds its term over.
 //
 // The number of a claim is the term that orders to workers carry: it rises with
 // each change of holder, and no two holders ever share one.
@@ -32,6 +32,8 @@
     std::int64_t term { 0 };
     std::string holder; // Instance and process; empty: given up, anybody may follow at once.
     std::int64_t renewal { 0 }; // Counts up within a term.
+
+    bool operator==(const Claim&) const = default;
 };
 
 struct ElectionOptions {
@@ -111,7 +113,7 @@
     bool mayClaim(Millis now) const;
     bool heldByPredecessor() const;
     bool lapsed(Millis now) const;
-    void confirm(std::int64_t term, Millis now);
+    void confirm(std::int64_t term, Millis from, Millis now);
     Append propose(Claim, Millis now);
 
     const ElectionOptions options;
@@ -128,6 +130,8 @@
     std::int64_t confirmedTerm { 0 }; // The last term in which this process led.
     std::optional<Append> underWay;
     Millis sentAt { 0 };
+    std::optional<Claim> tried; // The last one proposed, unless no try of it can lie in the log.
+    Millis triedFrom { 0 }; // When the first try of it was sent.
     Millis nextRenewal { 0 };
 };
 
--- a/src/tasks/testing/election_test.cc
+++ b/src/tasks/testing/election_test.cc
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(aTermThatRanOutIsNotTakenUpAgain);
     CPPUNIT_TEST(aLateConfirmationDoesNotReviveATerm);
     CPPUNIT_TEST(aClaimWhoseAnswerWasLostLeadsOnlyOnceRenewed);
+    CPPUNIT_TEST(aTermCountsFromTheFirstTryThatMayLieInTheLog);
+    CPPUNIT_TEST(aTryThatHadNoEffectDoesNotShortenATerm);
     CPPUNIT_TEST(aResignedTermIsFollowedAtOnce);
     CPPUNIT_TEST(whoGaveUpATermMayLeadAgain);
     CPPUNIT_TEST(whoRetiresNeverClaimsAgain);
@@ -189,6 +191,44 @@
         CPPUNIT_ASSERT(election.leads(begin + 6010));
     }
 
+    // The first try of a renewal lies in the log, its answer was lost, and it is read only
+    // while a second try is on its way. Others count from the first one: were the term to
+    // count from the second, two would plan at once, and a task could run twice.
+    void aTermCountsFromTheFirstTryThatMayLieInTheLog()
+    {
+        for (const AppendOutcome outcome : { AppendOutcome::Unknown, AppendOutcome::Elsewhere }) {
+            Election election = candidate("a");
+            election.caughtUp(0);
+            election.step(begin + 2400);
+            election.appended(AppendOutcome::Appended, begin + 2410);
+            const auto first = election.step(begin + 2900);
+            CPPUNIT_ASSERT(first);
+            election.appended(outcome, begin + 3400);
+            const auto second = election.step(begin + 3650);
+            CPPUNIT_ASSERT(second);
+            election.recordRead(first->claim, first->at, begin + 3660);
+            CPPUNIT_ASSERT(election.leads(begin + 2900 + 1999));
+            CPPUNIT_ASSERT(!election.leads(begin + 2900 + 2000));
+            election.appended(AppendOutcome::Elsewhere, begin + 3670);
+            CPPUNIT_ASSERT(!election.leads(begin + 2900 + 2000));
+        }
+    }
+
+    void aTryThatHadNoEffectDoesNotShortenATerm()
+    {
+        Election election = candidate("a");
+        election.caughtUp(0);
+        election.step(begin + 2400);
+        election.appended(AppendOutcome::Appended, begin + 2410);
+        CPPUNIT_ASSERT(election.step(begin + 2900));
+        election.appended(AppendOutcome::NotDone, begin + 2910);
+        const auto second = election.step(begin + 3400);
+        CPPUNIT_ASSERT(second);
+        election.recordRead(second->claim, second->at, begin + 3410);
+        CPPUNIT_ASSERT(election.leads(begin + 3400 + 1999));
+        CPPUNIT_ASSERT(!election.leads(begin + 3400 + 2000));
+    }
+
     void aResignedTermIsFollowedAtOnce()
     {
         Election first = candidate("a");
