Count the transmissions of a request whatever its path

A rejection of a repeat could still be taken for the outcome of the call.

The count went by the first line of the request, which libcurl writes in its own way: it resolves dots in a path and drops a fragment. Such a call counted no transmission at all, and its repeat was no repeat. Requests that are passed on carry the caller's path.

everyTransmissionIsCounted sends such paths over real sockets, with a body and without; it counted 0 for /a/./b. It also holds that what has no body is repeated though resend is false, as the comment on it says.

libcurl tells of each connection that it is about to send on; the first block out after that is a transmission.

--- a/src/http/testing/async_client_test.cc
+++ b/src/http/testing/async_client_test.cc
@@ -119,6 +119,7 @@
     CPPUNIT_TEST(nothingSentWhenNobodyListens);
     CPPUNIT_TEST(deadConnectionIsReplaced);
     CPPUNIT_TEST(whatMayNotBeSentAgainFails);
+    CPPUNIT_TEST(everyTransmissionIsCounted);
     CPPUNIT_TEST(abandonedCallsEndWithoutHandler);
     CPPUNIT_TEST(wakeEndsAWait);
     CPPUNIT_TEST(trafficIsCountedByPurpose);
@@ -313,6 +314,26 @@
         CPPUNIT_ASSERT_EQUAL(2, peer.requests());
     }
 
+    // A rejection of a repeat was taken for the outcome of the call, for libcurl had written
+    // the path in another way than its sender. What has no body is repeated unasked.
+    void everyTransmissionIsCounted()
+    {
+        for (const char* path : { "/", "/a/./b", "/a/../b", "/a?b=/./", "/a#b" }) {
+            for (const char* body : { "", "a look." }) {
+                const DroppingPeer peer({ { 200, "" }, { 503, "" } });
+                const Call call { .method = "POST", .address = peer.address(), .path = path, .body = body, .timeout = 2000ms, .resend = *body != '\0' };
+                const Reply first = this->call(call);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 1, first.transmissions);
+                CPPUNIT_ASSERT(!first.isRepeat());
+                const Reply second = this->call(call);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 2, second.transmissions);
+                CPPUNIT_ASSERT_EQUAL(503, second.status);
+                CPPUNIT_ASSERT(second.isRepeat());
+                CPPUNIT_ASSERT_EQUAL(3, peer.requests());
+            }
+        }
+    }
+
     // A planner that lost its term drops what it still waits for; an answer that
     // comes later must not reach what is gone.
     void abandonedCallsEndWithoutHandler()
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace rattan::http::detail {
 
@@ -63,17 +64,21 @@
         curl_easy_setopt(handle, CURLOPT_READDATA, &transfer);
     }
 
-    // Whether a block of headers is the first one of a transmission; long headers take several.
-    bool beginsRequest(const Call& call, std::string_view block) { return block.starts_with(fmt::format("{} {} HTTP/", call.method, call.path)); }
+    // Once for each connection that libcurl is about to send the request on.
+    int onConnection(void* user, char*, char*, int, int)
+    {
+        static_cast<Transfer*>(user)->atStart = true;
+        return CURL_PREREQFUNC_OK;
+    }
 
     // libcurl reports each block of the request as it is handed to the socket, so
     // the first report means that from here on the peer may have acted.
-    int onDebug(CURL*, curl_infotype type, char* data, std::size_t size, void* user)
+    int onDebug(CURL*, curl_infotype type, char*, std::size_t size, void* user)
     {
         auto* transfer = static_cast<Transfer*>(user);
-        if (type == CURLINFO_HEADER_OUT && beginsRequest(transfer->call, { data, size }))
-            ++transfer->reply.transmissions;
         if (type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT) {
+            if (std::exchange(transfer->atStart, false))
+                ++transfer->reply.transmissions;
             transfer->wroteBytes = true;
             transfer->bytesSent += size;
         }
@@ -130,6 +135,8 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &onConnection);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_VERBOSE, 1L);
     curl_easy_setopt(handle, CURLOPT_DEBUGFUNCTION, &onDebug);
     curl_easy_setopt(handle, CURLOPT_DEBUGDATA, &transfer);
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -14,6 +14,7 @@
     Reply reply;
     bool overLimit { false };
     bool wroteBytes { false };
+    bool atStart { false }; // No byte of the present transmission has left.
     std::size_t bodySent { 0 }; // Bytes handed over, of a call that must not be sent again.
     std::uint64_t bytesSent { 0 }; // Headers and bodies, without what the network adds.
     std::uint64_t bytesReceived { 0 };
