Take the refusal of a repeated request to an executor as unclear

A caller could be told not_run, which is promised to be proved, of a request that ran.

libcurl repeats a request when its kept connection breaks, always so without a body. The executor ran the first transmission and refused the second with 429 or 503; that was taken for Refused. Requests that may not run twice have connections of their own and are not repeated, which whatMayNotRunTwiceIsSentOnce holds.

Shown over real sockets by aRefusalOfWhatWasSentTwiceIsUnclear; it failed before.

With that the repeat of idempotent requests is allowed again: since the default of Call::resend is false, an old connection cost a try of the retry budget and counted against the executor.

--- a/src/platform/executor.cc
+++ b/src/platform/executor.cc
@@ -50,6 +50,7 @@
     call.connectTimeout = std::max(order.deadline / 4, std::chrono::milliseconds(1));
     call.replyLimit = order.replyLimit;
     call.once = order.once;
+    call.resend = !order.once;
     return detail::readReply(this->clientOf(order.address)->send(call), requestId, order.address);
 }
 
@@ -88,8 +89,10 @@
             return without(ForwardFate::NotSent, 0, *reply.error);
         if (reply.error)
             return without(ForwardFate::Unclear, reply.status, *reply.error);
-        const std::string answeredId = headerOf(reply, "x-request-id");
         const bool refusal = reply.status == tooManyRequests || reply.status == serviceUnavailable;
+        if (refusal && reply.isRepeat())
+            return without(ForwardFate::Unclear, reply.status, interrupted(address, "a repeat was refused; the request before it may have run"));
+        const std::string answeredId = headerOf(reply, "x-request-id");
         // A refusal may come without an id, for it is given before the request is
         // looked into; with a wrong id it is somebody else's.
         if (answeredId != requestId && !(refusal && answeredId.empty()))
