Take a rejected repeat of an exchange with a worker as one that may have acted

The driver could count a lease as over, and a gang begin elsewhere, while it ran on.

An exchange is repeated by libcurl when its kept connection breaks. The worker renewed or started with the first transmission and rejected the second: with 503, 429, 400 or 404 GangKeeper::failed() concludes that nothing was done, and takes back the time by which the lease ends.

Shown over real sockets by aRejectionOfWhatWasSentTwiceMayHaveActed; it failed before. A conflict still says that the worker knows a higher epoch; that needs no first try.

--- a/src/platform/worker.cc
+++ b/src/platform/worker.cc
@@ -4,6 +4,7 @@
 #include "platform/reply.h"
 
 #include <array>
+#include <fmt/format.h>
 
 namespace rattan::platform {
 
@@ -11,6 +12,8 @@
 
     constexpr std::array<std::string_view, 6> opNames { "reserve", "start", "renew", "checkpoint", "throttle", "stop" };
     constexpr std::array<std::string_view, 6> stateNames { "reserved", "running", "checkpointing", "done", "failed", "lapsed" };
+    constexpr std::string_view step = "worker.exchange";
+    constexpr int statusConflict = 409;
     constexpr std::size_t longestName = 200;
     constexpr std::size_t longestText = 1 << 16;
     constexpr std::size_t mostOps = 10000;
@@ -186,7 +189,11 @@
     call.body = platform::toJson(exchange).dump(-1, ' ', false, Json::error_handler_t::replace);
     call.timeout = timeout;
     call.resend = true;
-    BOOST_LEAF_AUTO(json, detail::jsonReply(client.send(call), "worker.exchange", address));
+    const http::Reply reply = client.send(call);
+    // Of the epochs that the worker knows of a repeat tells as well as any other.
+    if (reply.isRepeat() && !reply.error && !reply.ok() && reply.status != statusConflict)
+        return fail(ErrorCode::Interrupted, std::string(step), address, fmt::format("a repeat was rejected with status {}; the exchange before it may have been carried out", reply.status));
+    BOOST_LEAF_AUTO(json, detail::jsonReply(reply, std::string(step), address));
     return parseReport(json, address);
 }
 
