rattanctl: call an outcome unknown when an earlier try may have run

rattanctl said "not_run" and exit code 3, nothing was done, of a request that the entry asked first may have run: its answer was lost, and the second entry tells of its own try.

Shown by aDenialAfterALostAnswerIsUnknown; it failed before.

--- a/src/ctl/report.cc
+++ b/src/ctl/report.cc
@@ -19,7 +19,8 @@
     ExitCode codeFor(const EntryReply& reply)
     {
         const std::string outcome = textField(reply.json, "outcome");
-        if (outcome == "unknown" || (outcome.empty() && (reply.mayHaveActed || reply.status == gatewayTimeout)))
+        // That nothing ran is told of the last try only.
+        if (outcome == "unknown" || (outcome != "done" && reply.mayHaveActed) || (outcome.empty() && reply.status == gatewayTimeout))
             return ExitCode::Unknown;
         if (reply.status == 0 || reply.status == tooManyRequests || reply.status == unavailable)
             return ExitCode::Unavailable;
@@ -42,6 +43,8 @@
         Json json = reply.json.is_object() ? reply.json : Json::object();
         if (!json.contains("error"))
             json["error"] = { { "code", nameOf(reply.error.code) }, { "message", reply.error.message }, { "step", reply.error.step }, { "peer", reply.error.peer } };
+        if (code == ExitCode::Unknown && json.contains("outcome"))
+            json["outcome"] = "unknown";
         json["trace"] = currentSpan().traceId;
         json["exit_code"] = static_cast<int>(code);
         printJson(context, json);
--- a/src/ctl/testing/job_commands_test.cc
+++ b/src/ctl/testing/job_commands_test.cc
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(watchEndsAsTheJobEnds);
     CPPUNIT_TEST(requestKeepsItsKeyAtEachEntry);
     CPPUNIT_TEST(statedOutcomeIsFinal);
+    CPPUNIT_TEST(aDenialAfterALostAnswerIsUnknown);
     CPPUNIT_TEST(threeOutcomesHaveThreeCodes);
     CPPUNIT_TEST(saysUnavailableOnlyWhenNothingLeft);
     CPPUNIT_TEST(strangeAnswersDoNoHarm);
@@ -131,6 +132,24 @@
         CPPUNIT_ASSERT(has(result.remarks, "no executor"));
     }
 
+    // The first entry took the request and died before it answered. The second one tells
+    // that nothing ran, which is true of its own try only.
+    void aDenialAfterALostAnswerIsUnknown()
+    {
+        FakeEntry second;
+        second.expect("POST /v1/requests", 503, { { "outcome", "not_run" }, { "error", { { "code", "unavailable" }, { "message", "no executor" } } } });
+        http::Server dying({ .address = "127.0.0.1:0" });
+        // An answer over the client's limit stands for one that breaks off.
+        dying.route("POST", "/v1/requests", [](const http::Request&) { return http::Answer { 200, std::string(5 << 20, 'x'), "text/plain", {} }; });
+        CPPUNIT_ASSERT(!attemptVoid([&] { return dying.start(); }));
+        const RunResult result = runWith({ dying.address(), second.address() }, { "submit", "request", "booking", "seats" });
+        CPPUNIT_ASSERT(result.code == ExitCode::Unknown);
+        CPPUNIT_ASSERT(has(result.remarks, "it may have been done"));
+        const Json json = Json::parse(runWith({ dying.address(), second.address() }, { "submit", "request", "booking", "seats", "--json" }).lines);
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), json["outcome"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(4, json["exit_code"].get<int>());
+    }
+
     void threeOutcomesHaveThreeCodes()
     {
         const Json error { { "code", "timeout" }, { "message", "no answer" }, { "step", "entry.forward" }, { "peer", "e1" } };
