Let DroppingPeer compile with clang

clang-tidy failed on every test that includes it: clang needs the default of a nested struct's member before the class is whole, where an argument by default uses it.

--- a/src/http/testing/dropping_peer.h
+++ b/src/http/testing/dropping_peer.h
@@ -3,6 +3,7 @@
 // A server that answers the first request on each connection, and breaks the connection
 // once it has read the second one whole: that one was carried out, for all the client knows.
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
@@ -31,15 +32,15 @@
     return ntohs(name.sin_port);
 }
 
+struct PeerAnswer {
+    int status { 200 };
+    std::string body;
+};
+
 class DroppingPeer {
 public:
-    struct Answer {
-        int status { 200 };
-        std::string body;
-    };
-
     // One for each connection; the last one for all further ones.
-    explicit DroppingPeer(std::vector<Answer> answers = { {} })
+    explicit DroppingPeer(std::vector<PeerAnswer> answers = { {} })
         : answers(std::move(answers))
         , listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
@@ -65,7 +66,7 @@
         std::size_t next = 0;
         for (int taken = accept(this->listener, nullptr, nullptr); taken >= 0; taken = accept(this->listener, nullptr, nullptr)) {
             setsockopt(taken, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
-            const Answer& answer = this->answers[std::min(next++, this->answers.size() - 1)];
+            const PeerAnswer& answer = this->answers[std::min(next++, this->answers.size() - 1)];
             const std::string bytes = fmt::format("HTTP/1.1 {} Status\r\nContent-Length: {}\r\n\r\n{}", answer.status, answer.body.size(), answer.body);
             if (this->readRequest(taken))
                 send(taken, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -97,7 +98,7 @@
         return false;
     }
 
-    const std::vector<Answer> answers;
+    const std::vector<PeerAnswer> answers;
     int listener;
     int port { 0 };
     std::atomic<int> seen { 0 };
