Keep a job's first append in doubt when a later try is rejected

A caller was told that the job was not taken, and it ran.

An append without an answer is sent again. Whether the caller may deny the job was decided by the last try alone: the log took the first append, its reply was lost, and it rejected the second one as it went down.

Shown by aJobWhoseFirstAppendIsInDoubtIsNotDenied; it failed before. The doubt of one try stays, whatever the others end in. Without such a try the denial stands, which the test holds as well.

--- a/src/entry/api_jobs.cc
+++ b/src/entry/api_jobs.cc
@@ -95,16 +95,18 @@
 Result<void> Api::appendJobRecord(const records::JobRecord& record)
 {
     const Millis deadline = this->parts.clock.now() + appendTime;
+    bool mayBeThere = false; // By any of the tries.
     while (true) {
         const Millis left = deadline - this->parts.clock.now();
         const auto offset = attempt([&] { return this->parts.jobs.append(toJson(record), std::chrono::milliseconds(std::max<Millis>(left, 0))); });
         if (offset)
             return {};
         const bool doubtful = offset.error.code == ErrorCode::Timeout || offset.error.code == ErrorCode::Interrupted;
+        mayBeThere = mayBeThere || doubtful;
         if (doubtful && this->parts.clock.now() < deadline)
             continue;
         Error error = offset.error;
-        error.message = doubtful ? "the job may have been taken; asking again with the same key is safe" : "the job was not taken: " + error.message;
+        error.message = mayBeThere ? "the job may have been taken; asking again with the same key is safe" : "the job was not taken: " + error.message;
         error.code = ErrorCode::Unavailable;
         error.retryAfter = std::max(error.retryAfter, std::chrono::milliseconds(1000));
         return fail(std::move(error));
--- a/src/entry/testing/fake_log.h
+++ b/src/entry/testing/fake_log.h
@@ -31,6 +31,10 @@
             return fail(ErrorCode::Timeout, "log.append", "fake", "the append hangs");
         }
         const platform::AppendDone done = this->put(stream, values);
+        if (stream == this->lastStream) {
+            this->down = true;
+            return fail(ErrorCode::Timeout, "log.append", "fake", "the reply was lost");
+        }
         if (this->lost > 0) {
             --this->lost;
             return fail(ErrorCode::Timeout, "log.append", "fake", "the reply was lost");
@@ -68,6 +72,14 @@
         this->lost = count;
     }
 
+    // The next append to the stream takes effect, its reply is lost, and from then on the
+    // log is down.
+    void goDownAfter(const std::string& stream)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->lastStream = stream;
+    }
+
     // The next `count` appends take effect only with land().
     void delayAppends(int count)
     {
@@ -131,6 +143,7 @@
     std::map<std::string, Stream> streams;
     std::vector<std::pair<std::string, std::vector<Json>>> landing;
     bool down { false };
+    std::string lastStream; // The log goes down with an append to it.
     int lost { 0 };
     int late { 0 };
     int appendCalls { 0 };
--- a/src/entry/testing/program_test.cc
+++ b/src/entry/testing/program_test.cc
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(servesAnIdempotentRequest);
     CPPUNIT_TEST(badInputIsToldAndHarmless);
     CPPUNIT_TEST(jobsAreCheckedAndAppended);
+    CPPUNIT_TEST(aJobWhoseFirstAppendIsInDoubtIsNotDenied);
     CPPUNIT_TEST(operatorsAndWorkspacesAreApart);
     CPPUNIT_TEST(retryThroughAnotherEntryRunsOnce);
     CPPUNIT_TEST(lostReplyOfAClaimRunsOnce);
@@ -87,6 +88,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("submit"), records[0]["kind"].get<std::string>());
     }
 
+    // The log took the job, its reply was lost, and it rejected the second append: the
+    // caller was told that the job was not taken, and it ran.
+    void aJobWhoseFirstAppendIsInDoubtIsNotDenied()
+    {
+        this->platform->log.goDownAfter("jobs.a");
+        const http::Reply reply = this->platform->call(*this->first, "POST", "/v1/jobs", Json { { "key", "j1" }, { "class", "map" }, { "members", 2 }, { "accelerators", 8 } }.dump());
+        CPPUNIT_ASSERT_EQUAL(503, reply.status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->platform->log.records("jobs.a").size());
+        CPPUNIT_ASSERT_MESSAGE(reply.body, reply.body.find("may have been taken") != std::string::npos);
+        // Without a doubtful append before, the denial stands.
+        const http::Reply denied = this->platform->call(*this->first, "POST", "/v1/jobs", Json { { "key", "j2" }, { "class", "map" }, { "members", 2 }, { "accelerators", 8 } }.dump());
+        CPPUNIT_ASSERT_MESSAGE(denied.body, denied.body.find("was not taken") != std::string::npos);
+    }
+
     void operatorsAndWorkspacesAreApart()
     {
         CPPUNIT_ASSERT_EQUAL(403, this->platform->call(*this->first, "GET", "/v1/config").status);
