Reject no repeat of a job that this instance knows to be stored

A repeat of a submit, seconds after it was accepted, was told "not now", which promises that the job never runs, by the very instance that had stored it: the record had not been read back yet and the store turned the second append away; or it had been read back, and the configuration had not been read for too long.

Found by an order of promises_test.cc: accepted at 106905 ms, read late, appended again for a repeat, 429 at 108872 ms, "not now".

What was appended is remembered until the log was read past it, and counts as durable: a repeat is accepted, and a repeated cancelling confirmed, without a second append. A rejection for want of the store or the configuration is "unknown" where the job is known.

REFUSED needs every attempt to be rejected, and one here was accepted, so this alone can't be the cause of the reported cases.

--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -102,18 +102,18 @@
 
 void Gateway::submit(std::uint64_t ticket, Question question, const tasks::Queue& queue, std::string workspace, Millis now, Millis wall)
 {
-    if (this->jobs.find(question.job))
+    question.record = tasks::keyText({ RecordKind::Job, question.job });
+    if (this->jobs.find(question.job) || this->stored.contains(question.record))
         return this->answer(ticket, question, { .outcome = Outcome::Accepted }, now);
     if (this->catalog->mostBodyBytes > 0 && static_cast<std::int64_t>(question.request.body.size()) > this->catalog->mostBodyBytes)
         return this->answer(ticket, question, { .outcome = Outcome::TooLarge }, now);
     Attempt<tasks::Job> job = attempt([&] { return this->protocol.parseJob(question.request.body); });
     if (!job.value)
         return this->answer(ticket, question, { .outcome = Outcome::Malformed, .message = job.error.message }, now);
-    question.record = tasks::keyText({ RecordKind::Job, question.job });
     if (!this->storeInReach(now))
         return this->refuse(ticket, question, "the store is out of reach", now);
-    if (this->uncertain.size() >= this->options.mostUncertain)
-        return this->refuse(ticket, question, "too many records have an unknown outcome", now);
+    if (this->uncertain.size() + this->stored.size() >= this->options.mostUnread)
+        return this->refuse(ticket, question, "too many records are yet to be read back", now);
     job.value->id = question.job;
     job.value->workspace = std::move(workspace);
     job.value->terms = queue.terms;
@@ -126,9 +126,9 @@
     const JobEntry* entry = this->jobs.find(question.job);
     if (!entry)
         return this->tellState(ticket, std::move(question), now);
-    if (entry->cancelled || isFinal(entry->shown()))
-        return this->answer(ticket, question, { .outcome = Outcome::Cancelled }, now);
     question.record = tasks::keyText({ RecordKind::Cancel, question.job });
+    if (entry->cancelled || isFinal(entry->shown()) || this->stored.contains(question.record))
+        return this->answer(ticket, question, { .outcome = Outcome::Cancelled }, now);
     if (!this->storeInReach(now))
         return this->refuse(ticket, question, "the store is out of reach", now);
     this->queueRecord(ticket, std::move(question), tasks::encodeCancel());
@@ -187,6 +187,8 @@
             this->underWay.erase(found);
         if (status == AppendStatus::Unknown)
             this->uncertain[key] = now;
+        if (status == AppendStatus::Appended)
+            this->stored[key] = now;
     }
     const auto isMeant = [&](const Question& question) { return question.awaits == Awaits::Record && std::find(keys.begin(), keys.end(), question.record) != keys.end(); };
     for (const auto& [ticket, question] : this->take(isMeant)) {
@@ -284,16 +286,17 @@
             this->refuse(ticket, question, "no answer from the store in time", now);
     }
     std::erase_if(this->uncertain, [&](const auto& row) { return this->jobsConfirmedAt - row.second > appendsLate; });
+    std::erase_if(this->stored, [&](const auto& row) { return this->jobsConfirmedAt > row.second; });
     // A record whose questions have all been answered must not be appended later.
     std::erase_if(this->records, [&](const StoreRecord& record) {
         return std::none_of(this->questions.begin(), this->questions.end(), [&](const auto& row) { return row.second.record == record.key; });
     });
 }
 
-// Its append is under way, may be carried out late, or waits for its turn.
+// It was stored, its append is under way or may be carried out late, or it waits for its turn.
 bool Gateway::mayBeStored(const std::string& record) const
 {
-    return this->underWay.contains(record) || this->uncertain.contains(record)
+    return this->stored.contains(record) || this->underWay.contains(record) || this->uncertain.contains(record)
         || std::any_of(this->questions.begin(), this->questions.end(), [&](const auto& row) { return row.second.record == record; });
 }
 
@@ -303,8 +306,9 @@
 void Gateway::refuse(std::uint64_t ticket, const Question& question, std::string why, Millis now)
 {
     const RequestKind kind = question.request.kind;
-    const bool perhaps = (kind == RequestKind::Submit && this->mayBeStored(tasks::keyText({ RecordKind::Job, question.job })))
-        || (kind == RequestKind::Cancel && this->mayBeStored(tasks::keyText({ RecordKind::Cancel, question.job })));
+    const JobEntry* entry = this->jobs.find(question.job);
+    const bool perhaps = (kind == RequestKind::Submit && (entry || this->mayBeStored(tasks::keyText({ RecordKind::Job, question.job }))))
+        || (kind == RequestKind::Cancel && ((entry && entry->cancelled) || this->mayBeStored(tasks::keyText({ RecordKind::Cancel, question.job }))));
     this->answer(ticket, question, { .outcome = perhaps ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryElsewhere, .message = std::move(why), .wantsStore = true }, now);
 }
 
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -12,12 +12,14 @@
 //
 // Rules it keeps. A job is accepted once it is durable: its append was
 // acknowledged, or it was read back. A refusal that says "not run" is given only
-// where no append of the job is under way or about to begin. That there is no such job is told only
+// where the record is not known to be stored and no append of it is under way or
+// about to begin. That there is no such job is told only
 // after the log was read up to the moment of the question. Keys are believed for
 // as long as the text was confirmed lately enough.
 //
 // Bounded: at most `mostWaiting` questions wait at once; further ones are refused
-// at once, and so are submissions while `mostUncertain` appends have no outcome. Each is answered within its caller's patience.
+// at once, and so are submissions while `mostUnread` records are yet to be read
+// back. Each is answered within its caller's patience.
 
 #include "instance/caller_protocol.h"
 #include "instance/store_protocol.h"
@@ -36,7 +38,7 @@
 
 struct GatewayOptions {
     std::size_t mostWaiting { 2000 }; // Questions; about 5 KB each with their job.
-    std::size_t mostUncertain { 20000 }; // Appends without an answer; about 100 bytes each. Beyond, no job is taken.
+    std::size_t mostUnread { 20000 }; // Records that were or may have been appended; about 100 bytes each. Beyond, no job is taken.
     Millis longestAnswer { 2500 }; // Callers wait three seconds, and answers take time to arrive.
     Millis answerMargin { 300 }; // Kept of a caller's patience for the way back.
     Millis configurationTrusted { 4000 }; // Without a newer reading of the text no key is believed for longer.
@@ -133,6 +135,7 @@
     std::vector<StoreRecord> records; // To be appended.
     std::map<std::string, int> underWay; // Keys of records in an append that has no outcome yet.
     std::map<std::string, Millis> uncertain; // Keys of appends that may be carried out late, and since when.
+    std::map<std::string, Millis> stored; // Keys of records that may not have been read back yet, and since when.
     std::vector<GatewayAnswer> answers;
 };
 
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive);
     CPPUNIT_TEST(noRejectionWhileAnotherTryWaitsForTheSameRecord);
     CPPUNIT_TEST(noRejectionUntilALateAppendWouldHaveBeenRead);
+    CPPUNIT_TEST(whatThisInstanceStoredIsKnownBeforeItIsReadBack);
     CPPUNIT_TEST(aStoreOutOfReachIsToldAtOnce);
     CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf);
     CPPUNIT_TEST(whatAnOldConfigurationLacksIsAskedForElsewhere);
@@ -53,7 +54,7 @@
     CPPUNIT_TEST(strangeRequestsAreTurnedAway);
     CPPUNIT_TEST(waitingRequestsAreBounded);
     CPPUNIT_TEST(appendsAreBounded);
-    CPPUNIT_TEST(appendsOfUnknownOutcomeAreBounded);
+    CPPUNIT_TEST(recordsThatAreNotReadBackAreBounded);
     CPPUNIT_TEST(aVersionOfTheConfigurationNeverGoesBack);
     CPPUNIT_TEST(nothingIsDecidedByAnOlderConfigurationThanAnotherInstanceUsed);
     CPPUNIT_TEST(theEndOfARunningJobIsAwaited);
@@ -66,7 +67,7 @@
     {
         this->table = JobTable();
         this->offset = 0;
-        this->gateway.emplace(GatewayOptions { .mostWaiting = 3, .mostUncertain = 2 }, this->protocol, this->table);
+        this->gateway.emplace(GatewayOptions { .mostWaiting = 3, .mostUnread = 2 }, this->protocol, this->table);
         this->gateway->configurationRead(this->text(1, "key"));
         this->hear(begin);
     }
@@ -184,6 +185,29 @@
         this->expect(3, Outcome::NotNow);
     }
 
+    // A repeat of an accepted submit came before the record was read back, and was told that
+    // the job never runs.
+    void whatThisInstanceStoredIsKnownBeforeItIsReadBack()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->appended({ jobKey }, AppendStatus::Appended, begin + 5);
+        this->expect(1, Outcome::Accepted);
+        this->ask(2, RequestKind::Submit, begin + 100);
+        this->expect(2, Outcome::Accepted);
+        this->gateway->configurationUsedElsewhere(2);
+        this->ask(3, RequestKind::Submit, begin + 5000);
+        this->expect(3, Outcome::Unknown);
+        this->gateway->configurationRead(this->text(2, "key"));
+        this->readBack();
+        this->hear(begin + 5000);
+        this->gateway->step(begin + 5001);
+        this->ask(4, RequestKind::Submit, begin + 5002);
+        this->expect(4, Outcome::Accepted);
+        this->ask(5, RequestKind::Submit, begin + 10000); // The configuration is unknown by then.
+        this->expect(5, Outcome::Unknown);
+    }
+
     void aStoreOutOfReachIsToldAtOnce()
     {
         this->ask(1, RequestKind::Submit, begin + 1500);
@@ -288,7 +312,7 @@
         CPPUNIT_ASSERT(this->gateway->takeRecords(2, 1).empty());
     }
 
-    void appendsOfUnknownOutcomeAreBounded()
+    void recordsThatAreNotReadBackAreBounded()
     {
         for (int i = 0; i < 3; ++i) {
             this->ask(1, RequestKind::Submit, begin, fmt::format("/p/000000000000000{}", i));
