--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -278,7 +278,7 @@
 
 void Gateway::step(Millis now)
 {
-    for (const auto& [ticket, question] : this->take([&](const Question& row) { return now >= row.answerBy; })) {
+    for (const auto& [ticket, question] : this->take([&](const Question& row) { return now >= std::min(row.answerBy, this->lastAnswerAt); })) {
         const JobEntry* entry = question.awaits == Awaits::End ? this->jobs.find(question.job) : nullptr;
         if (entry)
             this->answer(ticket, question, { .outcome = Outcome::State, .state = entry->shown() }, now);
