Stop within the grace that was read again

What an operator saw: a shorter grace, taken with SIGHUP, left the process stopping as by the one before, so it could be killed with requests in progress.

Cause: the settings that were read again reached the control loop only; the stop is planned by the program.

--- a/src/instance/program.cc
+++ b/src/instance/program.cc
@@ -80,6 +80,7 @@
                 return;
             }
             this->loop.apply(*fresh.value);
+            this->settings.grace = fresh.value->grace;
             logEvent(events::reloaded, { { "store", fresh.value->storeAddress } });
         }
 
