Log what is answered only because the instance stops

Requests that another instance had not answered by the end of a stop were told "unknown" without a line in the log: whoever follows a job could not tell what its caller heard. They are logged as caller.answered and counted like all others.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -236,8 +236,12 @@
 
 void ControlLoop::answerAll(const CallerAnswer& answer)
 {
-    for (auto& [ticket, waiting] : this->asked)
+    for (auto& [ticket, waiting] : this->asked) {
+        const std::string& path = waiting.request.path;
+        this->metrics.count("rattan_requests_total", { { "outcome", std::string(nameOf(answer.outcome)) } });
+        logEvent(events::answered, { { "outcome", nameOf(answer.outcome) }, { "job", path.substr(path.rfind('/') + 1) }, { "configuration", this->catalog->version }, { "why", answer.message } });
         waiting.answer.set_value(answer);
+    }
     this->asked.clear();
 }
 
