Remember that the first of two transmissions of a start may come late

A task could run on a worker beside its next run, and over the worker's room.

A start whose connection breaks is sent again by libcurl. The answer to the repeat, started or old, was taken for that to the start, and the planner never knew of a try without an answer. It remembers such tries, since a worker's next life would take a late one for a new start; of this one it did not.

Shown in virtual time by aRepeatedStartIsNotTakenByTheNextIncarnation, which is aLostStartIsNotTakenByTheNextIncarnation with a repeat: "over room: j.0.0 run 1" before (133 passed, 1 failed).

The answer to a repeat is now no answer, but where it tells of another incarnation or a later term. The planner asks again, as after any lost start, and hears the same answer; the run has begun meanwhile. It costs one call where a kept connection broke.

--- a/src/tasks/testing/crash_test.cc
+++ b/src/tasks/testing/crash_test.cc
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(nothingIsStartedOnAWorkerThatHasShrunkMeanwhile);
     CPPUNIT_TEST(aTaskThatWasStoppedIsNotBlamedForItsWorker);
     CPPUNIT_TEST(aLostStartIsNotTakenByTheNextIncarnation);
+    CPPUNIT_TEST(aRepeatedStartIsNotTakenByTheNextIncarnation);
     CPPUNIT_TEST(aLostStartOfAnEndedRunIsNotTakenByTheNextIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
@@ -158,6 +159,22 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("j"));
     }
 
+    // Guards against the same, where the connection broke and the start was sent again by the
+    // HTTP client: the answer to that says nothing of the first one.
+    void aRepeatedStartIsNotTakenByTheNextIncarnation()
+    {
+        VirtualSite site({ .seed = 55, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.repeatNextStart(3000);
+        site.submit(jobOf("j", 1, whole, 8000));
+        site.run(3000);
+        site.restart(site.hostOf("j", 0));
+        CPPUNIT_ASSERT(site.runUntilOver(30000));
+        this->assertSound(site);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("j"));
+    }
+
     // Guards against the same, where the first run had been stopped and the second one is elsewhere.
     void aLostStartOfAnEndedRunIsNotTakenByTheNextIncarnation()
     {
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -279,11 +279,19 @@
         });
         return;
     }
+    const Millis again = std::exchange(this->nextStartTwice, 0);
+    if (again > 0) {
+        this->at(this->now + again, [this, order, term, until] {
+            this->disturb();
+            this->carryStart(order, term, until);
+        });
+    }
     this->send(
         order.worker.id, [this, order, term, until] { return std::optional(this->carryStart(order, term, until)); },
-        [this, order](const std::optional<StartAnswer>& answer) {
+        [this, order, again](const std::optional<StartAnswer>& answer) {
             const StartAnswer without = this->workers.at(order.worker.id).replaced ? StartAnswer::OtherIncarnation : StartAnswer::NoAnswer;
-            this->planner->startAnswered(order.worker, order.run, answer.value_or(without), this->now);
+            const StartAnswer heard = answer.value_or(without);
+            this->planner->startAnswered(order.worker, order.run, again > 0 ? answerToRepeat(heard) : heard, this->now);
         });
 }
 
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -83,6 +83,10 @@
     // The next start is carried out this much later, by whatever is there then, and not answered.
     void delayNextStart(Millis wait) { this->nextStartLate = wait; }
 
+    // The connection of the next start breaks. It is sent again at once, and carried out this
+    // much later as well, by whatever is there then.
+    void repeatNextStart(Millis wait) { this->nextStartTwice = wait; }
+
     // So many of the next starts do not leave the planner's instance.
     void keepBack(int starts) { this->startsKeptBack = starts; }
 
@@ -264,6 +268,7 @@
     SiteOptions options;
     Millis startsWait { 0 };
     Millis nextStartLate { 0 };
+    Millis nextStartTwice { 0 };
     Millis recordsWait { 0 };
     Millis turnGap { 0 };
     Millis nextTurn { 0 };
--- a/src/tasks/worker.cc
+++ b/src/tasks/worker.cc
@@ -18,6 +18,13 @@
 
 bool settlesEarlierTries(StartAnswer answer) { return answer == StartAnswer::Started || answer == StartAnswer::OtherIncarnation || answer == StartAnswer::Old; }
 
+// The first one may be carried out late, by a later incarnation too, which the planner guards
+// against where it knows of a try without an answer. It asks again, and hears this answer.
+StartAnswer answerToRepeat(StartAnswer answer)
+{
+    return answer == StartAnswer::OtherIncarnation || answer == StartAnswer::Deposed ? answer : StartAnswer::NoAnswer;
+}
+
 std::string_view nameOf(StartAnswer answer)
 {
     constexpr std::array<std::string_view, 11> names { "started", "no_answer", "not_sent", "no_room", "old", "late", "unwell",
--- a/src/tasks/worker.h
+++ b/src/tasks/worker.h
@@ -81,6 +81,9 @@
 // Whether the answer to one try tells what became of all tries before it as well.
 bool settlesEarlierTries(StartAnswer);
 
+// What is known once a start was sent twice and this is the answer to the second.
+StartAnswer answerToRepeat(StartAnswer);
+
 std::string_view nameOf(WorkerFault);
 std::string_view nameOf(StartAnswer);
 
