--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -71,6 +71,14 @@
         return CURL_PREREQFUNC_OK;
     }
 
+    void countTransmission(Transfer& transfer)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (++transfer.reply.transmissions == 1)
+            transfer.firstSent = now;
+        transfer.reply.repeatedAfter = std::chrono::duration_cast<std::chrono::milliseconds>(now - transfer.firstSent);
+    }
+
     // libcurl reports each block of the request as it is handed to the socket, so
     // the first report means that from here on the peer may have acted.
     int onDebug(CURL*, curl_infotype type, char*, std::size_t size, void* user)
@@ -78,7 +86,7 @@
         auto* transfer = static_cast<Transfer*>(user);
         if (type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT) {
             if (std::exchange(transfer->atStart, false))
-                ++transfer->reply.transmissions;
+                countTransmission(*transfer);
             transfer->wroteBytes = true;
             transfer->bytesSent += size;
         }
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -12,12 +12,12 @@
 //
 // Rules it keeps. A job is accepted once it is durable: its append was
 // acknowledged, or it was read back. A refusal that says "not run" is given only
-// where no append of the job is under way. That there is no such job is told only
+// where no append of the job is under way or about to begin. That there is no such job is told only
 // after the log was read up to the moment of the question. Keys are believed for
 // as long as the text was confirmed lately enough.
 //
 // Bounded: at most `mostWaiting` questions wait at once; further ones are refused
-// at once. Each is answered within its caller's patience.
+// at once, and so are submissions while `mostUncertain` appends have no outcome. Each is answered within its caller's patience.
 
 #include "instance/caller_protocol.h"
 #include "instance/store_protocol.h"
@@ -25,15 +25,19 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rattan::instance {
 
 struct GatewayOptions {
     std::size_t mostWaiting { 2000 }; // Questions; about 5 KB each with their job.
+    std::size_t mostUncertain { 20000 }; // Appends without an answer; about 100 bytes each. Beyond, no job is taken.
     Millis longestAnswer { 2500 }; // Callers wait three seconds, and answers take time to arrive.
     Millis answerMargin { 300 }; // Kept of a caller's patience for the way back.
     Millis configurationTrusted { 4000 }; // Without a newer reading of the text no key is believed for longer.
@@ -76,6 +80,9 @@
     std::vector<StoreRecord> takeRecords(std::size_t mostRecords, std::size_t mostBytes);
     void appended(const std::vector<std::string>& keys, AppendStatus, Millis now);
 
+    // This instance stops: whatever is asked, before or after this call, is answered by then.
+    void answerEverythingBy(Millis at) { this->lastAnswerAt = at; }
+
     void step(Millis now);
     std::vector<GatewayAnswer> takeAnswers();
 
@@ -113,6 +120,8 @@
     bool knowsEnough(const Question&, const tasks::JobEntry&) const;
     void answer(std::uint64_t ticket, const Question&, CallerAnswer, Millis now);
     void refuse(std::uint64_t ticket, const Question&, std::string why, Millis now);
+    std::vector<std::pair<std::uint64_t, Question>> take(const std::function<bool(const Question&)>&);
+    bool mayBeStored(const std::string& record) const;
     bool storeInReach(Millis now) const;
 
     const GatewayOptions options;
@@ -121,6 +130,7 @@
     std::shared_ptr<const tasks::Catalog> catalog;
     bool hasConfiguration { false };
     std::int64_t versionElsewhere { 0 };
+    Millis lastAnswerAt { std::numeric_limits<Millis>::max() };
     bool jobsLoaded { false };
     Millis configurationConfirmedAt { 0 };
     Millis jobsConfirmedAt { 0 };
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -42,6 +42,9 @@
     CPPUNIT_TEST(aLostAnswerOfTheStoreIsNoRefusal);
     CPPUNIT_TEST(aRecordReadBackCountsAsDurable);
     CPPUNIT_TEST(noRefusalWhileAnEarlierTryMayStillArrive);
+    CPPUNIT_TEST(noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive);
+    CPPUNIT_TEST(noRejectionWhileAnotherTryWaitsForTheSameRecord);
+    CPPUNIT_TEST(noRejectionUntilALateAppendWouldHaveBeenRead);
     CPPUNIT_TEST(aStoreOutOfReachIsToldAtOnce);
     CPPUNIT_TEST(withdrawnKeysStopWorkingWhenTheConfigurationIsNotHeardOf);
     CPPUNIT_TEST(whatAnOldConfigurationLacksIsAskedForElsewhere);
@@ -50,11 +53,13 @@
     CPPUNIT_TEST(strangeRequestsAreTurnedAway);
     CPPUNIT_TEST(waitingRequestsAreBounded);
     CPPUNIT_TEST(appendsAreBounded);
+    CPPUNIT_TEST(appendsOfUnknownOutcomeAreBounded);
     CPPUNIT_TEST(aVersionOfTheConfigurationNeverGoesBack);
     CPPUNIT_TEST(nothingIsDecidedByAnOlderConfigurationThanAnotherInstanceUsed);
     CPPUNIT_TEST(theEndOfARunningJobIsAwaited);
     CPPUNIT_TEST(aJobThatGoesOnIsToldSoSoon);
     CPPUNIT_TEST(noEndIsAwaitedWithoutTheStore);
+    CPPUNIT_TEST(whateverIsAskedAroundAStopIsAnsweredBeforeIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -62,7 +67,7 @@
     {
         this->table = JobTable();
         this->offset = 0;
-        this->gateway.emplace(GatewayOptions { .mostWaiting = 3 }, this->protocol, this->table);
+        this->gateway.emplace(GatewayOptions { .mostWaiting = 3, .mostUncertain = 2 }, this->protocol, this->table);
         this->gateway->configurationRead(this->text(1, "key"));
         this->hear(begin);
     }
@@ -130,6 +135,56 @@
         this->expect(3, Outcome::NotNow);
     }
 
+    // A job whose first try was under way was told "never runs" for a configuration that
+    // had yet to be read.
+    void noRejectionByTheConfigurationWhileAnEarlierTryMayStillArrive()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->configurationUsedElsewhere(2);
+        this->ask(2, RequestKind::Submit, begin + 10);
+        this->expect(2, Outcome::Unknown);
+        this->gateway->configurationRead(this->text(2, "key"));
+        this->ask(3, RequestKind::Submit, begin + 4001);
+        this->expect(3, Outcome::Unknown);
+        this->ask(4, RequestKind::Submit, begin + 4001, "/p/0000000000000001"); // Never tried.
+        this->expect(4, Outcome::NotNow);
+    }
+
+    // Two tries came at the same time; one was told "never runs", the other one's record
+    // was stored.
+    void noRejectionWhileAnotherTryWaitsForTheSameRecord()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->ask(2, { .kind = RequestKind::Submit, .host = "h", .path = "/p/" + id, .key = "key", .patience = 400, .body = "job" }, begin, begin);
+        this->gateway->step(begin + 100);
+        this->expect(2, Outcome::Unknown);
+        this->ask(3, RequestKind::Submit, begin + 1500); // The store is out of reach by then.
+        this->expect(3, Outcome::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
+        this->ask(4, RequestKind::Submit, begin + 1);
+        this->gateway->appended({ jobKey }, AppendStatus::NotDone, begin + 1600);
+        for (const GatewayAnswer& answer : this->gateway->takeAnswers())
+            CPPUNIT_ASSERT(answer.answer.outcome == Outcome::NotNow); // Nobody waits any more.
+    }
+
+    // An append without an answer was carried out, and the log could not be read until the
+    // append was forgotten: the next try was told that the stored job never runs.
+    void noRejectionUntilALateAppendWouldHaveBeenRead()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->appended({ jobKey }, AppendStatus::Unknown, begin + 700);
+        this->expect(1, Outcome::Unknown);
+        this->gateway->step(begin + 20000);
+        this->ask(2, RequestKind::Submit, begin + 20000);
+        this->expect(2, Outcome::Unknown);
+        this->hear(begin + 20010);
+        this->gateway->step(begin + 20020);
+        this->ask(3, RequestKind::Submit, begin + 30000);
+        this->expect(3, Outcome::NotNow);
+    }
+
     void aStoreOutOfReachIsToldAtOnce()
     {
         this->ask(1, RequestKind::Submit, begin + 1500);
@@ -234,6 +289,20 @@
         CPPUNIT_ASSERT(this->gateway->takeRecords(2, 1).empty());
     }
 
+    void appendsOfUnknownOutcomeAreBounded()
+    {
+        for (int i = 0; i < 3; ++i) {
+            this->ask(1, RequestKind::Submit, begin, fmt::format("/p/000000000000000{}", i));
+            const auto records = this->gateway->takeRecords(1, 1);
+            if (i == 2) {
+                CPPUNIT_ASSERT(records.empty());
+                return this->expect(1, Outcome::NotNow);
+            }
+            this->gateway->appended({ records.at(0).key }, AppendStatus::Unknown, begin);
+            this->expect(1, Outcome::Unknown);
+        }
+    }
+
     // The instance is cut off, and another one that has heard of a new version of the
     // text has just answered for it. From its own, older text it would tell the next
     // caller that there is no such queue.
@@ -283,6 +352,28 @@
         this->expect(1, Outcome::State);
     }
 
+    // The connections close at a stop, and who waited on one of them would not know
+    // whether its job was accepted.
+    void whateverIsAskedAroundAStopIsAnsweredBeforeIt()
+    {
+        const std::string other = "0123456789abcdef";
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->answerEverythingBy(begin + 400);
+        this->ask(2, RequestKind::Submit, begin + 100, "/p/" + other);
+        this->gateway->step(begin + 399);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        this->gateway->step(begin + 400);
+        const auto answers = this->gateway->takeAnswers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, answers.size());
+        CPPUNIT_ASSERT(answers[0].answer.outcome == Outcome::Unknown); // Its append is under way.
+        CPPUNIT_ASSERT(answers[1].answer.outcome == Outcome::NotNow);
+        this->ask(3, RequestKind::State, begin + 450, "/p/" + other);
+        this->gateway->step(begin + 450);
+        this->expect(3, Outcome::NotNow);
+        CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
+    }
+
     void aVersionOfTheConfigurationNeverGoesBack()
     {
         this->gateway->configurationRead(this->text(3, "newer"));
