Deny no job to who cancels it while its append may arrive

A caller cancelled a job whose outcome was unknown, heard that there is no such job, which counts as cancelled, and the job ran.

An append without an answer may be carried out seconds later. The denial rests on a reading of the log up to the question, which says nothing of that. Without the store the request was passed on, and denied by the other instance for the same reason.

Shown by noJobIsDeniedToWhoCancelsItWhileItsAppendMayArrive: "no such job" and "not now" before each of the two changes. While an append of the job may arrive, the outcome of its cancelling is unknown, and the caller asks again; that it knows of the append only where that was sent stays so. State requests are answered as before.

--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -255,7 +255,9 @@
         const std::uint64_t ticket = current->first;
         this->questions.erase(current);
         const JobEntry* entry = this->jobs.find(copy.job);
-        if (!entry)
+        if (copy.request.kind == RequestKind::Cancel && this->mayCome(copy.job))
+            this->answer(ticket, copy, { .outcome = Outcome::Unknown, .message = "the job may be stored yet", .wantsStore = true }, now);
+        else if (!entry)
             this->answer(ticket, copy, { .outcome = Outcome::NoSuchJob }, now);
         else if (copy.request.kind == RequestKind::Cancel)
             this->cancel(ticket, copy, now);
@@ -297,6 +299,12 @@
         || std::any_of(this->questions.begin(), this->questions.end(), [&](const auto& row) { return row.second.record == record; });
 }
 
+// Whoever cancels it must not hear that there is no such job, here or from another instance.
+bool Gateway::mayCome(const std::string& job) const
+{
+    return !this->jobs.find(job) && this->mayBeStored(tasks::keyText({ RecordKind::Job, job }));
+}
+
 // "Not now" says that nothing was done and nothing will be. While a record of
 // the job may be stored, that could turn out false: the caller is told that the
 // outcome is not known, and asks again.
@@ -304,7 +312,7 @@
 {
     const RequestKind kind = question.request.kind;
     const bool perhaps = (kind == RequestKind::Submit && this->mayBeStored(tasks::keyText({ RecordKind::Job, question.job })))
-        || (kind == RequestKind::Cancel && this->mayBeStored(tasks::keyText({ RecordKind::Cancel, question.job })));
+        || (kind == RequestKind::Cancel && (this->mayCome(question.job) || this->mayBeStored(tasks::keyText({ RecordKind::Cancel, question.job }))));
     this->answer(ticket, question, { .outcome = perhaps ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryElsewhere, .message = std::move(why), .wantsStore = true }, now);
 }
 
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -122,6 +122,7 @@
     void refuse(std::uint64_t ticket, const Question&, std::string why, Millis now);
     std::vector<std::pair<std::uint64_t, Question>> take(const std::function<bool(const Question&)>&);
     bool mayBeStored(const std::string& record) const;
+    bool mayCome(const std::string& job) const;
     bool storeInReach(Millis now) const;
 
     const GatewayOptions options;
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(aJobThatGoesOnIsToldSoSoon);
     CPPUNIT_TEST(noEndIsAwaitedWithoutTheStore);
     CPPUNIT_TEST(whateverIsAskedAroundAStopIsAnsweredBeforeIt);
+    CPPUNIT_TEST(noJobIsDeniedToWhoCancelsItWhileItsAppendMayArrive);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +108,29 @@
         this->expect(1, Outcome::Unknown);
     }
 
+    // A caller cancelled a job whose outcome was unknown, heard that there is none, and the
+    // append was carried out after that: the job ran although its cancelling was answered.
+    void noJobIsDeniedToWhoCancelsItWhileItsAppendMayArrive()
+    {
+        this->ask(1, RequestKind::Submit, begin);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->appended({ jobKey }, AppendStatus::Unknown, begin + 700);
+        this->expect(1, Outcome::Unknown);
+        this->ask(2, RequestKind::Cancel, begin + 800);
+        this->hear(begin + 900);
+        this->expect(2, Outcome::Unknown);
+        // Without the store it would be passed on, and denied there.
+        this->ask(4, RequestKind::Cancel, begin + 2500);
+        this->expect(4, Outcome::Unknown);
+        // There surely is no other one.
+        this->ask(3, RequestKind::Cancel, begin + 2500, "/p/0000000000000001");
+        this->expect(3, Outcome::NotNow);
+        this->hear(begin + 2600);
+        this->ask(3, RequestKind::Cancel, begin + 2600, "/p/0000000000000001");
+        this->hear(begin + 2601);
+        this->expect(3, Outcome::NoSuchJob);
+    }
+
     void aRecordReadBackCountsAsDurable()
     {
         this->ask(1, RequestKind::Submit, begin);
