Wait until stand-ins are in the list of instances before a scenario goes on

A stand-in prints that it listens, then registers itself, then prints "ready". Scenarios waited for the first of these only, and this one reads the list at once.

No check of a scenario changes.

--- a/testing/scenario/prelude.lua
+++ b/testing/scenario/prelude.lua
@@ -133,6 +133,10 @@
 local function start_pool(domain, name, command, count, ids)
     rr.start(name, command)
     local addresses = wait_address(name, count)
+    -- It listens before it is in the list of instances.
+    eventually(name .. " is registered", function()
+        return rr.output(name):find("\nready") ~= nil
+    end)
     local pool = {}
     for i = 1, count do
         local id = string.format(ids, i)
