Start nothing in failure domains that operators ask to evacuate

Change: each instance keeps the requests (EvacuatedDomains), also over reloads of the stream that miss a withdrawal. The planner offers no worker of such a domain, takes back placements whose starts were not sent, and repeats no start there. Starts carry their domain, and planner and relays check it when a start leaves.

--- a/src/delivery/testing/delivery_thread_test.cc
+++ b/src/delivery/testing/delivery_thread_test.cc
@@ -53,6 +53,7 @@
     {
         WorkerCall start = startOf("w1", "00000000000000aa");
         auto& order = std::get<tasks::StartOrder>(start.order);
+        order.domain = "east-a";
         order.checkpoint = "saved";
         order.ticket = "ticket";
         order.run = { { "00000000000000aa", 2, 3, 4 }, 5 };
@@ -66,7 +67,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), received.calls.size());
         const auto& receivedOrder = std::get<tasks::StartOrder>(received.calls[0].call.order);
         CPPUNIT_ASSERT(receivedOrder.worker == order.worker && receivedOrder.address == order.address && receivedOrder.run == order.run);
-        CPPUNIT_ASSERT(receivedOrder.checkpoint == "saved" && receivedOrder.ticket == "ticket");
+        CPPUNIT_ASSERT(receivedOrder.checkpoint == "saved" && receivedOrder.ticket == "ticket" && receivedOrder.domain == "east-a");
         CPPUNIT_ASSERT(received.calls[0].call.leaseEnd == Millis(9000));
         CPPUNIT_ASSERT(!received.calls[1].call.leaseEnd);
         CPPUNIT_ASSERT(std::get<tasks::StopOrder>(received.calls[1].call.order).run == order.run);
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -17,6 +17,7 @@
     planning.hasAdviceService = true;
     this->planner = std::make_unique<TaskPlanner>(planning, this->table, this->plans, this->now, this->now);
     this->planner->applyCatalog(this->catalog);
+    this->planner->setEvacuatedDomains(this->evacuatedDomains, true, this->now);
     this->planner->workersListed(this->workerDescriptions(), this->now);
 }
 
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -75,6 +75,13 @@
 
     void setPartitioned(const std::string& id, bool isPartitioned) { this->workers.at(id).isPartitioned = isPartitioned; }
     void setDomainPartitioned(const std::string& domain, bool isPartitioned);
+
+    // Sets the failure domains that are evacuated.
+    void evacuate(const std::set<std::string>& domains);
+
+    // The number of starts that workers of a failure domain executed.
+    std::int64_t startsInDomain(const std::string& domain) const;
+
     void setStalled(const std::string& id, bool isStalled);
 
     // Starts are sent this much later than they are decided, as if queued behind others.
@@ -298,6 +305,9 @@
     std::int64_t term { 0 };
     int plannerGeneration { 0 }; // Incremented for each planner, so that no planner receives another's answers.
     std::map<std::string, std::int64_t> startCounts;
+    std::map<std::string, std::int64_t> startCountsByDomain;
+    EvacuatedDomains evacuatedDomains;
+    std::int64_t evacuationOffset { 0 };
     std::map<RunEnd, std::int64_t> endCounts;
     std::set<TaskRef> done;
     std::set<TaskRef> acknowledgedDone;
--- a/src/tasks/testing/virtual_site_lost_work.cc
+++ b/src/tasks/testing/virtual_site_lost_work.cc
@@ -47,7 +47,7 @@
         }
         view.accelerators += worker.capacity.accelerators;
         constexpr int failureLimit = 2; // After this many failures the planner may stop using the worker.
-        if (!worker.leaving && !worker.wasStalled && worker.consecutiveFailures < failureLimit)
+        if (!worker.leaving && !this->evacuatedDomains.contains(worker.rack) && !worker.wasStalled && worker.consecutiveFailures < failureLimit)
             view.workers.push_back({ id, "s", worker.rack, { "k", worker.rack }, free });
     }
     for (const auto& [id, job] : this->jobs) {
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -30,6 +30,25 @@
     });
 }
 
+void VirtualSite::evacuate(const std::set<std::string>& domains)
+{
+    const auto before = this->evacuatedDomains.all();
+    for (const auto& [domain, since] : before) {
+        if (!domains.contains(domain))
+            this->evacuatedDomains.withdraw(domain, ++this->evacuationOffset);
+    }
+    for (const std::string& domain : domains)
+        this->evacuatedDomains.request(domain, ++this->evacuationOffset, this->now);
+    if (this->planner)
+        this->planner->setEvacuatedDomains(this->evacuatedDomains, true, this->now);
+}
+
+std::int64_t VirtualSite::startsInDomain(const std::string& domain) const
+{
+    const auto found = this->startCountsByDomain.find(domain);
+    return found == this->startCountsByDomain.end() ? 0 : found->second;
+}
+
 void VirtualSite::setDomainPartitioned(const std::string& domain, bool isPartitioned)
 {
     for (auto& [id, worker] : this->workers)
@@ -169,6 +188,7 @@
         return StartAnswer::InvalidTicket;
     }
     this->checkStart(order, worker);
+    ++this->startCountsByDomain[worker.rack];
     const Step& step = this->stepOf(order.run.task);
     Run run;
     run.startedAt = this->now;
