Suspect a failure domain only if none of its workers answers

Cause: with 5% of calls unanswered, two workers of a domain were silent within 1.5 s in nearly every second, so whole domains counted as cut off (256 of 350 workers on the overloaded site while 1,300 units waited), and all their workers were polled again. Change: two silent workers raise suspicion only if no worker of the domain has answered within 150 ms, which is below the timeout of a start.

--- a/src/tasks/suspected_domains.cc
+++ b/src/tasks/suspected_domains.cc
@@ -6,7 +6,8 @@
 {
     Domain& state = this->domains[domain];
     const bool isOtherWorker = !state.silentWorker.empty() && state.silentWorker != worker;
-    if (isOtherWorker && now - state.silentAt <= correlationWindow)
+    const bool isAnswering = now - state.answeredAt < maxAnswerPause;
+    if (isOtherWorker && !isAnswering && now - state.silentAt <= correlationWindow)
         state.suspectedAt = now;
     state.silentWorker = worker;
     state.silentAt = now;
--- a/src/tasks/suspected_domains.h
+++ b/src/tasks/suspected_domains.h
@@ -12,8 +12,10 @@
 // elsewhere until its lease ends ten seconds later. When two workers of a domain stop
 // answering shortly after each other, the other workers of the domain must answer again
 // before a unit is placed on them; healthy workers do so within about 10 ms. A single silent
-// worker is not sufficient, since it may have crashed or a message may have been lost. Not
-// thread-safe.
+// worker is not sufficient, since it may have crashed or a message may have been lost. Nor are
+// several while other workers of the domain answer: if a few percent of all calls are lost, two
+// workers are silent in nearly every second, and all workers of a sound domain would have to
+// answer again and again before they get work. Not thread-safe.
 
 #include "base/clock.h"
 
@@ -24,6 +26,9 @@
 
 class SuspectedDomains {
 public:
+    // A worker of the domain has answered a call.
+    void addAnswer(const std::string& domain, Millis now) { this->domains[domain].answeredAt = now; }
+
     void addSilentWorker(const std::string& domain, const std::string& worker, Millis now);
 
     // True if a worker of the domain whose last answer was at this time must answer again
@@ -34,12 +39,18 @@
     // At usual rates, two starts in an unreachable domain fail within this time.
     static constexpr Millis correlationWindow = 1500;
 
+    // Within this time before a call is found to be unanswered, at least one of a domain's workers has
+    // answered another call if the domain is reachable. It is below the timeout of a start, so a domain
+    // that is cut off has not answered for longer.
+    static constexpr Millis maxAnswerPause = 150;
+
     // By then, each worker has answered or is known to be silent.
     static constexpr Millis suspicionDuration = 3000;
 
     struct Domain {
         std::string silentWorker; // The last worker that stopped answering.
         Millis silentAt { 0 }; // When it did.
+        Millis answeredAt { -maxAnswerPause }; // When a worker last answered.
         Millis suspectedAt { 0 }; // 0 if the domain was never suspected.
     };
 
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -79,6 +79,7 @@
     worker->hasAnswered = true;
     worker->silent = false;
     worker->lastAnswerAt = now;
+    this->domainDoubts.addAnswer(worker->description.domain, now);
     worker->pollBackoff = 0;
     worker->nextPollAt = now;
     worker->incarnationConfirmedAt = std::max(worker->incarnationConfirmedAt, sentAt);
@@ -335,6 +336,7 @@
         this->confirmStart(placedRun, now);
         worker->silent = false;
         worker->lastAnswerAt = now;
+        this->domainDoubts.addAnswer(worker->description.domain, now);
         if (unit && unit->startedAt == 0) {
             unit->startedAt = now;
             unit->lastProgressAt = now;
