Let urgent units wait for runs that end in time instead of stopping others

An urgent unit that found no free resources stopped the cheapest runs at once, also if others were about to end, and the youngest runs were stopped again and again.

Change: a unit that may stop others first looks for the time at which enough resources become free by themselves. A unit that is late already stops runs only before it would be of no use. A reservation no longer counts what runs being stopped leave to other units.

--- a/src/tasks/candidate.h
+++ b/src/tasks/candidate.h
@@ -11,6 +11,7 @@
     Unit* unit;
     QueueKey queueKey;
     Millis waitingSince;
+    Deadlines latestStarts; // The latest starts at which the job ends in time, or is of any use.
 };
 
 } // namespace rattan::tasks::detail
--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -346,7 +346,7 @@
     }
 }
 
-void Snapshot::reserve(const PlacementRequest& request)
+std::optional<Snapshot::Reservation> Snapshot::findReservation(const PlacementRequest& request) const
 {
     // A time at which a worker can take one more member if nothing else starts there.
     struct Opening {
@@ -362,6 +362,8 @@
         std::vector<Allocation> allocations = worker.allocations;
         std::sort(allocations.begin(), allocations.end(), [](const Allocation& a, const Allocation& b) { return a.expectedEnd < b.expectedEnd; });
         Resources free = componentMin(worker.free, worker.freeAfterStops);
+        // What runs being stopped leave is in freeAfterStops, less what is committed to others.
+        bool hasStopped = false;
         std::int64_t counted = 0;
         std::vector<Opening>& openings = byRack[oneRack ? worker.rack : std::string()];
         const auto addOpenings = [&](Millis at) {
@@ -373,7 +375,14 @@
         };
         addOpenings(this->now);
         for (const Allocation& allocation : allocations) {
-            free += allocation.resources;
+            if (!allocation.stopping) {
+                free += allocation.resources;
+            } else if (!hasStopped) {
+                hasStopped = true;
+                Resources stopped = worker.freeAfterStops;
+                stopped -= componentMin(worker.free, worker.freeAfterStops);
+                free += stopped;
+            }
             addOpenings(std::max(allocation.expectedEnd, this->now));
         }
     }
@@ -391,14 +400,29 @@
         }
     }
     if (!best)
-        return;
-    for (std::int64_t i = 0; i < request.members; ++i) {
-        SnapshotWorker& worker = this->workers[(*best)[static_cast<std::size_t>(i)].index];
+        return std::nullopt;
+    Reservation reservation { .at = earliestStart };
+    for (std::int64_t i = 0; i < request.members; ++i)
+        reservation.workers.push_back((*best)[static_cast<std::size_t>(i)].index);
+    return reservation;
+}
+
+void Snapshot::reserve(const PlacementRequest& request)
+{
+    if (const auto reservation = this->findReservation(request))
+        this->reserve(request, *reservation);
+}
+
+void Snapshot::reserve(const PlacementRequest& request, const Reservation& reservation)
+{
+    for (const std::size_t index : reservation.workers) {
+        SnapshotWorker& worker = this->workers[index];
         if (!worker.reservedFrom) {
-            worker.reservedFrom = earliestStart;
-            worker.freeBesideReservation = componentMin(worker.free, worker.freeAfterStops);
+            worker.reservedFrom = reservation.at;
+            const bool hasStops = std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const Allocation& allocation) { return allocation.stopping && allocation.expectedEnd <= reservation.at; });
+            worker.freeBesideReservation = hasStops ? worker.freeAfterStops : componentMin(worker.free, worker.freeAfterStops);
             for (const Allocation& allocation : worker.allocations) {
-                if (allocation.expectedEnd <= earliestStart)
+                if (!allocation.stopping && allocation.expectedEnd <= reservation.at)
                     worker.freeBesideReservation += allocation.resources;
             }
         }
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -39,6 +39,7 @@
     double lostWork { 0 }; // Work lost if its unit is stopped, in core-seconds.
     std::int64_t priority { 0 };
     bool guaranteed { false }; // The unit is within its workspace's guarantee.
+    std::int64_t stops { 0 }; // How often the unit was stopped for others.
 };
 
 struct SnapshotWorker {
@@ -126,6 +127,14 @@
     // that starts on these workers must end before then, or leave the reserved resources free.
     void reserve(const PlacementRequest&);
 
+    // The workers that reserve() would choose, one for each member, and when all of them are free.
+    struct Reservation {
+        Millis at { 0 };
+        Placement workers;
+    };
+    std::optional<Reservation> findReservation(const PlacementRequest&) const;
+    void reserve(const PlacementRequest&, const Reservation&);
+
     // Reserves the fastest workers for urgent units, for this many accelerators but at
     // most half of all. While at least half of all accelerators are in use, other units
     // can't use them.
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -3,6 +3,7 @@
 // The planner's in-memory state of units, jobs and workers. See task_planner.h.
 
 #include "tasks/crash_history.h"
+#include "tasks/job_value.h"
 #include "tasks/placement.h"
 #include "tasks/progress.h"
 #include "tasks/wait_reason.h"
@@ -93,6 +94,8 @@
     std::map<std::int64_t, Occurrence> occurrences; // Started and not done.
     std::set<std::int64_t> doneOutOfOrder;
     bool guaranteed { false }; // The job is within its workspace's guarantee.
+    JobPaths paths; // By the forecasts of `pathsAt`.
+    Millis pathsAt { 0 }; // 0 if not computed yet.
 };
 
 enum class RunPhase {
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -201,11 +201,15 @@
     void stopStalledUnits(Millis now);
     Worker* slowestWorker(const Unit&);
     void evacuateLeavingWorkers(Millis now);
-    void markGuaranteedJobs();
+    void markGuaranteedJobs(Millis now);
     std::vector<Candidate> rankCandidates(const std::set<UnitKey>&, Millis now, Millis wall);
     PlacementRequest requestOf(const Unit&) const;
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     bool canEvict(const Candidate&, Millis now);
+    bool mustStopOthers(const Candidate&, const std::optional<Snapshot::Reservation>&, Millis now);
+    void updatePaths(ActiveJob&, Millis now) const;
+    Deadlines deadlinesOf(const Unit&) const;
+    double stopWeightOf(const Unit&, Millis now) const;
     bool tryEvict(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void reportEvictionRefusal(Unit&, detail::EvictionRefusal, double cost, double bound);
     WorkerCounts workersOfSiblings(const UnitKey&) const;
@@ -219,7 +223,7 @@
     double lostWorkOf(const Unit&, Millis now) const;
     double evictionCost(const Unit&, Millis now) const;
     Allocation allocationOf(const PlacedRun&, Millis now) const;
-    double maxLostWork(const Unit&) const;
+    double maxLostWork(const Candidate&, Millis now) const;
 
     // Advice on which workers may run a step.
     std::set<std::string> allowedWorkers(const StepAdvice&, const Snapshot&, Millis now) const;
@@ -320,6 +324,7 @@
         Millis at { 0 };
     };
     std::map<std::string, DecayingDemand> recentUrgentDemand; // By service; the decaying maximum.
+    Millis wallOffset { 0 }; // The wall-clock time less the local time.
     Round round;
     RoundPacer pacer;
 };
--- a/src/tasks/task_planner_evictions.cc
+++ b/src/tasks/task_planner_evictions.cc
@@ -2,6 +2,7 @@
 
 #include "tasks/eviction.h"
 #include "tasks/planner_limits.h"
+#include "tasks/preemption.h"
 #include "tasks/task_planner.h"
 
 #include <fmt/format.h>
@@ -22,21 +23,48 @@
     return weight * (unit.step().savesProgress ? restartSeconds : ran + restartSeconds);
 }
 
-// The lost work, weighted by the number of earlier evictions unless the unit saves its progress.
-// Without the weight, a unit that has just restarted would always be the cheapest and would be
-// evicted again.
+void TaskPlanner::updatePaths(ActiveJob& active, Millis now) const
+{
+    constexpr Millis interval = 1000;
+    if (active.pathsAt > 0 && now < active.pathsAt + interval)
+        return;
+    active.pathsAt = now;
+    active.paths = pathsOf(*active.job, [&](const Step& step) { return this->runTimes.forecast(active.job->terms.queue, step.estimate).work; });
+}
+
+Deadlines TaskPlanner::deadlinesOf(const Unit& unit) const
+{
+    const Job& job = *unit.job;
+    const Millis waitingSince = (job.repeats > 0 ? job.dueAt(unit.key.occurrence) : job.acceptedAt) - this->wallOffset;
+    return tasks::deadlinesOf(job.terms, this->jobs.at(unit.key.job).paths.whole, waitingSince);
+}
+
+double TaskPlanner::stopWeightOf(const Unit& unit, Millis now) const
+{
+    const JobPaths& paths = this->jobs.at(unit.key.job).paths;
+    if (unit.step().longRunning || paths.after.empty())
+        return 1; // It has no end by which it could be late, or it was adopted in this turn.
+    const Deadlines deadlines = this->deadlinesOf(unit);
+    const Millis after = paths.after[static_cast<std::size_t>(unit.key.step)];
+    return stopWeight(valueOfEnd(deadlines, this->expectedEnd(unit, now) + after), valueOfEnd(deadlines, now + this->expectedRunTime(unit) + after));
+}
+
+// The lost work, weighted by what the result is worth, and by the number of earlier evictions
+// unless the unit saves its progress. Without the latter, a unit that has just restarted would
+// always be the cheapest and would be evicted again.
 double TaskPlanner::evictionCost(const Unit& unit, Millis now) const
 {
-    const double lost = this->lostWorkOf(unit, now);
+    const double lost = this->lostWorkOf(unit, now) * this->stopWeightOf(unit, now);
     return unit.step().savesProgress ? lost : lost * static_cast<double>(1 + unit.evictionCount);
 }
 
 // The work in core-seconds that others may lose so that a unit which is not guaranteed can start
 // now.
-double TaskPlanner::maxLostWork(const Unit& unit) const
+double TaskPlanner::maxLostWork(const Candidate& candidate, Millis now) const
 {
+    const Unit& unit = *candidate.unit;
     if (unit.job->terms.priority == 0)
-        return maxUrgentLostCoreSeconds;
+        return maxUrgentLostCoreSeconds * (now > candidate.latestStarts.inTime ? lateValue : 1);
     const double work = coreEquivalents(unit.step().perTask) * static_cast<double>(unit.members() * this->expectedRunTime(unit)) / 1000.0;
     return work * maxLostWorkFraction;
 }
@@ -54,14 +82,31 @@
     return false;
 }
 
+// False if the unit can wait for runs that end by themselves. See preemption.h.
+bool TaskPlanner::mustStopOthers(const Candidate& candidate, const std::optional<Snapshot::Reservation>& reservation, Millis now)
+{
+    PreemptionInputs inputs;
+    inputs.guaranteed = candidate.queueKey.guaranteed;
+    inputs.hasStartBound = inputs.guaranteed && candidate.unit->step().dependsOn.empty();
+    inputs.waitingSince = candidate.waitingSince;
+    inputs.latestStarts = candidate.latestStarts;
+    if (reservation)
+        inputs.freeAt = reservation->at;
+    inputs.now = now;
+    const PreemptionChoice choice = choosePreemption(inputs);
+    if (!choice.stopNow)
+        this->pacer.scheduleBy(choice.reconsiderAt);
+    return choice.stopNow;
+}
+
 bool TaskPlanner::tryEvict(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     Unit& unit = *candidate.unit;
     const bool guaranteed = candidate.queueKey.guaranteed;
     const std::int64_t priority = unit.job->terms.priority;
-    const auto evictionCostOf = [&](const Allocation& run) { return run.guaranteed || (!guaranteed && run.priority <= priority) ? -1.0 : run.lostWork; };
+    const auto evictionCostOf = [&](const Allocation& run) { return run.guaranteed || (!guaranteed && (run.priority <= priority || run.stops >= maxStopsPerUnit)) ? -1.0 : run.lostWork; };
     constexpr double noBound = std::numeric_limits<double>::max();
-    const double bound = guaranteed ? noBound : this->maxLostWork(unit);
+    const double bound = guaranteed ? noBound : this->maxLostWork(candidate, now);
     const auto plan = planEviction(snapshot, request, evictionCostOf, noBound);
     if (!plan || plan->lostWork > bound) {
         this->reportEvictionRefusal(unit, plan ? EvictionRefusal::TooMuchLost : EvictionRefusal::NotEnoughResources, plan ? plan->lostWork : 0, bound);
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -38,9 +38,10 @@
     if (kind == RoundKind::None)
         return;
     this->pacer.roundStarted(kind, now);
+    this->wallOffset = wall - now;
     this->stopStalledUnits(now);
     this->evacuateLeavingWorkers(now);
-    this->markGuaranteedJobs();
+    this->markGuaranteedJobs(now);
     this->runRound(now, wall);
 }
 
@@ -151,11 +152,12 @@
     }
 }
 
-void TaskPlanner::markGuaranteedJobs()
+void TaskPlanner::markGuaranteedJobs(Millis now)
 {
     std::vector<ActiveJob*> urgent;
     for (auto& [id, active] : this->jobs) {
         active.guaranteed = false;
+        this->updatePaths(active, now);
         if (active.job->terms.priority == 0 && !isFinal(active.state))
             urgent.push_back(&active);
     }
@@ -195,6 +197,7 @@
     allocation.unit = &found->first;
     allocation.expectedEnd = this->expectedEnd(unit, now);
     allocation.lostWork = this->evictionCost(unit, now);
+    allocation.stops = unit.evictionCount;
     allocation.priority = unit.job->terms.priority;
     allocation.guaranteed = this->jobs.at(unit.key.job).guaranteed;
     return allocation;
@@ -291,7 +294,7 @@
         // Units of one step without saved progress have equal rank, and there may be hundreds.
         const Candidate* previous = candidates.empty() ? nullptr : &candidates.back();
         if (previous && unit.checkpointProgress == 0 && previous->unit->checkpointProgress == 0 && isSameStep(previous->unit->key, key)) {
-            candidates.push_back({ &unit, previous->queueKey, previous->waitingSince });
+            candidates.push_back({ &unit, previous->queueKey, previous->waitingSince, previous->latestStarts });
             continue;
         }
         const ActiveJob& active = this->jobs.at(key.job);
@@ -304,7 +307,9 @@
         demand.criticalPath = this->runTimes.forecast(job.terms.queue, unit.step().estimate).work;
         demand.stretch = job.terms.stretch;
         demand.latencyTarget = job.terms.latencyTarget;
-        candidates.push_back({ &unit, queueKeyOf(demand, now), demand.waitingSince });
+        const Deadlines deadlines = this->deadlinesOf(unit);
+        const Millis remaining = demand.remainingRunTime + active.paths.after[static_cast<std::size_t>(key.step)];
+        candidates.push_back({ &unit, queueKeyOf(demand, now), demand.waitingSince, { deadlines.inTime - remaining, deadlines.useful - remaining } });
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.queueKey < b.queueKey; });
     return candidates;
@@ -395,7 +400,11 @@
         // Eviction loses work, so a unit that fits on idle workers not polled yet waits instead:
         // after a takeover they answer within a fraction of a second.
         const bool hasUnpolledResources = !snapshot->second.unpolled.empty() && snapshot->second.fitsOnUnpolledWorkers(request);
-        if (couldFit && !hasUnpolledResources && evictionSearches < maxEvictionSearches && this->canEvict(candidate, now)) {
+        const bool mayReserve = couldFit && reservations[service] < maxReservations;
+        std::optional<Snapshot::Reservation> reservation;
+        if (mayReserve)
+            reservation = snapshot->second.findReservation(request);
+        if (couldFit && !hasUnpolledResources && evictionSearches < maxEvictionSearches && this->canEvict(candidate, now) && this->mustStopOthers(candidate, reservation, now)) {
             ++evictionSearches;
             ++this->round.evictionSearches;
             if (this->tryEvict(candidate, snapshot->second, request, now)) {
@@ -410,9 +419,11 @@
             blockedStep = &unit.key;
         if (isCacheable && !knownToFail)
             failed.add(request);
-        if (reservations[service]++ < maxReservations) {
+        if (mayReserve) {
+            ++reservations[service];
             ++this->round.reservations;
-            snapshot->second.reserve(request);
+            if (reservation)
+                snapshot->second.reserve(request, *reservation);
         }
     }
     if (this->round.kind == RoundKind::Full && !this->hasDeferredAdvice)
