Order units that can't all be in time by value per remaining work, and raise those that wait

Cause: under an overload all units of one priority were late together, since they were ordered by latest start, and patient jobs had no start until all middle ones were done: 95 of 100 first starts only within 26.7 s.

Change: if at least a second of the whole service's work waits in a priority and the usual order would make a unit late, units that aren't guaranteed are ordered by the value that their job still has per core-second that it still needs, raised by their wait and by stops. Once a job has waited for 4 s and a quarter of its slack without any start, one of its units is raised to priority 1 and isn't stopped for priority 1. Units that wait for runs to end keep a margin of 5% of their run time.

--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -55,6 +55,7 @@
     Millis lastProgressAt { 0 }; // When the progress of any member last changed.
 
     std::int64_t evictionCount { 0 }; // How often a run was evicted.
+    std::int64_t rankedPriority { 0 }; // The priority at which its current run was placed; it may have been raised.
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
     WaitReason waitReason { WaitReason::NotConsidered };
--- a/src/tasks/preemption.cc
+++ b/src/tasks/preemption.cc
@@ -4,13 +4,21 @@
 
 namespace rattan::tasks {
 
+namespace {
+
+    // Run times of urgent units differ by about a tenth from those forecast.
+    constexpr double runTimeMargin = 0.05;
+
+} // namespace
+
 PreemptionChoice choosePreemption(const PreemptionInputs& inputs)
 {
     const Millis now = inputs.now;
     // A unit that is late already gains nothing by an early start, so it stops runs only for as
     // much as it is still worth: shortly before it would be of no use.
     const bool isLate = now > inputs.latestStarts.inTime;
-    Millis latestStart = isLate ? inputs.latestStarts.useful : inputs.latestStarts.inTime;
+    const Millis margin = static_cast<Millis>(runTimeMargin * static_cast<double>(inputs.expectedRunTime));
+    Millis latestStart = (isLate ? inputs.latestStarts.useful : inputs.latestStarts.inTime) - margin;
     if (inputs.guaranteed && isLate)
         return { .stopNow = true };
     if (inputs.hasStartBound)
--- a/src/tasks/preemption.h
+++ b/src/tasks/preemption.h
@@ -31,6 +31,7 @@
     bool hasStartBound { false }; // A unit of the first step of a guaranteed job.
     Millis waitingSince { 0 };
     Deadlines latestStarts; // The latest starts at which the job ends in time, or is of any use.
+    Millis expectedRunTime { 0 };
     std::optional<Millis> freeAt; // When enough resources become free by themselves; none if unknown.
     Millis now { 0 };
 };
--- a/src/tasks/queue_order.cc
+++ b/src/tasks/queue_order.cc
@@ -12,6 +12,8 @@
         return this->isTooLate ? std::strong_ordering::greater : std::strong_ordering::less;
     if (const auto order = this->priority <=> other.priority; order != std::strong_ordering::equal)
         return order;
+    if (this->valueOrder != other.valueOrder)
+        return this->valueOrder <=> other.valueOrder;
     return this->latestStart <=> other.latestStart;
 }
 
--- a/src/tasks/queue_order.h
+++ b/src/tasks/queue_order.h
@@ -6,7 +6,8 @@
 // use, when not every job can meet its deadline. In order of arrival, or of priority
 // alone, all of them would be late together. So units of one priority are ordered by the
 // latest time at which they can start and still meet their deadline. Units that would end
-// too late to be of any use come last, and run when there are free resources.
+// too late to be of any use come last, and run when there are free resources. Units that
+// can't all be in time are ordered by the value that is left (overload_order.h).
 
 #include "base/clock.h"
 #include "tasks/job.h"
@@ -35,6 +36,7 @@
     bool guaranteed { false };
     bool isTooLate { false };
     std::int64_t priority { 0 };
+    std::int64_t valueOrder { 0 }; // Equal for all units unless they can't all be in time. See overload_order.h.
     Millis latestStart { 0 };
 
     std::strong_ordering operator<=>(const QueueKey&) const;
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -101,6 +101,7 @@
 void TaskPlanner::adoptRun(Unit& unit, const UnitProgress& progress, Millis now)
 {
     unit.state = UnitState::Running;
+    unit.rankedPriority = unit.job->terms.priority;
     unit.workers = progress.workers;
     unit.membersLeft = static_cast<std::int64_t>(progress.workers.size());
     unit.placedAt = now;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -203,6 +203,9 @@
     void evacuateLeavingWorkers(Millis now);
     void markGuaranteedJobs(Millis now);
     std::vector<Candidate> rankCandidates(const std::set<UnitKey>&, Millis now, Millis wall);
+    void orderExcess(std::vector<Candidate>&, Millis now) const;
+    double remainingWorkOf(const ActiveJob&, Millis now) const;
+    std::map<std::string_view, Resources> capacityByService() const;
     PlacementRequest requestOf(const Unit&) const;
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     bool canEvict(const Candidate&, Millis now);
--- a/src/tasks/task_planner_evictions.cc
+++ b/src/tasks/task_planner_evictions.cc
@@ -90,6 +90,7 @@
     inputs.hasStartBound = inputs.guaranteed && candidate.unit->step().dependsOn.empty();
     inputs.waitingSince = candidate.waitingSince;
     inputs.latestStarts = candidate.latestStarts;
+    inputs.expectedRunTime = this->expectedRunTime(*candidate.unit);
     if (reservation)
         inputs.freeAt = reservation->at;
     inputs.now = now;
--- /dev/null
+++ b/src/tasks/task_planner_excess.cc
@@ -0,0 +1,96 @@
+// The order of waiting units that can't all be in time. The decisions are in overload_order.h.
+
+#include "tasks/overload_order.h"
+#include "tasks/task_planner.h"
+
+#include <algorithm>
+
+namespace rattan::tasks {
+
+using namespace detail;
+
+namespace {
+
+    // How long a unit would take all resources of its service.
+    double siteMillisOf(const Unit& unit, Millis runTime, const Resources& capacity)
+    {
+        const Resources needed = unit.step().perTask.times(unit.members());
+        const auto share = [](std::int64_t part, std::int64_t whole) { return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0; };
+        return static_cast<double>(runTime) * std::max(share(needed.accelerators, capacity.accelerators), share(needed.milliCores, capacity.milliCores));
+    }
+
+} // namespace
+
+std::map<std::string_view, Resources> TaskPlanner::capacityByService() const
+{
+    std::map<std::string_view, Resources> capacity;
+    for (const auto& [id, worker] : this->workers) {
+        if (worker.listed && !worker.silent)
+            capacity[worker.description.service] += worker.description.capacity;
+    }
+    return capacity;
+}
+
+// The work in core-seconds until all tasks of the job are done.
+double TaskPlanner::remainingWorkOf(const ActiveJob& active, Millis now) const
+{
+    double work = 0;
+    const Job& job = *active.job;
+    const auto weightOf = [](const Step& step, std::int64_t members) { return coreEquivalents(step.perTask) * static_cast<double>(members) / 1000.0; };
+    for (auto next = this->units.lower_bound({ job.id, 0, 0, wholeGang }); next != this->units.end() && next->first.job == job.id; ++next) {
+        const Unit& unit = next->second;
+        const Millis left = unit.state == UnitState::Running ? this->expectedEnd(unit, now) - now : this->expectedRunTime(unit);
+        work += weightOf(unit.step(), unit.members()) * static_cast<double>(left);
+    }
+    for (const auto& [number, occurrence] : active.occurrences) {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            if (!occurrence.steps[i].started)
+                work += weightOf(job.steps[i], job.steps[i].count) * static_cast<double>(this->runTimes.forecast(job.terms.queue, job.steps[i].estimate).work);
+        }
+    }
+    return work;
+}
+
+// Takes candidates in the usual order.
+void TaskPlanner::orderExcess(std::vector<Candidate>& candidates, Millis now) const
+{
+    const auto capacity = this->capacityByService();
+    std::vector<WaitingWork> waiting;
+    waiting.reserve(candidates.size());
+    const Unit* previous = nullptr;
+    for (const Candidate& candidate : candidates) {
+        const Unit& unit = *candidate.unit;
+        const auto found = capacity.find(unit.job->terms.service);
+        if (candidate.queueKey.guaranteed || candidate.queueKey.isTooLate || found == capacity.end())
+            continue;
+        WaitingWork work { unit.job->terms.service, unit.job->terms.priority, candidate.latestStarts.inTime, 0 };
+        const bool isSibling = previous && previous->job == unit.job && previous->key.step == unit.key.step;
+        work.siteMillis = isSibling ? waiting.back().siteMillis : siteMillisOf(unit, this->expectedRunTime(unit), found->second);
+        waiting.push_back(work);
+        previous = &unit;
+    }
+    const Excess excess = Excess::detect(waiting, now);
+    if (excess.empty())
+        return;
+    std::map<const Job*, double> remainingWork;
+    for (Candidate& candidate : candidates) {
+        const Unit& unit = *candidate.unit;
+        const QueueTerms& terms = unit.job->terms;
+        if (candidate.queueKey.guaranteed || candidate.queueKey.isTooLate || !excess.isBacklogged(terms.service, terms.priority))
+            continue;
+        const ActiveJob& active = this->jobs.at(unit.key.job);
+        const bool isLate = excess.isLate(terms.service, terms.priority);
+        const auto [work, isFirstUnit] = remainingWork.try_emplace(unit.job.get(), 0);
+        if (isFirstUnit && isLate)
+            work->second = this->remainingWorkOf(active, now);
+        if (isLate)
+            candidate.queueKey.valueOrder = valueOrderOf({ candidate.latestStarts, candidate.waitingSince, work->second, unit.evictionCount, now });
+        if (isFirstUnit && !active.started && isFirstStartDue(candidate.waitingSince, candidate.latestStarts.inTime, now)) {
+            candidate.queueKey.priority = raisedPriority(terms.priority);
+            candidate.queueKey.valueOrder = std::numeric_limits<std::int64_t>::min();
+        }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.queueKey < b.queueKey; });
+}
+
+} // namespace rattan::tasks
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -21,6 +21,8 @@
             ++counts[incarnation.id];
     }
 
+    bool isBefore(const Candidate& a, const Candidate& b) { return a.queueKey < b.queueKey; }
+
     bool isSameStep(const UnitKey& a, const UnitKey& b) { return a.step == b.step && a.occurrence == b.occurrence && a.job == b.job; }
 
 } // namespace
@@ -198,7 +200,7 @@
     allocation.expectedEnd = this->expectedEnd(unit, now);
     allocation.lostWork = this->evictionCost(unit, now);
     allocation.stops = unit.evictionCount;
-    allocation.priority = unit.job->terms.priority;
+    allocation.priority = std::min(unit.job->terms.priority, unit.rankedPriority);
     allocation.guaranteed = this->jobs.at(unit.key.job).guaranteed;
     return allocation;
 }
@@ -311,7 +313,8 @@
         const Millis remaining = demand.remainingRunTime + active.paths.after[static_cast<std::size_t>(key.step)];
         candidates.push_back({ &unit, queueKeyOf(demand, now), demand.waitingSince, { deadlines.inTime - remaining, deadlines.useful - remaining } });
     }
-    std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.queueKey < b.queueKey; });
+    std::stable_sort(candidates.begin(), candidates.end(), isBefore);
+    this->orderExcess(candidates, now);
     return candidates;
 }
 
@@ -441,6 +444,7 @@
         for (const std::size_t index : *places)
             chosen.push_back(snapshot.workers[index].id);
         snapshot.allocate(request, *places);
+        unit.rankedPriority = candidate.queueKey.priority;
         const Step& step = unit.step();
         unit.placedRemotely = (!step.dataRack.empty() && request.rack.empty()) || (step.sameRack && !request.sameRack);
         this->place(unit, chosen, now);
--- a/src/tasks/testing/overload_test.cc
+++ b/src/tasks/testing/overload_test.cc
@@ -17,6 +17,7 @@
 constexpr std::int64_t maxStops = 1000;
 constexpr std::int64_t maxLostCoreSeconds = 50000;
 constexpr Millis guaranteedStartBound = 2700;
+constexpr Millis firstStartBound = 6000; // For 95 of 100 jobs.
 
 class OverloadTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(OverloadTest);
@@ -37,6 +38,7 @@
             text += fmt::format("seed {}: {}\n", seed, figures.text);
             CPPUNIT_ASSERT_MESSAGE(figures.violations.empty() ? "" : figures.violations.front(), figures.violations.empty());
             CPPUNIT_ASSERT_MESSAGE(text, figures.slowestGuaranteedStart <= guaranteedStartBound);
+            CPPUNIT_ASSERT_MESSAGE(text, figures.start95 <= firstStartBound);
             CPPUNIT_ASSERT_MESSAGE(text, figures.unfinished == 0);
             CPPUNIT_ASSERT_MESSAGE(text, figures.mostStopsOfAUnit <= maxStopsPerUnit);
             runs += figures.runs;
