Place units of workspaces below their share first among equals while work exceeds the room

Cause: with equal jobs, those of a small workspace waited until all earlier ones of a large workspace were done.

Change: in an excess, units whose value per remaining work differs by less than a factor of two count as equal, and those of workspaces that use no more than an equal share of the resources beyond guarantees go first.

--- a/src/tasks/overload_order.cc
+++ b/src/tasks/overload_order.cc
@@ -1,6 +1,7 @@
 #include "tasks/overload_order.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace rattan::tasks {
@@ -31,6 +32,11 @@
     return excess;
 }
 
+std::int64_t valueClassOf(std::int64_t valueOrder)
+{
+    return valueOrder >= 0 ? 0 : -static_cast<std::int64_t>(std::bit_width(std::uint64_t { 0 } - static_cast<std::uint64_t>(valueOrder)));
+}
+
 const Excess::Class* Excess::find(std::string_view service, std::int64_t priority) const
 {
     const auto found = std::find_if(this->classes.begin(), this->classes.end(), [&](const Class& row) { return row.service == service && row.priority == priority; });
--- a/src/tasks/overload_order.h
+++ b/src/tasks/overload_order.h
@@ -64,6 +64,10 @@
 // The position of a unit; the lowest goes first.
 std::int64_t valueOrderOf(const ValueOrderInputs&);
 
+// Units of one class count as equal, so that the shares of their workspaces decide. The values of
+// a class differ by less than a factor of two.
+std::int64_t valueClassOf(std::int64_t valueOrder);
+
 // Whether one unit of a job of which no task has started is raised to the priority just below
 // urgent ones, so that no kind of job waits until all others are done.
 bool isFirstStartDue(Millis waitingSince, Millis latestStartInTime, Millis now);
--- a/src/tasks/queue_order.cc
+++ b/src/tasks/queue_order.cc
@@ -12,6 +12,10 @@
         return this->isTooLate ? std::strong_ordering::greater : std::strong_ordering::less;
     if (const auto order = this->priority <=> other.priority; order != std::strong_ordering::equal)
         return order;
+    if (this->valueClass != other.valueClass)
+        return this->valueClass <=> other.valueClass;
+    if (this->exceedsShare != other.exceedsShare)
+        return this->exceedsShare ? std::strong_ordering::greater : std::strong_ordering::less;
     if (this->valueOrder != other.valueOrder)
         return this->valueOrder <=> other.valueOrder;
     return this->latestStart <=> other.latestStart;
--- a/src/tasks/queue_order.h
+++ b/src/tasks/queue_order.h
@@ -36,7 +36,10 @@
     bool guaranteed { false };
     bool isTooLate { false };
     std::int64_t priority { 0 };
-    std::int64_t valueOrder { 0 }; // Equal for all units unless they can't all be in time. See overload_order.h.
+    // Equal for all units unless they can't all be in time. See overload_order.h.
+    std::int64_t valueClass { 0 };
+    bool exceedsShare { false }; // Its workspace uses more than its share.
+    std::int64_t valueOrder { 0 };
     Millis latestStart { 0 };
 
     std::strong_ordering operator<=>(const QueueKey&) const;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -32,6 +32,7 @@
 #include "tasks/candidate.h"
 #include "tasks/catalog.h"
 #include "tasks/evacuated_domains.h"
+#include "tasks/fair_shares.h"
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
 #include "tasks/plan_table.h"
@@ -204,6 +205,7 @@
     void markGuaranteedJobs(Millis now);
     std::vector<Candidate> rankCandidates(const std::set<UnitKey>&, Millis now, Millis wall);
     void orderExcess(std::vector<Candidate>&, Millis now) const;
+    FairShares sharesOf(const std::vector<Candidate>&) const;
     double remainingWorkOf(const ActiveJob&, Millis now) const;
     std::map<std::string_view, Resources> capacityByService() const;
     PlacementRequest requestOf(const Unit&) const;
--- a/src/tasks/task_planner_excess.cc
+++ b/src/tasks/task_planner_excess.cc
@@ -51,6 +51,18 @@
     return work;
 }
 
+FairShares TaskPlanner::sharesOf(const std::vector<Candidate>& candidates) const
+{
+    FairShares shares;
+    for (const auto& [key, unit] : this->units) {
+        if (unit.state == UnitState::Running && !this->jobs.at(key.job).guaranteed)
+            shares.addUse(unit.job->workspace, coreEquivalents(unit.step().perTask) * static_cast<double>(unit.members()));
+    }
+    for (const Candidate& candidate : candidates)
+        shares.addWaiting(candidate.unit->job->workspace);
+    return shares;
+}
+
 // Takes candidates in the usual order.
 void TaskPlanner::orderExcess(std::vector<Candidate>& candidates, Millis now) const
 {
@@ -72,6 +84,7 @@
     const Excess excess = Excess::detect(waiting, now);
     if (excess.empty())
         return;
+    const FairShares shares = this->sharesOf(candidates);
     std::map<const Job*, double> remainingWork;
     for (Candidate& candidate : candidates) {
         const Unit& unit = *candidate.unit;
@@ -89,6 +102,8 @@
             candidate.queueKey.priority = raisedPriority(terms.priority);
             candidate.queueKey.valueOrder = std::numeric_limits<std::int64_t>::min();
         }
+        candidate.queueKey.valueClass = valueClassOf(candidate.queueKey.valueOrder);
+        candidate.queueKey.exceedsShare = shares.exceedsShare(unit.job->workspace);
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.queueKey < b.queueKey; });
 }
