Keep submissions and cancels waiting while their append is in doubt

Cause: a submission or cancel whose append got no response was answered with Outcome::Unknown (502 or 504) immediately, although the jobs stream usually shows the record a few milliseconds later. Its caller could not repeat an unsafe request.

Change: the request keeps waiting within its deadline, and the jobs stream is probed. It is answered when the record appears. If a read that began after the loss does not show the record, it is appended again; a rejected repeat is not reported as a refusal. While the store turns this instance away, the request is also forwarded to a peer; the first answer that settles it counts. Outcome::Unknown is given only at the deadline. A probe pauses after a failed read, so that it is not sent in a busy loop.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -150,6 +150,7 @@
         this->jobsReader.probe();
     this->gateway.setAnswerDeadline(this->answerDeadline);
     this->requestForwarder.setAnswerDeadline(this->answerDeadline);
+    this->gateway.setPeerAvailable(this->requestForwarder.hasPeer());
     this->gateway.step(now);
     this->appendRecords(now);
     this->answerCallers();
@@ -204,7 +205,8 @@
         if (found == this->unansweredRequests.end())
             continue;
         if (!this->requestForwarder.shouldForward(found->second.request, answered.answer, answered.waitTime)) {
-            this->answerCaller(answered);
+            if (!answered.isProvisional)
+                this->answerCaller(answered);
             continue;
         }
         this->metrics.count("rattan_relayed_total", { { "for_want_of", std::string(nameOf(answered.answer.outcome)) } });
@@ -212,6 +214,10 @@
         const Millis forwardedAt = this->clock.now();
         this->requestForwarder.forward(found->second.request, answered.answer, answered.waitTime, [this, answered, forwardedAt](const CallerAnswer& answer) {
             this->gateway.requireConfigurationVersion(answer.configurationVersion);
+            if (answered.isProvisional && answer.outcome == Outcome::Unknown)
+                return; // The gateway still tries to resolve the request.
+            if (answered.isProvisional)
+                this->gateway.withdraw(answered.ticket);
             GatewayAnswer forwarded = answered;
             forwarded.answer = answer;
             forwarded.waitTime += this->clock.now() - forwardedAt;
--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -108,6 +108,8 @@
 {
     if (stream == Stream::Claims)
         this->election.didRegainLog(now);
+    if (stream == Stream::Jobs)
+        this->gateway.jobsReadFailed(now);
     this->metrics.count("rattan_store_failures_total", { { "stream", std::string(nameOf(stream)) } });
     bool& isReachable = this->reachableStreams[stream];
     if (isReachable)
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace rattan::instance {
@@ -157,8 +159,8 @@
     const std::string key = waiting.recordKey;
     this->waitingRequests.emplace(ticket, std::move(waiting));
     const auto hasSameKey = [&](const StoreRecord& record) { return record.key == key; };
-    if (this->inFlightRecords.contains(key) || std::any_of(this->records.begin(), this->records.end(), hasSameKey))
-        return; // An append of the same record is already queued or in flight.
+    if (this->inFlightRecords.contains(key) || this->recordsInDoubt.contains(key) || std::any_of(this->records.begin(), this->records.end(), hasSameKey))
+        return; // An append of the same record is already queued, in flight or in doubt.
     this->records.push_back({ key, std::move(value), 0 });
 }
 
@@ -175,22 +177,31 @@
     const auto end = this->records.begin() + static_cast<std::ptrdiff_t>(count);
     std::vector<StoreRecord> taken(std::make_move_iterator(this->records.begin()), std::make_move_iterator(end));
     this->records.erase(this->records.begin(), end);
-    for (const StoreRecord& record : taken)
-        ++this->inFlightRecords[record.key];
+    for (const StoreRecord& record : taken) {
+        InFlightRecord& inFlight = this->inFlightRecords[record.key];
+        ++inFlight.appends;
+        inFlight.value = record.value;
+    }
     return taken;
 }
 
 void Gateway::appendCompleted(const std::vector<std::string>& keys, AppendStatus status, Millis now)
 {
+    std::vector<std::string> settledKeys;
     for (const std::string& key : keys) {
-        if (const auto found = this->inFlightRecords.find(key); found != this->inFlightRecords.end() && --found->second <= 0)
+        std::string value;
+        if (const auto found = this->inFlightRecords.find(key); found != this->inFlightRecords.end() && --found->second.appends <= 0) {
+            value = std::move(found->second.value);
             this->inFlightRecords.erase(found);
+        }
         if (status == AppendStatus::Unknown)
             this->unresolvedRecords[key] = now;
         if (status == AppendStatus::Appended)
             this->storedRecords[key] = now;
+        if (!this->keepInDoubt(key, std::move(value), status, now))
+            settledKeys.push_back(key);
     }
-    const auto matches = [&](const WaitingRequest& waiting) { return waiting.awaited == AwaitedEvent::RecordStored && std::find(keys.begin(), keys.end(), waiting.recordKey) != keys.end(); };
+    const auto matches = [&](const WaitingRequest& waiting) { return waiting.awaited == AwaitedEvent::RecordStored && std::find(settledKeys.begin(), settledKeys.end(), waiting.recordKey) != settledKeys.end(); };
     for (const auto& [ticket, waiting] : this->takeWaiting(matches)) {
         if (status == AppendStatus::Appended)
             this->answer(ticket, waiting, { .outcome = waiting.request.kind == RequestKind::Submit ? Outcome::Accepted : Outcome::Cancelled }, now);
@@ -199,6 +210,66 @@
     }
 }
 
+// Keeps the record for another append if it is unknown whether it is stored. A rejection answers
+// the request only if no earlier append of the record can be executed any more.
+bool Gateway::keepInDoubt(const std::string& key, std::string value, AppendStatus status, Millis now)
+{
+    if (status == AppendStatus::Appended || !this->unresolvedRecords.contains(key) || !this->isAwaited(key))
+        return false;
+    const bool rejected = status != AppendStatus::Unknown;
+    this->recordsInDoubt[key] = { std::move(value), now, rejected ? now + this->options.repeatDelay : now, rejected };
+    return true;
+}
+
+// A repeat waits for a read that began after the loss, because usually the record is stored and
+// only its response was lost.
+void Gateway::repeatRecordsInDoubt(Millis now)
+{
+    if (this->recordsInDoubt.empty())
+        return;
+    std::unordered_set<std::string_view> awaitedKeys;
+    for (const auto& [ticket, waiting] : this->waitingRequests)
+        awaitedKeys.insert(waiting.recordKey);
+    std::erase_if(this->recordsInDoubt, [&](const auto& item) { return !awaitedKeys.contains(item.first); });
+    for (auto next = this->recordsInDoubt.begin(); next != this->recordsInDoubt.end();) {
+        const auto current = next++;
+        if (this->jobsConfirmedAt < current->second.since || now < current->second.repeatAt)
+            continue;
+        this->records.push_back({ current->first, std::move(current->second.value), 0 });
+        this->recordsInDoubt.erase(current);
+    }
+}
+
+void Gateway::askPeers(Millis now)
+{
+    if (!this->peerAvailable || this->recordsInDoubt.empty())
+        return;
+    for (auto& [ticket, waiting] : this->waitingRequests) {
+        if (!this->shouldAskPeer(waiting, now))
+            continue;
+        waiting.peerAsked = true;
+        const CallerAnswer unknown { .outcome = Outcome::Unknown, .retryAfter = retryDelay, .message = "the store does not serve this instance", .canPeerHelp = true };
+        this->answers.push_back({ ticket, unknown, waiting.jobId, now - waiting.receivedAt, true });
+    }
+}
+
+// Whether the store serves other instances but possibly not this one, while the outcome of the
+// request's append is unknown. A job that is submitted at two instances remains one job.
+bool Gateway::shouldAskPeer(const WaitingRequest& waiting, Millis now) const
+{
+    const auto found = this->recordsInDoubt.find(waiting.recordKey);
+    if (waiting.request.forwarded || waiting.peerAsked || found == this->recordsInDoubt.end() || waiting.deadline - now < this->options.minPeerTime)
+        return false;
+    const RecordInDoubt& doubt = found->second;
+    const bool readBackFailed = this->jobsConfirmedAt < doubt.since && this->jobsReadFailedAt >= doubt.since && now - doubt.since >= this->options.readBackTime;
+    return doubt.rejected || readBackFailed || !this->isStoreReachable(now);
+}
+
+bool Gateway::isAwaited(const std::string& recordKey) const
+{
+    return std::any_of(this->waitingRequests.begin(), this->waitingRequests.end(), [&](const auto& item) { return item.second.recordKey == recordKey; });
+}
+
 // Removes all matching requests before any of them is answered, since a refusal depends on
 // which requests still wait for the same record.
 std::vector<std::pair<std::uint64_t, Gateway::WaitingRequest>> Gateway::takeWaiting(const std::function<bool(const WaitingRequest&)>& matches)
@@ -226,6 +297,11 @@
 
 void Gateway::jobChanged(const std::string& id, Millis now)
 {
+    if (const JobEntry* entry = this->unresolvedRecords.empty() ? nullptr : this->jobs.find(id)) {
+        this->unresolvedRecords.erase(tasks::formatKey({ RecordKind::Job, id }));
+        if (entry->cancelled)
+            this->unresolvedRecords.erase(tasks::formatKey({ RecordKind::Cancel, id }));
+    }
     for (auto next = this->waitingRequests.begin(); next != this->waitingRequests.end();) {
         const auto current = next++;
         if (current->second.jobId != id)
@@ -271,7 +347,8 @@
 
 bool Gateway::needsJobsRead() const
 {
-    return std::any_of(this->waitingRequests.begin(), this->waitingRequests.end(), [](const auto& item) { return item.second.awaited == AwaitedEvent::JobsConfirmed; });
+    return std::any_of(this->waitingRequests.begin(), this->waitingRequests.end(), [](const auto& item) { return item.second.awaited == AwaitedEvent::JobsConfirmed; })
+        || std::any_of(this->recordsInDoubt.begin(), this->recordsInDoubt.end(), [this](const auto& item) { return this->jobsConfirmedAt < item.second.since; });
 }
 
 bool Gateway::isAwaitingJobEnd() const
@@ -288,20 +365,19 @@
         else
             this->refuse(ticket, waiting, "no answer from the store in time", now);
     }
+    this->askPeers(now);
+    this->repeatRecordsInDoubt(now);
     std::erase_if(this->unresolvedRecords, [&](const auto& item) { return this->jobsConfirmedAt - item.second > maxAppendDelay; });
     std::erase_if(this->storedRecords, [&](const auto& item) { return this->jobsConfirmedAt > item.second; });
     // A record must not be appended after all requests for it were answered.
-    std::erase_if(this->records, [&](const StoreRecord& record) {
-        return std::none_of(this->waitingRequests.begin(), this->waitingRequests.end(), [&](const auto& item) { return item.second.recordKey == record.key; });
-    });
+    std::erase_if(this->records, [&](const StoreRecord& record) { return !this->isAwaited(record.key); });
 }
 
 // True if the record was stored, an append of it is in flight or unresolved, or a waiting
 // request is about to append it.
 bool Gateway::isPossiblyStored(const std::string& recordKey) const
 {
-    return this->storedRecords.contains(recordKey) || this->inFlightRecords.contains(recordKey) || this->unresolvedRecords.contains(recordKey)
-        || std::any_of(this->waitingRequests.begin(), this->waitingRequests.end(), [&](const auto& item) { return item.second.recordKey == recordKey; });
+    return this->storedRecords.contains(recordKey) || this->inFlightRecords.contains(recordKey) || this->unresolvedRecords.contains(recordKey) || this->isAwaited(recordKey);
 }
 
 // True if the job is not in the table but its record may still appear. A cancel request for
@@ -320,7 +396,7 @@
     const JobEntry* entry = this->jobs.find(waiting.jobId);
     const bool isPossiblyDone = (kind == RequestKind::Submit && (entry || this->isPossiblyStored(tasks::formatKey({ RecordKind::Job, waiting.jobId }))))
         || (kind == RequestKind::Cancel && ((entry && entry->cancelled) || this->isJobPossiblyStored(waiting.jobId) || this->isPossiblyStored(tasks::formatKey({ RecordKind::Cancel, waiting.jobId }))));
-    this->answer(ticket, waiting, { .outcome = isPossiblyDone ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryDelay, .message = std::move(why), .canPeerHelp = true }, now);
+    this->answer(ticket, waiting, { .outcome = isPossiblyDone ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryDelay, .message = std::move(why), .canPeerHelp = !waiting.peerAsked }, now);
 }
 
 void Gateway::answer(std::uint64_t ticket, const WaitingRequest& waiting, CallerAnswer answer, Millis now)
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -18,6 +18,13 @@
 // the time of the request. API keys are accepted only while the configuration was
 // confirmed recently enough.
 //
+// If the outcome of an append is lost, its requests keep waiting within their deadlines while
+// needsJobsRead() requests a read of the jobs stream. They are answered when the record appears. If
+// a read that began after the loss does not show it, the record is appended again; a repeated
+// record changes nothing. If the store turns this instance away meanwhile and a peer is
+// available, a provisional answer requests that the peer is asked, while the request keeps waiting
+// here. Outcome::Unknown is given only at the deadline.
+//
 // Limits: at most `maxWaitingRequests` requests wait at the same time. Further requests are
 // refused immediately, and so are submissions while `maxUnreadRecords` records have not been
 // read back yet. Each request is answered within its caller's timeout.
@@ -51,13 +58,17 @@
     // immediate "running" would delay the caller by a whole pause.
     Millis jobEndWait { 200 };
     Millis maxStoreSilence { 1200 }; // Without a confirmed read for longer, the store counts as unreachable.
+    Millis repeatDelay { 100 }; // Pause after a rejected repeat of an append, so that a store that rejects appends gets few of them.
+    Millis readBackTime { 150 }; // For reading back after a lost outcome, including one retry, before a peer is asked.
+    Millis minPeerTime { 200 }; // With less time left, a peer is not asked.
 };
 
 struct GatewayAnswer {
     std::uint64_t ticket { 0 };
     CallerAnswer answer;
-    std::string jobId; // For logging only.
+    std::string jobId;
     Millis waitTime { 0 };
+    bool isProvisional { false }; // Only for forwarding: the request still waits, and gets another answer unless it is withdrawn.
 };
 
 class Gateway {
@@ -74,6 +85,11 @@
 
     // Reports that the job table contains every record that was appended before `confirmedAt`.
     void jobsConfirmed(Millis confirmedAt, Millis now);
+    void jobsReadFailed(Millis now) { this->jobsReadFailedAt = now; }
+
+    // Sets whether a request can be forwarded to another instance at present.
+    void setPeerAvailable(bool available) { this->peerAvailable = available; }
+
     void jobChanged(const std::string& id, Millis now);
 
     void handleRequest(std::uint64_t ticket, const CallerRequest&, Millis now, Millis wallTime);
@@ -90,7 +106,11 @@
     void step(Millis now);
     std::vector<GatewayAnswer> takeAnswers();
 
-    // True while a request waits until the jobs stream is read up to the time of the request.
+    // Reports that a peer has answered a request that got a provisional answer here.
+    void withdraw(std::uint64_t ticket) { this->waitingRequests.erase(ticket); }
+
+    // True while a request waits until the jobs stream is read up to the time of the request, or
+    // up to the time at which the outcome of its append was lost.
     bool needsJobsRead() const;
 
     // True while a request waits for the end of a running job.
@@ -114,13 +134,32 @@
         std::string recordKey; // Key of the record that has to be durable; empty if there is none.
         Millis receivedAt { 0 };
         Millis deadline { 0 };
+        bool peerAsked { false };
         bool sent { false }; // Whether an append of the record may have been executed.
     };
 
+    struct InFlightRecord {
+        int appends { 0 }; // Without an outcome yet.
+        std::string value;
+    };
+
+    // A record that requests wait for and whose last append has no known effect.
+    struct RecordInDoubt {
+        std::string value;
+        Millis since { 0 }; // A read that began later shows whether the record was stored by then.
+        Millis repeatAt { 0 }; // It is not appended again before this time.
+        bool rejected { false }; // Whether the store rejected the last append, after an earlier one with a lost outcome.
+    };
+
     void submit(std::uint64_t ticket, WaitingRequest, const tasks::Queue&, std::string workspace, Millis now, Millis wallTime);
     void cancel(std::uint64_t ticket, WaitingRequest, Millis now);
     void reportState(std::uint64_t ticket, WaitingRequest, Millis now);
     void queueRecord(std::uint64_t ticket, WaitingRequest, std::string value);
+    bool keepInDoubt(const std::string& key, std::string value, AppendStatus, Millis now);
+    void repeatRecordsInDoubt(Millis now);
+    void askPeers(Millis now);
+    bool shouldAskPeer(const WaitingRequest&, Millis now) const;
+    bool isAwaited(const std::string& recordKey) const;
     bool canAnswer(const WaitingRequest&, const tasks::JobEntry&) const;
     void answer(std::uint64_t ticket, const WaitingRequest&, CallerAnswer, Millis now);
     void refuse(std::uint64_t ticket, const WaitingRequest&, std::string why, Millis now);
@@ -139,9 +178,12 @@
     bool jobsLoaded { false };
     Millis configurationConfirmedAt { 0 };
     Millis jobsConfirmedAt { 0 };
+    Millis jobsReadFailedAt { 0 };
+    bool peerAvailable { false };
     std::map<std::uint64_t, WaitingRequest> waitingRequests;
     std::vector<StoreRecord> records; // Queued for the next append.
-    std::map<std::string, int> inFlightRecords; // Number of appends without an outcome yet, by record key.
+    std::map<std::string, InFlightRecord> inFlightRecords; // By record key; at most as many as the caller takes at once.
+    std::map<std::string, RecordInDoubt> recordsInDoubt; // By record key; each has a waiting request.
     std::map<std::string, Millis> unresolvedRecords; // Time at which the outcome of an append was lost, by record key; the store may still execute it.
     std::map<std::string, Millis> storedRecords; // Time at which an append was acknowledged, by record key, until the record is read back.
     std::vector<GatewayAnswer> answers;
--- a/src/instance/request_forwarder.h
+++ b/src/instance/request_forwarder.h
@@ -38,6 +38,9 @@
     // Sets the time after which no answer of another instance is awaited. Used at shutdown.
     void setAnswerDeadline(Millis at) { this->answerDeadline = at; }
 
+    // Whether there is an instance to which requests can be forwarded.
+    bool hasPeer() const { return this->peers.choose(this->clock.now()).has_value(); }
+
     // Whether another instance may have a better answer and there is enough time to get it.
     // `waitTime` is how long the caller has waited already.
     bool shouldForward(const CallerRequest&, const CallerAnswer&, Millis waitTime) const;
--- a/src/instance/stream_reader.cc
+++ b/src/instance/stream_reader.cc
@@ -45,7 +45,10 @@
 
 void StreamReader::probe()
 {
-    if (!this->probeInFlight && this->loaded())
+    // After a failure, probes are as rare as reads. Otherwise the client would send them in a
+    // busy loop to a store that rejects them immediately.
+    const bool pausesAfterFailure = this->retryDelay > 0 && this->clock.now() < this->nextReadAt;
+    if (!this->probeInFlight && this->loaded() && !pausesAfterFailure)
         this->read(0, true);
 }
 
--- a/src/instance/stream_reader.h
+++ b/src/instance/stream_reader.h
@@ -46,7 +46,8 @@
 
     void step(Millis now);
 
-    // Reads immediately, in parallel to a read that waits for records.
+    // Reads immediately, in parallel to a read that waits for records. Does nothing during the
+    // pause after a failed read, so call it until confirmedAt() is late enough.
     void probe();
 
     // In low-latency mode, records are read as soon as they are appended, without batching.
--- a/src/instance/testing/stream_reader_test.cc
+++ b/src/instance/testing/stream_reader_test.cc
@@ -55,6 +55,10 @@
         CPPUNIT_ASSERT_EQUAL(0, this->immediateReads.load());
         this->storeUnavailable = true;
         this->runUntil(reader, client, [&] { return this->failures > 0; });
+        const Millis firstFailureAt = this->clock.now();
+        this->runUntil(reader, client, [&] { reader.probe(); return this->clock.now() - firstFailureAt > 300; });
+        constexpr Millis minRetryDelay = 50;
+        CPPUNIT_ASSERT(this->failures <= 2 + 2 * (this->clock.now() - firstFailureAt) / minRetryDelay); // Probes pause like reads.
         this->storeUnavailable = false;
         const int immediateReadsBefore = this->immediateReads;
         const Millis confirmedBefore = reader.confirmedAt();
