Settle lost and late answers to claims, fences and parts of batches

Cause: a term could be lost to one lost or late answer. A renewal that was read in the log after its attempt had ended did not extend the term; a renewal that never arrived was sent again only 150 ms after the attempt had timed out, 50 ms before the end of the term. A repeated fence that the store answered with WrongNumber was repeated until the term ended. A part that the store had executed, and a fence executed late, ended the term with WrongNumber.

Change: a renewal counts from its first attempt whenever it is read within that term. After an attempt of the holder without a known effect the claims stream is probed, and the next attempt follows the read at once. WrongNumber with the expected number that follows an earlier transmission counts as executed. Numbers start again after a late fence if no part of the term can be executed late. An answer that arrives is handled as before.

--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -95,6 +95,8 @@
     }
     if (stream == Stream::Claims)
         this->election.didReachEnd(end);
+    if (stream == Stream::Claims)
+        this->election.didConfirmLog(confirmedAt, now);
     if (stream == Stream::Plans && this->leadership)
         this->leadership->plansConfirmed(confirmedAt, now, this->clock.wall());
     if (stream != Stream::Jobs)
--- a/src/instance/control_loop_term.cc
+++ b/src/instance/control_loop_term.cc
@@ -15,6 +15,8 @@
 {
     if (this->draining)
         this->election.retire();
+    if (this->election.needsLogRead())
+        this->claimsReader.probe();
     const bool isWeak = this->settings.processorCores < minPlanningCores;
     if (this->claimInFlight || (isWeak && !this->election.leads(now) && now - this->claimsReader.confirmedAt() > maxWeakClaimsAge))
         return;
--- a/src/instance/term_appender.cc
+++ b/src/instance/term_appender.cc
@@ -59,16 +59,20 @@
     this->callInFlight = true;
     this->client.send(this->callFor({}, 0), [this](const http::Reply& reply) {
         this->callInFlight = false;
-        this->handleFenceReply(this->protocol.parseAppend(reply).status);
+        this->handleFenceReply(this->protocol.parseAppend(reply), reply.wasResent());
     });
 }
 
-void TermAppender::handleFenceReply(AppendStatus status)
+// The store has executed an earlier transmission of the fence if it expects the first part.
+void TermAppender::handleFenceReply(const AppendReply& reply, bool wasResent)
 {
     const Millis now = this->clock.now();
-    if (status == AppendStatus::Appended)
+    if (reply.status == AppendStatus::Unknown || wasResent)
+        ++this->fencesInDoubt;
+    const bool isRepeat = reply.status == AppendStatus::WrongNumber && reply.expectedNumber == 1 && this->fencesInDoubt > 0;
+    if (reply.status == AppendStatus::Appended || isRepeat)
         this->fenceTime = now;
-    else if (status == AppendStatus::Fenced)
+    else if (reply.status == AppendStatus::Fenced)
         this->termLost = true;
     else
         this->retryAt = now + appendRetryDelay;
@@ -95,23 +99,48 @@
     this->metrics.count("rattan_store_calls_total", { { "call", "record" } });
     this->client.send(this->callFor(part, this->nextSequenceNumber), [this, sent = part.size()](const http::Reply& reply) {
         this->callInFlight = false;
-        this->handlePartReply(this->protocol.parseAppend(reply).status, sent);
+        this->handlePartReply(this->protocol.parseAppend(reply), reply.wasResent(), sent);
     });
 }
 
-void TermAppender::handlePartReply(AppendStatus status, std::size_t sent)
+void TermAppender::handlePartReply(const AppendReply& reply, bool wasResent, std::size_t sent)
 {
-    if (status == AppendStatus::Appended) {
-        ++this->nextSequenceNumber;
-        this->pendingRecords.erase(this->pendingRecords.begin(), this->pendingRecords.begin() + static_cast<std::ptrdiff_t>(sent));
+    if (reply.status == AppendStatus::Appended)
+        return this->completePart(sent);
+    logEvent(events::appendFailed, { { "stream", nameOf(this->stream) }, { "status", nameOf(reply.status) }, { "records", sent } });
+    this->retryAt = this->clock.now() + appendRetryDelay;
+    if (reply.status == AppendStatus::Unknown || wasResent)
+        this->partInDoubt = this->anyPartInDoubt = true;
+    if (reply.status == AppendStatus::Fenced)
+        this->termLost = true;
+    if (reply.status != AppendStatus::WrongNumber)
         return;
-    }
-    logEvent(events::appendFailed, { { "stream", nameOf(this->stream) }, { "status", nameOf(status) }, { "records", sent } });
-    // WrongNumber means that something else was appended in this epoch, such as a fence that was
-    // executed late. A new term starts from the records in the store, with new sequence numbers.
-    if (status == AppendStatus::Fenced || status == AppendStatus::WrongNumber)
+    // An earlier transmission of this part was executed, since nothing else has its number.
+    if (this->partInDoubt && reply.expectedNumber == this->nextSequenceNumber + 1)
+        return this->completePart(sent);
+    // Otherwise something unknown was appended in this epoch. A new term starts from the records in
+    // the store, with new sequence numbers.
+    if (!this->canRestartNumbers(reply)) {
         this->termLost = true;
-    this->retryAt = this->clock.now() + appendRetryDelay;
+        return;
+    }
+    --this->fencesInDoubt;
+    this->nextSequenceNumber = reply.expectedNumber;
+}
+
+void TermAppender::completePart(std::size_t sent)
+{
+    ++this->nextSequenceNumber;
+    this->partInDoubt = false;
+    this->pendingRecords.erase(this->pendingRecords.begin(), this->pendingRecords.begin() + static_cast<std::ptrdiff_t>(sent));
+}
+
+// A fence that is executed late makes the store expect the first number again. Numbers can be
+// used again only if no earlier part can be executed late: it would take the place of a new part
+// with its number, and the store would acknowledge the new part without storing it.
+bool TermAppender::canRestartNumbers(const AppendReply& reply) const
+{
+    return reply.expectedNumber == 1 && this->fencesInDoubt > 0 && !this->anyPartInDoubt;
 }
 
 } // namespace rattan::instance
--- a/src/instance/term_appender.h
+++ b/src/instance/term_appender.h
@@ -11,7 +11,8 @@
 //
 // A large batch is sent in parts, sequentially, each with its own sequence number. A part is
 // repeated with the same number until its outcome is known: the store answers a repeat with
-// the outcome of the first transmission. Calls belong to the client's group that is in use
+// the outcome of the first transmission, or with the number that it expects, which shows whether
+// an earlier transmission was executed. Calls belong to the client's group that is in use
 // when step() is called, and must be abandoned before the object is destroyed. Use it only
 // on the client's thread.
 
@@ -41,8 +42,10 @@
     void fence();
     void sendPart();
     http::Call callFor(const std::vector<StoreRecord>&, std::int64_t sequenceNumber) const;
-    void handleFenceReply(AppendStatus);
-    void handlePartReply(AppendStatus, std::size_t sent);
+    void handleFenceReply(const AppendReply&, bool wasResent);
+    void handlePartReply(const AppendReply&, bool wasResent, std::size_t sent);
+    void completePart(std::size_t sent);
+    bool canRestartNumbers(const AppendReply&) const;
     std::vector<StoreRecord> nextPart() const;
 
     const Stream stream;
@@ -57,6 +60,9 @@
     std::int64_t nextSequenceNumber { 1 };
     bool callInFlight { false };
     Millis retryAt { 0 };
+    int fencesInDoubt { 0 }; // Transmissions of the fence with a lost response; each may be executed late.
+    bool partInDoubt { false }; // Whether a transmission of the current part may have been executed.
+    bool anyPartInDoubt { false }; // The same for any part of the term.
     bool termLost { false };
 };
 
--- a/src/tasks/election.cc
+++ b/src/tasks/election.cc
@@ -1,5 +1,6 @@
 #include "tasks/election.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rattan::tasks {
@@ -23,8 +24,8 @@
     this->logEnd = offset + 1;
     const bool isOwn = claim.holder == this->options.holder;
     // It is unknown which of several attempts was appended, and other instances may count
-    // from the first one.
-    const bool isPendingClaim = this->pendingAppend && isOwn && claim == this->pendingAppend->claim && now < this->proposalFirstSentAt + this->options.term;
+    // from the first one. The answer to the append may have been lost or have said EndMoved.
+    const bool isPendingClaim = isOwn && claim == this->lastProposal && now < this->proposalFirstSentAt + this->options.term;
     this->newest = claim;
     this->newestReadAt = now;
     this->suspectedAt = 0;
@@ -102,12 +103,24 @@
     return std::nullopt;
 }
 
+void Election::didConfirmLog(Millis at, Millis now)
+{
+    if (this->inDoubtSince == 0 || at < this->inDoubtSince)
+        return;
+    this->inDoubtSince = 0;
+    if (this->isHolder)
+        this->nextRenewal = std::min(this->nextRenewal, now);
+}
+
 void Election::didAppend(AppendOutcome outcome, Millis now)
 {
     if (!this->pendingAppend)
         return;
     const Append append = *this->pendingAppend;
     this->pendingAppend.reset();
+    const bool isRenewalUnread = this->isHolder && (this->newest.term != append.claim.term || this->newest.renewal < append.claim.renewal);
+    if (isRenewalUnread && (outcome == AppendOutcome::Unknown || outcome == AppendOutcome::EndMoved))
+        this->inDoubtSince = now;
     if (outcome == AppendOutcome::NotAppended && this->proposalFirstSentAt == this->proposalLastSentAt)
         this->lastProposal.reset();
     if (outcome == AppendOutcome::EndMoved) {
--- a/src/tasks/election.h
+++ b/src/tasks/election.h
@@ -73,6 +73,14 @@
     std::optional<Append> step(Millis now);
     void didAppend(AppendOutcome, Millis now);
 
+    // True from an append of this holder whose outcome is unknown, or that met an unread claim,
+    // until the log is read. A read at once leaves time for another attempt within the term.
+    bool needsLogRead() const { return this->inDoubtSince > 0; }
+
+    // Reports that every claim appended before `at` was read. Without the claim in doubt among
+    // them, it is appended again at once: of all attempts at one offset, the log takes one.
+    void didConfirmLog(Millis at, Millis now);
+
     // Reports that the log was unreadable until now. The first instance to regain the log
     // may well be one that should leave planning to others, so its jitter counts from now.
     void didRegainLog(Millis now) { this->logRegainedAt = now; }
@@ -134,6 +142,7 @@
     Millis proposalLastSentAt { 0 };
     std::optional<Claim> lastProposal; // Unset if no attempt to append the last one can be in the log.
     Millis proposalFirstSentAt { 0 };
+    Millis inDoubtSince { 0 }; // When an append ended without a known effect, until the log is read, or 0.
     Millis nextRenewal { 0 };
 };
 
--- a/src/tasks/testing/election_test.cc
+++ b/src/tasks/testing/election_test.cc
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(suspectedHolderIsReplacedAtOnce);
     CPPUNIT_TEST(failedRenewalIsReportedUntilOneSucceeds);
     CPPUNIT_TEST(renewalReadFromTheLogHasNotFailed);
+    CPPUNIT_TEST(termSurvivesOneLostAnswer);
     CPPUNIT_TEST(instanceWithJitterClaimsLaterAfterTheLogIsRegained);
     CPPUNIT_TEST_SUITE_END();
 
@@ -97,6 +98,31 @@
         CPPUNIT_ASSERT(!election.renewalFailed());
     }
 
+    // One attempt to renew has a lost answer, is appended late, or never arrives. Guards against
+    // the loss of the term: in the first two cases the renewal is read after the attempt has
+    // ended, in the third the next attempt must follow the read at once.
+    void termSurvivesOneLostAnswer()
+    {
+        for (int i = 0; i < 4; ++i) {
+            const bool appended = i % 2 == 0;
+            Election election = makeElection("a");
+            election.didReachEnd(0);
+            election.step(begin + 2400);
+            election.didAppend(AppendOutcome::Appended, begin + 2410); // Until 4400.
+            const auto renewal = election.step(begin + 3000);
+            election.didAppend(i < 2 ? AppendOutcome::Unknown : AppendOutcome::EndMoved, begin + 4390);
+            election.didConfirmLog(begin + 4389, begin + 4391); // Read before the attempt ended.
+            CPPUNIT_ASSERT(election.needsLogRead() && !election.step(begin + 4391));
+            if (appended)
+                election.didReadClaim(renewal->claim, renewal->offset, begin + 4392);
+            election.didConfirmLog(begin + 4390, begin + 4392);
+            CPPUNIT_ASSERT(!election.needsLogRead());
+            CPPUNIT_ASSERT_EQUAL(renewal->claim.renewal + (appended ? 1 : 0), election.step(begin + 4393)->claim.renewal);
+            CPPUNIT_ASSERT_EQUAL(appended, election.leads(begin + 3000 + 1999)); // Counted from the first attempt.
+            CPPUNIT_ASSERT(!election.leads(begin + 3000 + 2000));
+        }
+    }
+
     void noClaimBeforeTheLogIsRead()
     {
         Election election = makeElection("a");
