--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -95,6 +95,8 @@
     }
     if (stream == Stream::Claims)
         this->election.didReachEnd(end);
+    if (stream == Stream::Claims)
+        this->election.didConfirmLog(confirmedAt, now);
     if (stream == Stream::Plans && this->leadership)
         this->leadership->plansConfirmed(confirmedAt, now, this->clock.wall());
     if (stream != Stream::Jobs)
@@ -108,6 +110,8 @@
 {
     if (stream == Stream::Claims)
         this->election.didRegainLog(now);
+    if (stream == Stream::Jobs)
+        this->gateway.jobsReadFailed(now);
     this->metrics.count("rattan_store_failures_total", { { "stream", std::string(nameOf(stream)) } });
     bool& isReachable = this->reachableStreams[stream];
     if (isReachable)
