Place work by learned speeds on sites with heterogeneous workers

Cause: WorkerSpeeds assumes speeds within 20%, learns only from ended runs, and one long run makes a usual worker appear slow. With workers at 0.6, 1.0 and 1.6, urgent gangs began on slow workers. Change: SpeedEstimator learns speeds from ends and progress reports of siblings, in spite of runs that take 7 times as long, together with the spread of the site's speeds. Where that exceeds 20% by far, urgent units prefer known fast workers, gangs one tier of speeds, other units unknown and slow ones, and an urgent run that would be late moves once to free faster workers (speed_choice.h). Sites of similar speeds use the earlier estimates and classes. The learned/ record has the new field heterogeneous_speeds there.

--- a/src/tasks/estimates_record.cc
+++ b/src/tasks/estimates_record.cc
@@ -17,6 +17,22 @@
 
     Json meanJson(const RecentMean& mean) { return Json::array({ rounded(mean.mean), rounded(mean.variance), mean.samples }); }
 
+    // Only on heterogeneous sites, because elsewhere it would double the record without any use.
+    Json heterogeneousJson(const SpeedEstimator& estimator)
+    {
+        Json workers = Json::object();
+        for (const auto& [id, estimate] : estimator.all())
+            workers[id] = Json::array({ rounded(estimate.logSpeed), std::lround(estimate.information) });
+        return { { "variance", rounded(estimator.siteVariance()) }, { "workers", std::move(workers) } };
+    }
+
+    void restoreHeterogeneous(const Json& json, SpeedEstimator& estimator)
+    {
+        for (const auto& [id, row] : json.at("workers").items())
+            estimator.restore(id, row.at(0).get<double>(), row.at(1).get<double>());
+        estimator.restoreSite(json.at("variance").get<double>());
+    }
+
     RecentMean meanOf(const Json& row) { return { row.at(0).get<double>(), row.at(1).get<double>(), row.at(2).get<double>() }; }
 
 } // namespace
@@ -29,7 +45,10 @@
     Json workers = Json::object();
     for (const auto& [id, estimate] : speeds.all())
         workers[id] = Json::array({ rounded(estimate.logSpeed), rounded(estimate.weight) });
-    return Json { { "queues", std::move(queues) }, { "speeds", std::move(workers) } }.dump();
+    Json record { { "queues", std::move(queues) }, { "speeds", std::move(workers) } };
+    if (speeds.areHeterogeneous())
+        record["heterogeneous_speeds"] = heterogeneousJson(speeds.heterogeneous());
+    return record.dump();
 }
 
 void restoreEstimates(std::string_view record, RunTimes& runTimes, WorkerSpeeds& speeds)
@@ -42,6 +61,8 @@
             runTimes.restore(name, { meanOf(row.at(0)), meanOf(row.at(1)) });
         for (const auto& [id, row] : json.at("speeds").items())
             speeds.restore(id, { row.at(0).get<double>(), row.at(1).get<double>() });
+        if (const auto found = json.find("heterogeneous_speeds"); found != json.end())
+            restoreHeterogeneous(*found, speeds.heterogeneous());
     } catch (const Json::exception&) {
         return; // The format of another version; the entries read so far are valid.
     }
--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -10,6 +10,7 @@
 #include <array>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <string_view>
 #include <tuple>
 
@@ -68,9 +69,16 @@
         return worker.speed < minFastSpeed ? SpeedClass::Usual : SpeedClass::Fast;
     }
 
+    int tierOf(const SnapshotWorker& worker, const PlacementRequest& request)
+    {
+        return speedTierOf({ worker.speed, worker.speedDeviation }, request.speedPreference);
+    }
+
     // The rank of a worker by what remains free after placement; the smallest is preferred.
     struct FitRank {
-        bool reservationMismatch; // Reserved for urgent units and the unit isn't urgent, or the reverse.
+        bool reservedForOthers; // Reserved for urgent units and the unit isn't urgent.
+        int speedTier;
+        bool reservationMismatch; // As reservedForOthers, or the reverse: urgent and not reserved.
         std::int64_t accelerators;
         std::int64_t memoryMb;
 
@@ -111,6 +119,11 @@
         return 0;
     if (view != View::Empty && (worker.speed < request.minSpeed || worker.speed > request.maxSpeed))
         return 0;
+    if (view != View::Empty && request.speedPreference != SpeedPreference::None) {
+        const int tier = tierOf(worker, request);
+        if (tier < request.speedTiers.first || tier > request.speedTiers.last)
+            return 0;
+    }
     if (view != View::Empty && !this->respectsIsolation(worker, request))
         return 0;
     const bool isExcluded = worker.urgentOnly && !request.urgent && worker.rack != request.rack;
@@ -151,7 +164,9 @@
         if (count <= 0)
             continue;
         const Resources& available = view == View::AfterStops ? worker.freeAfterStops : worker.free;
-        choices.push_back({ i, count, { worker.reservedForUrgent != request.urgent, available.accelerators - count * request.perMember.accelerators, available.memoryMb - count * request.perMember.memoryMb } });
+        // An urgent gang runs at the speed of its slowest tier anyway, so it leaves faster workers free.
+        const int tier = tierOf(worker, request);
+        choices.push_back({ i, count, { worker.reservedForUrgent && !request.urgent, request.urgent && request.members > 1 ? -tier : tier, worker.reservedForUrgent != request.urgent, available.accelerators - count * request.perMember.accelerators, available.memoryMb - count * request.perMember.memoryMb } });
         total += count;
     }
     if (total < request.members)
@@ -199,8 +214,30 @@
 
 std::optional<Placement> Snapshot::findFree(const PlacementRequest& request) const { return this->find(request, View::Free); }
 
+// A single task takes the best tier by the rank of the workers. A gang searches ranges of tiers; a
+// rough count leaves out those that can't hold it.
+std::optional<Placement> Snapshot::findFreeByTiers(const PlacementRequest& request) const
+{
+    if (request.members == 1)
+        return this->findFree(request);
+    std::array<std::int64_t, speedTierCount> maxMembers {};
+    for (const SnapshotWorker& worker : this->workers)
+        maxMembers.at(static_cast<std::size_t>(tierOf(worker, request))) += std::min(fittingCount(componentMin(worker.free, worker.freeAfterStops), request.perMember), request.members);
+    for (const SpeedTierRange& range : gangTierRanges()) {
+        if (std::accumulate(maxMembers.begin() + range.first, maxMembers.begin() + range.last + 1, std::int64_t { 0 }) < request.members)
+            continue;
+        PlacementRequest limited = request;
+        limited.speedTiers = range;
+        if (auto found = this->findFree(limited))
+            return found;
+    }
+    return std::nullopt;
+}
+
 std::optional<Placement> Snapshot::findFreeBySpeed(const PlacementRequest& request) const
 {
+    if (request.speedPreference != SpeedPreference::None)
+        return this->findFreeByTiers(request);
     struct Range {
         double min;
         double max;
@@ -296,9 +333,12 @@
     const std::int64_t maxReserved = std::min(accelerators, total / 2);
     // Workers of one speed class are ordered by rack and id, so that whole racks are
     // reserved, and the same ones in each round.
-    std::sort(bySpeed.begin(), bySpeed.end(), [](const SnapshotWorker* a, const SnapshotWorker* b) {
-        const SpeedClass left = speedClassOf(*a);
-        const SpeedClass right = speedClassOf(*b);
+    const auto rankOf = [this](const SnapshotWorker& worker) {
+        return this->heterogeneous ? -speedTierOf({ worker.speed, worker.speedDeviation }, SpeedPreference::BestChance) : static_cast<int>(speedClassOf(worker));
+    };
+    std::sort(bySpeed.begin(), bySpeed.end(), [&](const SnapshotWorker* a, const SnapshotWorker* b) {
+        const int left = rankOf(*a);
+        const int right = rankOf(*b);
         return std::tie(right, b->rack, b->id) < std::tie(left, a->rack, a->id);
     });
     std::int64_t reserved = 0;
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -21,6 +21,7 @@
 
 #include "tasks/job.h"
 #include "tasks/progress.h"
+#include "tasks/speed_choice.h"
 
 #include <optional>
 #include <set>
@@ -46,6 +47,7 @@
     std::string rack;
     const std::vector<std::string>* labels { nullptr };
     double speed { 1 }; // Relative to a typical worker, which has 1.
+    double speedDeviation { 0 }; // The standard deviation of its logarithm, on a heterogeneous site.
     Resources capacity;
     Resources free;
     Resources freeAfterStops;
@@ -80,6 +82,8 @@
     bool urgent { false }; // Placed on the workers reserved for urgent units first.
     double minSpeed { 0 }; // Slower workers are skipped.
     double maxSpeed { 100 }; // Faster workers are skipped.
+    SpeedPreference speedPreference { SpeedPreference::None }; // On a heterogeneous site.
+    SpeedTierRange speedTiers; // Workers of other tiers are skipped.
 };
 
 // The worker of each member, in the order of the members, as an index into Snapshot::workers.
@@ -104,6 +108,7 @@
     // Nothing can be placed there yet, but very likely soon.
     std::vector<SnapshotWorker> unpolled;
     Millis now { 0 };
+    bool heterogeneous { false }; // Speeds differ by much more than 20%; see speed_choice.h.
 
     // Finds a placement in resources that are free now.
     std::optional<Placement> findFree(const PlacementRequest&) const;
@@ -111,6 +116,7 @@
     // Like findFree(), but prefers workers of a suitable speed. An urgent unit goes where
     // it ends first. A gang runs at the speed of its slowest member, so its members should
     // have workers of similar speed; one that isn't urgent leaves fast workers to others.
+    // A request with a speed preference uses its tiers instead.
     std::optional<Placement> findFreeBySpeed(const PlacementRequest&) const;
 
     // Finds a placement in resources that are free once runs being stopped have ended.
@@ -160,6 +166,7 @@
     };
 
     std::optional<Placement> find(const PlacementRequest&, View) const;
+    std::optional<Placement> findFreeByTiers(const PlacementRequest&) const;
     std::optional<Placement> findWithin(const PlacementRequest&, View, const std::string* rack) const;
     std::int64_t countFitting(const SnapshotWorker&, const PlacementRequest&, View) const;
     bool respectsReservation(const SnapshotWorker&, const PlacementRequest&, std::int64_t count) const;
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -53,6 +53,17 @@
     Millis lastReportAt { 0 };
     Millis lastProgressAt { 0 }; // When the progress of any member last changed.
 
+    // What the members report, for worker speeds.
+    struct MemberReport {
+        double progress { 0 }; // 0 to 1.
+        Millis at { 0 }; // When this progress was first reported, or 0 if none was.
+    };
+    std::vector<MemberReport> memberReports; // One per member.
+    Millis allStartedAt { 0 }; // When the last start was confirmed.
+    bool hasInexactStart { false }; // A start had no answer, and a poll confirmed it later.
+    bool speedsLearned { false }; // The estimates of speeds contain this run.
+    bool moved { false }; // A run was stopped because faster workers were free; that happens once.
+
     std::int64_t evictionCount { 0 }; // How often a run was evicted.
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
@@ -73,6 +84,9 @@
     std::int64_t unitsLeft { 0 }; // Units that aren't done; set when the step starts.
     bool started { false };
     bool done { false };
+    std::vector<SpeedEstimator::Sample> progressSamples; // Of tasks that ended and were not compared yet; a few at most.
+    SpeedEstimator::StepWork work; // By the comparisons so far.
+    Millis comparedAt { 0 }; // When running tasks were last compared.
     std::vector<WorkerSpeeds::Sample> samples; // From tasks that ran from the beginning, not from a checkpoint, to their end.
 };
 
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace rattan::tasks {
 
@@ -245,6 +246,7 @@
     this->pacer.markChanged();
     if (!step.done)
         return;
+    this->workerSpeeds.addProgress(std::exchange(step.progressSamples, {}), step.work);
     this->workerSpeeds.addSiblingRuns(step.samples);
     step.samples.clear();
     this->beginReadySteps(active, doneUnit.occurrence, now);
@@ -267,6 +269,7 @@
     if (unit.startedAt == 0 || unit.progressAtStart > 0 || unit.inherited || unit.placedRemotely || unit.step().longRunning)
         return;
     const Millis took = now - unit.startedAt;
+    this->learnSpeedsAtEnd(unit, took);
     std::vector<std::string> ids;
     for (const Incarnation& incarnation : unit.workers)
         ids.push_back(incarnation.id);
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -221,6 +221,18 @@
     Allocation allocationOf(const PlacedRun&, Millis now) const;
     double maxLostWork(const Unit&) const;
 
+    // Speeds of workers.
+    void noteProgress(Unit&, const TaskRef&, double progress, Millis now);
+    static std::optional<SpeedEstimator::Sample> speedSampleOf(const Unit&, std::size_t member, double minProgress);
+    static std::vector<SpeedEstimator::Sample> speedSamplesOf(const Unit&, double minProgress);
+    detail::StepState& stepStateOf(const Unit&);
+    void compareRunningSiblings(const Unit&, Millis now);
+    void learnSpeedsAtEnd(const Unit&, Millis took);
+    SpeedPreference speedPreferenceOf(const Candidate&, const PlacementRequest&, Millis now) const;
+    void moveLateRuns(Millis now, Millis wall);
+    Millis objectiveOf(const Unit&, Millis now, Millis wall) const;
+    RunOutlook outlookOf(const Unit&, Millis now, Millis wall) const;
+
     // Advice on which workers may run a step.
     std::set<std::string> allowedWorkers(const StepAdvice&, const Snapshot&, Millis now) const;
     std::vector<detail::AdviceCandidate> adviceCandidates(const StepAdvice&, const Snapshot&, const PlacementRequest&, Millis now) const;
@@ -281,6 +293,7 @@
     SuspectedDomains domainDoubts;
     RunTimes runTimes;
     WorkerSpeeds workerSpeeds;
+    Millis movesCheckedAt { 0 }; // When late runs were last searched for.
     Millis lastWaitReportAt { 0 }; // When the wait of the oldest unit was last reported.
     Millis lastLearnedRecordAt { 0 }; // When run times and worker speeds were last recorded.
     std::set<std::string> finishedJobs; // Jobs that ended in this term; a late repeat of their records is ignored.
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -40,6 +40,7 @@
     this->pacer.roundStarted(kind, now);
     this->stopStalledUnits(now);
     this->evacuateLeavingWorkers(now);
+    this->moveLateRuns(now, wall);
     this->markGuaranteedJobs();
     this->runRound(now, wall);
 }
@@ -233,6 +234,7 @@
 {
     Snapshot snapshot;
     snapshot.now = now;
+    snapshot.heterogeneous = this->workerSpeeds.areHeterogeneous();
     for (const auto& [id, worker] : this->workers) {
         const WorkerAvailability availability = worker.description.service == service ? this->availabilityOf(worker, now) : WorkerAvailability::Unlisted;
         if (availability != WorkerAvailability::Available && availability != WorkerAvailability::NotPolled)
@@ -243,7 +245,9 @@
                 snapshot.unpolled.push_back(std::move(snapshotWorker));
             continue;
         }
-        snapshotWorker.speed = this->workerSpeeds.of(id);
+        const WorkerSpeed speed = this->workerSpeeds.estimateOf(id);
+        snapshotWorker.speed = speed.median;
+        snapshotWorker.speedDeviation = speed.deviation;
         snapshotWorker.free = worker.description.capacity;
         snapshotWorker.free -= worker.used;
         snapshotWorker.freeAfterStops = snapshotWorker.free;
@@ -348,6 +352,7 @@
             snapshot->second.reserveForUrgent(this->urgentDemand(service, now));
         }
         PlacementRequest request = this->requestOf(unit);
+        request.speedPreference = this->speedPreferenceOf(candidate, request, now);
         std::set<std::string> isolation;
         if (unit.suspect && now - unit.waitingSince < maxIsolationWait) {
             request.isolatedJob = unit.key.job;
@@ -464,6 +469,10 @@
     unit.progressAtStart = unit.checkpointProgress;
     unit.lastProgressAt = now;
     unit.lastReportAt = 0;
+    unit.memberReports.assign(chosen.size(), {});
+    unit.allStartedAt = 0;
+    unit.hasInexactStart = false;
+    unit.speedsLearned = false;
     unit.workers.clear();
     this->dequeue(unit.key);
     for (std::size_t member = 0; member < chosen.size(); ++member) {
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -234,13 +234,15 @@
         return;
     }
     PlacedRun& placedRun = found->second;
-    if (placedRun.phase != RunPhase::Running)
+    const bool startWasUnanswered = placedRun.phase != RunPhase::Running;
+    if (startWasUnanswered)
         this->confirmStart(placedRun, now);
     const bool firstListed = placedRun.lastListedAt == 0;
     placedRun.lastListedAt = now;
     Unit* unit = placedRun.orphaned ? nullptr : this->find(placedRun.unit);
     if (!unit || unit->run != running.run.run)
         return;
+    unit->hasInexactStart = unit->hasInexactStart || startWasUnanswered;
     unit->crashes.retract(running.run.run, running.run.task.index);
     if (unit->suspect && this->hasSurvivedStart(*unit))
         this->clearSuspicion(*unit);
@@ -260,6 +262,7 @@
         unit->progress = this->minMemberProgress(*unit);
         if (unit->step().longRunning && progress >= 1 && placedRun.confirmedAt >= worker.health.quarantinedUntil())
             worker.health.runSucceeded(); // A serving task has no end that would report its success.
+        this->noteProgress(*unit, running.run.task, progress, now);
     }
     if (!running.checkpoint.empty() && running.checkpoint != unit->checkpoint) {
         unit->checkpoint = running.checkpoint;
@@ -339,6 +342,8 @@
             unit->startedAt = now;
             unit->lastProgressAt = now;
         }
+        if (unit)
+            unit->allStartedAt = now;
         return;
     case StartAnswer::NoAnswer:
         this->markSilent(*worker, now);
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -78,6 +78,12 @@
     return entry ? entry->visibleState() : JobState::Queued;
 }
 
+Millis VirtualSite::finishedAt(const std::string& id) const
+{
+    const auto found = this->finishTimes.find(id);
+    return found == this->finishTimes.end() ? 0 : found->second;
+}
+
 std::int64_t VirtualSite::runsOf(const std::string& id) const
 {
     const auto found = this->startCounts.find(id);
@@ -183,6 +189,8 @@
                 continue; // The planner's epoch was fenced before the write arrived.
             this->write(key, value);
             const auto parsed = attempt([&, text = key] { return parseKey(text); });
+            if (parsed.value && parsed.value->kind == RecordKind::State && isFinal(this->stateOf(parsed.value->job)))
+                this->finishTimes.try_emplace(parsed.value->job, this->now);
             if (parsed.value && parsed.value->kind == RecordKind::State && this->stateOf(parsed.value->job) == JobState::Failed)
                 this->checkFailedJob(parsed.value->job);
         }
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -37,6 +37,9 @@
     double failures { 0.02 }; // Share of runs that fail.
     double lostAdvice { 0 }; // Share of requests to the advice service that are not answered.
     int racks { 0 }; // The number of racks that workers are spread over; 0: four workers in each rack.
+    std::vector<double> speeds; // Of the workers in turn; all have 1 if empty.
+    double workSpread { 0 }; // The standard deviation of the logarithm of a task's work.
+    double longTasks { 0 }; // Share of tasks with seven times the work.
     bool uneven { false }; // Every task of a step except the first has a quarter of the first one's work.
 };
 
@@ -160,6 +163,15 @@
     // The worker that runs the given task of the job's first step, or empty if none does.
     std::string hostOf(const std::string& job, std::int64_t index) const;
 
+    // The work of a task, in milliseconds on a worker of speed 1. It is the same for each of its runs.
+    double workOf(const TaskRef&) const;
+
+    // Changes the speed of a worker.
+    void setSpeed(const std::string& id, double speed) { this->workers.at(id).speed = speed; }
+
+    // When the job was first shown as final, or 0.
+    Millis finishedAt(const std::string& id) const;
+
     bool isBusy(const std::string& id) const { return !this->workers.at(id).running.empty(); }
 
     std::int64_t countEnds(RunEnd end) const;
@@ -174,8 +186,8 @@
 
     struct Run {
         Millis startedAt { 0 };
-        Millis remaining { 0 }; // Work that is not done yet.
-        Millis totalWork { 1 };
+        double remaining { 0 }; // Work that is not done yet.
+        double totalWork { 1 };
         std::string checkpoint;
         std::int64_t gangSize { 1 };
         Millis waitingSince { 0 };
@@ -188,6 +200,7 @@
         Millis born { 1 };
         Resources capacity { 128000, 512000, 8 };
         std::string rack;
+        double speed { 1 };
         std::int64_t highestTerm { 0 };
         std::map<RunRef, Run> running;
         std::map<TaskRef, std::int64_t> highestRefusedRuns; // By task: this run and earlier ones are refused.
@@ -300,6 +313,7 @@
     std::shared_ptr<const Catalog> catalog;
     std::map<std::string, Worker> workers;
     std::map<std::string, Job> jobs;
+    std::map<std::string, Millis> finishTimes;
     std::multimap<Millis, std::function<void()>> events;
     std::int64_t offset { 0 };
     std::int64_t term { 0 };
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -2,6 +2,8 @@
 
 #include "tasks/testing/virtual_site.h"
 
+#include <cmath>
+
 namespace rattan::tasks::testing {
 
 void VirtualSite::leave(const std::string& id)
@@ -139,6 +141,8 @@
 {
     Worker worker;
     worker.rack = rack;
+    if (!this->options.speeds.empty())
+        worker.speed = this->options.speeds[this->workers.size() % this->options.speeds.size()];
     this->workers.emplace(id, worker);
 }
 
@@ -192,12 +196,10 @@
     const Step& step = this->stepOf(order.run.task);
     Run run;
     run.startedAt = this->now;
-    run.totalWork = std::max<Millis>(step.estimate, 1);
-    if (this->options.uneven && order.run.task.index > 0)
-        run.totalWork /= 4;
+    run.totalWork = this->workOf(order.run.task);
     run.remaining = run.totalWork;
     if (!order.checkpoint.empty())
-        run.remaining -= std::min<Millis>(run.totalWork, std::stoll(order.checkpoint));
+        run.remaining -= std::min(run.totalWork, std::stod(order.checkpoint));
     run.checkpoint = order.checkpoint;
     run.gangSize = step.gang ? step.count : 1;
     run.waitingSince = this->now;
@@ -214,6 +216,21 @@
     return StartAnswer::Started;
 }
 
+double VirtualSite::workOf(const TaskRef& task) const
+{
+    double work = static_cast<double>(std::max<Millis>(this->stepOf(task).estimate, 1));
+    if (this->options.uneven && task.index > 0)
+        work = std::floor(work / 4);
+    if (this->options.workSpread > 0 || this->options.longTasks > 0) {
+        std::mt19937_64 taskRandom(std::hash<std::string> {}(fmt::format("{}/{}.{}.{}.{}", this->options.seed, task.job, task.occurrence, task.step, task.index)));
+        work *= std::lognormal_distribution<double>(0, this->options.workSpread)(taskRandom);
+        constexpr double longFactor = 7;
+        if (std::uniform_real_distribution<double>(0, 1)(taskRandom) < this->options.longTasks)
+            work *= longFactor;
+    }
+    return std::max(work, 1.0);
+}
+
 void VirtualSite::checkStart(const StartOrder& order, const Worker& worker)
 {
     const TaskRef& task = order.run.task;
@@ -288,7 +305,7 @@
     report.clock = this->now - worker.born;
     report.born = worker.born;
     for (const auto& [ref, run] : worker.running)
-        report.running.push_back({ ref, run.checkpoint, 100 - run.remaining * 100 / run.totalWork });
+        report.running.push_back({ ref, run.checkpoint, 100 - static_cast<std::int64_t>(run.remaining * 100 / run.totalWork) });
     report.ended = worker.ended;
     return report;
 }
@@ -342,7 +359,7 @@
             continue;
         }
         if (run.stopsAt > 0 && this->now >= run.stopsAt) {
-            run.checkpoint = std::to_string(run.totalWork - run.remaining);
+            run.checkpoint = std::to_string(static_cast<std::int64_t>(run.totalWork - run.remaining));
             endedRuns.emplace_back(ref, RunEnd::Stopped);
             continue;
         }
@@ -355,8 +372,8 @@
         }
         if (worker.isStalled)
             continue;
-        run.remaining = std::max<Millis>(run.remaining - stepMillis, 0);
-        if (run.gangSize > 1 && run.remaining == 0 && !this->allMembersFinished(ref))
+        run.remaining = std::max(run.remaining - static_cast<double>(stepMillis) * worker.speed, 0.0);
+        if (run.gangSize > 1 && run.remaining <= 0 && !this->allMembersFinished(ref))
             continue; // All members of a gang end at the same time.
         if (run.willFail && run.remaining < run.totalWork / 2)
             endedRuns.emplace_back(ref, RunEnd::Failed);
--- a/src/tasks/worker_speeds.cc
+++ b/src/tasks/worker_speeds.cc
@@ -21,10 +21,14 @@
 
 } // namespace
 
-double WorkerSpeeds::of(const std::string& worker) const
+double WorkerSpeeds::of(const std::string& worker) const { return this->estimateOf(worker).median; }
+
+WorkerSpeed WorkerSpeeds::estimateOf(const std::string& worker) const
 {
+    if (this->areHeterogeneous())
+        return this->estimator.of(worker);
     const auto found = this->estimates.find(worker);
-    return found == this->estimates.end() ? 1.0 : std::exp(found->second.logSpeed);
+    return { found == this->estimates.end() ? 1.0 : std::exp(found->second.logSpeed), 0 };
 }
 
 double WorkerSpeeds::slowestOf(const std::vector<std::string>& workers) const
--- a/src/tasks/worker_speeds.h
+++ b/src/tasks/worker_speeds.h
@@ -12,8 +12,13 @@
 // Runs only show ratios of speeds, so the mean of the logarithms of all speeds is kept at
 // zero. An estimate starts at the usual speed, and each sample is weighted by how accurately
 // its run time could be forecast. Not thread-safe.
+//
+// These estimates assume that speeds are within about 20%. While a SpeedEstimator, which gets the
+// same runs and progress reports in addition, finds that the site's workers differ by more, its
+// estimates are used instead.
 
 #include "tasks/run_times.h"
+#include "tasks/speed_estimator.h"
 
 #include <map>
 #include <string>
@@ -35,8 +40,19 @@
     // Adds a gang, or a single task, that ran from the beginning to its end.
     void addGangRun(const std::vector<std::string>& workers, const RunTimes::Forecast&, Millis duration);
 
+    // Adds runs for the estimates of a heterogeneous site only: siblings by their progress or end,
+    // or one run with a forecast.
+    void addProgress(const std::vector<SpeedEstimator::Sample>& siblings, SpeedEstimator::StepWork& work) { this->estimator.addSiblings(siblings, work); }
+    void addProgress(const SpeedEstimator::Sample& run, const RunTimes::Forecast& forecast) { this->estimator.addRun(run, forecast); }
+
+    // Whether the workers of the site differ by much more than 20%.
+    bool areHeterogeneous() const { return this->estimator.isHeterogeneous(); }
+
     double of(const std::string& worker) const;
 
+    // The speed with its uncertainty, which is 0 unless the site is heterogeneous.
+    WorkerSpeed estimateOf(const std::string& worker) const;
+
     // The speed of a gang on these workers, which is that of the slowest one.
     double slowestOf(const std::vector<std::string>& workers) const;
 
@@ -49,11 +65,15 @@
     const std::map<std::string, Estimate>& all() const { return this->estimates; }
     void restore(const std::string& worker, const Estimate& estimate) { this->estimates[worker] = estimate; }
 
+    const SpeedEstimator& heterogeneous() const { return this->estimator; }
+    SpeedEstimator& heterogeneous() { return this->estimator; }
+
 private:
     void update(const std::string& worker, double logSpeed, double variance);
     void center();
 
     std::map<std::string, Estimate> estimates;
+    SpeedEstimator estimator;
 };
 
 } // namespace rattan::tasks
