Learn run times as distributions per queue, shape, workspace and declared time

Cause: RunTimes has one mean per queue. A workspace that declares false run times spoils the estimate of all others in its queue, and the mean knows neither the tail (3 of 100 runs take 7 times as long) nor runs that were stopped before their end.

Change: RunTimeForecaster learns a location per group, shrunk to the coarser levels by the variance between groups, and a histogram of deviations. Stopped, lapsed, lost and cancelled runs count as lower bounds. The planner uses the median for the run time, and the rest given the work done for the expected end until progress is measured; with fewer than 12 runs of a queue and shape it uses RunTimes as before. The late completion of an earlier run no longer teaches the time of the later one. rattan_forecast_coverage{quantile} publishes the calibration.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -293,6 +293,12 @@
     constexpr double millisPerSecond = 1000;
     for (const auto& [domain, since] : this->evacuatedDomains.all())
         this->metrics.set("rattan_evacuated_runs", { { "domain", domain } }, this->leadership ? static_cast<double>(this->leadership->runCountIn(domain)) : 0);
+    if (const tasks::ForecastCoverage* coverage = this->leadership ? this->leadership->forecastCoverage() : nullptr) {
+        for (std::size_t i = 0; i < tasks::ForecastCoverage::quantiles.size(); ++i) {
+            if (coverage->runs(i) > 0)
+                this->metrics.set("rattan_forecast_coverage", { { "quantile", fmt::format("{}", tasks::ForecastCoverage::quantiles.at(i)) } }, coverage->share(i));
+        }
+    }
     if (this->leadership)
         this->metrics.set("rattan_term_left_seconds", {}, static_cast<double>(this->election.termEndTime() - now) / millisPerSecond);
     for (const auto& [stream, reader] : { std::pair("configuration", &this->configurationReader), std::pair("jobs", &this->jobsReader), std::pair("claims", &this->claimsReader) })
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -55,6 +55,8 @@
     void setEvacuatedDomains(const tasks::EvacuatedDomains&, Millis now);
     void setEvacuationsKnown(bool known, Millis now);
     std::size_t runCountIn(std::string_view domain) const { return this->planner ? this->planner->runCountIn(domain) : 0; }
+    // Null unless this instance plans.
+    const tasks::ForecastCoverage* forecastCoverage() const { return this->planner ? &this->planner->forecastCoverage() : nullptr; }
     void jobChanged(const tasks::JobTable::Change&, Millis now, Millis wallTime);
 
     // Reports that the job table contains every record that was appended before `at`.
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -83,6 +83,14 @@
 // reservation waits for its end.
 inline constexpr Millis longRunningTime = 24L * 3600 * 1000;
 
+// A forecast from fewer runs of the queue and shape is not used; then the estimate of the queue
+// is. Below this, a quantile of 90% rests on at most one run.
+inline constexpr double minForecastSamples = 12;
+
+// How long forecasts are used without being computed again, which takes about 10 ms for 10,000
+// groups.
+inline constexpr Millis forecastValidity = 2000;
+
 // A run that is expected to end less than this before its worker leaves is moved.
 inline constexpr Millis leaveMargin = 200;
 
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -3,8 +3,10 @@
 // The planner's in-memory state of units, jobs and workers. See task_planner.h.
 
 #include "tasks/crash_history.h"
+#include "tasks/forecast_coverage.h"
 #include "tasks/placement.h"
 #include "tasks/progress.h"
+#include "tasks/run_time_forecast.h"
 #include "tasks/wait_reason.h"
 #include "tasks/worker.h"
 #include "tasks/worker_health.h"
@@ -27,6 +29,14 @@
     TooMuchLost, // The cheapest plan loses more work than this unit may cost others.
 };
 
+// The forecast for all units of a group.
+struct GroupForecast {
+    RunTimeForecast distribution;
+    Millis work { 1 }; // The usual work.
+    bool learned { false }; // From enough runs; otherwise only `work` is used.
+    Millis validUntil { 0 };
+};
+
 struct Unit {
     UnitKey key;
     std::shared_ptr<const Job> job;
@@ -52,6 +62,7 @@
     std::optional<Millis> inheritedWork; // Work done under an earlier planner, estimated from the progress.
     Millis lastReportAt { 0 };
     Millis lastProgressAt { 0 }; // When the progress of any member last changed.
+    std::optional<ForecastCoverage::Quantiles> forecastAtStart; // If it was learned.
 
     std::int64_t evictionCount { 0 }; // How often a run was evicted.
     Millis waitingSince { 0 };
@@ -60,6 +71,7 @@
     EvictionRefusal reportedRefusal { EvictionRefusal::None }; // The last one logged, so that it isn't logged again in each round.
     Millis waitReportedAt { 0 }; // When the reason for waiting was last logged.
     std::vector<std::string> excludedWorkers; // Workers on which a run failed or stalled.
+    mutable std::shared_ptr<const GroupForecast> forecast; // The one of its group, possibly out of date.
 
     const Step& step() const { return this->job->steps[static_cast<std::size_t>(this->key.step)]; }
     std::int64_t members() const { return this->key.index == wholeGang ? this->step().count : 1; }
--- a/src/tasks/run_times.cc
+++ b/src/tasks/run_times.cc
@@ -7,16 +7,15 @@
 
 namespace {
 
-    constexpr double minSampleWeight = 0.05; // So that a mean covers about the last 20 runs.
     constexpr double defaultVariance = 0.25; // Of an unknown queue; a standard deviation of a factor of 1.6.
     constexpr double minSamples = 4; // A mean of fewer runs is not used.
 
 } // namespace
 
-void RecentMean::add(double value)
+void RecentMean::add(double value, double minWeight)
 {
     this->samples += 1;
-    const double weight = std::max(minSampleWeight, 1 / this->samples);
+    const double weight = std::max(minWeight, 1 / this->samples);
     const double deviation = value - this->mean;
     this->mean += weight * deviation;
     this->variance = (1 - weight) * (this->variance + weight * deviation * deviation);
--- a/src/tasks/run_times.h
+++ b/src/tasks/run_times.h
@@ -19,7 +19,8 @@
     double variance { 0 };
     double samples { 0 };
 
-    void add(double value);
+    // A mean with `minWeight` covers about the last 1 / minWeight samples.
+    void add(double value, double minWeight = 0.05);
 };
 
 class RunTimes {
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 namespace rattan::tasks {
 
@@ -22,7 +23,7 @@
     , jobTable(table)
     , catalog(std::make_shared<Catalog>())
 {
-    restoreEstimates(plans.estimates(), this->runTimes, this->workerSpeeds);
+    restoreEstimates(plans.estimates(), this->runTimes, this->workerSpeeds, this->runTimeForecaster);
     static const Progress emptyPlan;
     for (const auto& [id, entry] : table.all()) {
         const Progress* plan = plans.find(id);
@@ -260,11 +261,30 @@
         this->finishJob(doneUnit.job, JobState::Completed, "", now);
 }
 
-// Learns only from runs that this planner observed from the beginning to the end: not from
+RunGroup TaskPlanner::groupOf(const Unit& unit)
+{
+    return { unit.job->terms.queue, unit.job->workspace, unit.members(), unit.step().perTask.accelerators, unit.step().estimate };
+}
+
+// The learned speed of the slowest worker of its run.
+double TaskPlanner::speedOf(const Unit& unit) const
+{
+    double slowest = std::numeric_limits<double>::max();
+    for (const Incarnation& incarnation : unit.workers)
+        slowest = std::min(slowest, this->workerSpeeds.of(incarnation.id));
+    return unit.workers.empty() ? 1.0 : slowest;
+}
+
+// Run times are learned only from runs that this planner observed from the beginning: not from
 // resumed or adopted runs, nor from runs placed away from their preferred racks.
+bool TaskPlanner::wasObservedFromStart(const Unit& unit)
+{
+    return unit.startedAt > 0 && unit.progressAtStart == 0 && !unit.inherited && !unit.placedRemotely && !unit.step().longRunning;
+}
+
 void TaskPlanner::learnRunTime(const Unit& unit, Millis now)
 {
-    if (unit.startedAt == 0 || unit.progressAtStart > 0 || unit.inherited || unit.placedRemotely || unit.step().longRunning)
+    if (!wasObservedFromStart(unit))
         return;
     const Millis took = now - unit.startedAt;
     std::vector<std::string> ids;
@@ -273,15 +293,32 @@
     const std::string& queue = unit.job->terms.queue;
     const RunTimes::Forecast expected = this->runTimes.forecast(queue, unit.step().estimate);
     this->runTimes.addRun(queue, unit.step().estimate, static_cast<double>(took) * this->workerSpeeds.slowestOf(ids));
+    const double work = static_cast<double>(took) * this->speedOf(unit);
+    this->runTimeForecaster.addRun(groupOf(unit), work);
+    if (unit.forecastAtStart)
+        this->coverage.addRun(*unit.forecastAtStart, work);
     if (unit.key.index == wholeGang || unit.step().count == 1)
         this->workerSpeeds.addGangRun(ids, expected, took);
     else
         this->jobs.at(unit.key.job).occurrences.at(unit.key.occurrence).steps[static_cast<std::size_t>(unit.key.step)].samples.push_back({ ids.front(), took });
 }
 
+// A run that was stopped or lost certainly took longer than until it was last reported as running.
+// A failure is no such evidence: what failed would not have taken the time of a run that succeeds.
+void TaskPlanner::learnUnfinishedRun(const Unit& unit)
+{
+    if (unit.state != UnitState::Running || unit.memberFailed || !wasObservedFromStart(unit) || unit.lastReportAt <= unit.startedAt)
+        return;
+    const double atLeast = static_cast<double>(unit.lastReportAt - unit.startedAt) * this->speedOf(unit);
+    this->runTimeForecaster.addUnfinishedRun(groupOf(unit), atLeast);
+    if (unit.forecastAtStart)
+        this->coverage.addUnfinishedRun(*unit.forecastAtStart, atLeast);
+}
+
 void TaskPlanner::requeueUnit(Unit& unit, Millis now)
 {
     const bool failed = unit.memberFailed;
+    this->learnUnfinishedRun(unit);
     unit.state = UnitState::Waiting;
     unit.workers.clear();
     unit.memberFailed = false;
@@ -334,6 +371,7 @@
         next = this->units.erase(next);
         this->dequeue(unit.key);
         this->isolatedUnits.erase(unit.key);
+        this->learnUnfinishedRun(unit);
         this->abandonRun(unit, now);
     }
 }
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -32,11 +32,13 @@
 #include "tasks/candidate.h"
 #include "tasks/catalog.h"
 #include "tasks/evacuated_domains.h"
+#include "tasks/forecast_coverage.h"
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
 #include "tasks/plan_table.h"
 #include "tasks/planner_state.h"
 #include "tasks/round_pacer.h"
+#include "tasks/run_time_forecaster.h"
 #include "tasks/run_times.h"
 #include "tasks/suspected_domains.h"
 #include "tasks/worker_speeds.h"
@@ -126,6 +128,9 @@
     // The number of runs on workers of a failure domain.
     std::size_t runCountIn(std::string_view domain) const;
 
+    // How often runs of this term ended within the quantiles forecast at their start.
+    const ForecastCoverage& forecastCoverage() const { return this->coverage; }
+
     // Descriptions of violated invariants; empty if all hold. For tests.
     std::vector<std::string> violations() const;
 
@@ -148,7 +153,11 @@
     void addUnit(ActiveJob&, const UnitKey&, Millis now);
     void completeUnit(const UnitKey&, Millis now);
     void requeueUnit(Unit&, Millis now);
+    static bool wasObservedFromStart(const Unit&);
     void learnRunTime(const Unit&, Millis now);
+    void learnUnfinishedRun(const Unit&);
+    static RunGroup groupOf(const Unit&);
+    double speedOf(const Unit&) const;
     void countFailedRun(const RunRef&, Millis now);
     void finishJob(const std::string& id, JobState, std::string reason, Millis now);
     void dropUnits(const std::string& id, Millis now);
@@ -214,7 +223,10 @@
     static bool hasProbingRun(const Worker&);
     detail::WorkerAvailability availabilityOf(const Worker&, Millis now) const;
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
+    const detail::GroupForecast& forecastOf(const Unit&) const;
+    void expireForecasts(Millis now);
     Millis expectedRunTime(const Unit&) const;
+    Millis expectedEndWithoutProgress(const Unit&, Millis now) const;
     Millis expectedEnd(const Unit&, Millis now) const;
     double lostWorkOf(const Unit&, Millis now) const;
     double evictionCost(const Unit&, Millis now) const;
@@ -280,6 +292,10 @@
     bool evacuationsKnown { true };
     SuspectedDomains domainDoubts;
     RunTimes runTimes;
+    RunTimeForecaster runTimeForecaster;
+    ForecastCoverage coverage;
+    mutable std::map<RunGroup, std::shared_ptr<const detail::GroupForecast>> groupForecasts; // Of groups with units.
+    Millis forecastsValidUntil { 0 };
     WorkerSpeeds workerSpeeds;
     Millis lastWaitReportAt { 0 }; // When the wait of the oldest unit was last reported.
     Millis lastLearnedRecordAt { 0 }; // When run times and worker speeds were last recorded.
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -97,7 +97,7 @@
         this->recordJob(id, batch);
     if (now >= this->lastLearnedRecordAt + learnedRecordInterval) {
         this->lastLearnedRecordAt = now;
-        batch.plans.emplace_back(formatKey({ RecordKind::Estimates, "" }), encodeEstimates(this->runTimes, this->workerSpeeds));
+        batch.plans.emplace_back(formatKey({ RecordKind::Estimates, "" }), encodeEstimates(this->runTimes, this->workerSpeeds, this->runTimeForecaster));
     }
     this->recordDeletions(batch);
     this->dirtyJobs.clear();
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -27,6 +27,7 @@
 
 void TaskPlanner::step(Millis now, Millis wall)
 {
+    this->expireForecasts(now);
     this->expireLeases(now);
     this->failExhaustedJobs(now);
     for (auto& [id, active] : this->jobs) {
@@ -67,9 +68,37 @@
     return std::max(next, now);
 }
 
+// All units of a group share one forecast, since a round needs that of each waiting and each
+// running unit. All forecasts are computed again after the same interval: if those of equal jobs
+// differed by when they were computed, the jobs would be ordered by that.
+const GroupForecast& TaskPlanner::forecastOf(const Unit& unit) const
+{
+    if (unit.forecast && unit.forecast->validUntil == this->forecastsValidUntil)
+        return *unit.forecast;
+    const RunGroup group = groupOf(unit);
+    std::shared_ptr<const GroupForecast>& known = this->groupForecasts[group];
+    if (!known) {
+        const RunTimeForecast distribution = this->runTimeForecaster.forecast(group);
+        const bool learned = distribution.samples() >= minForecastSamples;
+        constexpr double median = 0.5;
+        const Millis work = learned ? distribution.quantile(median) : this->runTimes.forecast(group.queue, group.declared).work;
+        known = std::make_shared<const GroupForecast>(GroupForecast { distribution, work, learned, this->forecastsValidUntil });
+    }
+    unit.forecast = known;
+    return *unit.forecast;
+}
+
+void TaskPlanner::expireForecasts(Millis now)
+{
+    if (now < this->forecastsValidUntil)
+        return;
+    this->groupForecasts.clear();
+    this->forecastsValidUntil = now + forecastValidity;
+}
+
 Millis TaskPlanner::expectedRunTime(const Unit& unit) const
 {
-    const Millis expectedWork = this->runTimes.forecast(unit.job->terms.queue, unit.step().estimate).work;
+    const Millis expectedWork = this->forecastOf(unit).work;
     return std::max<Millis>(static_cast<Millis>(static_cast<double>(expectedWork) * (1 - unit.checkpointProgress)), 1);
 }
 
@@ -78,15 +107,30 @@
     if (unit.step().longRunning)
         return now + longRunningTime; // A serving task reports all of its work as done while it continues to run.
     if (unit.startedAt == 0)
-        return now + this->expectedRunTime(unit);
+        return this->expectedEndWithoutProgress(unit, now);
     const double done = unit.progress - unit.progressAtStart;
     constexpr double minMeasuredProgress = 0.1;
     if (done < minMeasuredProgress || unit.lastReportAt <= unit.startedAt)
-        return std::max(now, unit.startedAt + this->expectedRunTime(unit));
+        return this->expectedEndWithoutProgress(unit, now);
     const double progressPerMs = done / static_cast<double>(unit.lastReportAt - unit.startedAt);
     return std::max(now, unit.lastReportAt + static_cast<Millis>((1 - unit.progress) / progressPerMs));
 }
 
+// Progress that is reported shows the speed of a run best. Before, the forecast of the rest
+// depends on the work already done: a run beyond its usual time is probably a long one.
+Millis TaskPlanner::expectedEndWithoutProgress(const Unit& unit, Millis now) const
+{
+    const GroupForecast& forecast = this->forecastOf(unit);
+    if (!forecast.learned)
+        return unit.startedAt == 0 ? now + this->expectedRunTime(unit) : std::max(now, unit.startedAt + this->expectedRunTime(unit));
+    const double speed = this->speedOf(unit);
+    const double saved = static_cast<double>(forecast.work) * unit.progressAtStart;
+    const Millis ran = unit.startedAt == 0 ? 0 : now - unit.startedAt + unit.inheritedWork.value_or(0);
+    constexpr double median = 0.5;
+    const Millis rest = forecast.distribution.remaining(median, static_cast<Millis>(saved + static_cast<double>(ran) * speed));
+    return now + static_cast<Millis>(static_cast<double>(rest) / speed);
+}
+
 // The worker of the member with the least progress, or null if several workers are tied.
 TaskPlanner::Worker* TaskPlanner::slowestWorker(const Unit& unit)
 {
@@ -301,7 +345,7 @@
         demand.priority = job.terms.priority;
         demand.waitingSince = now - (wall - (job.repeats > 0 ? job.dueAt(key.occurrence) : job.acceptedAt));
         demand.remainingRunTime = this->expectedRunTime(unit);
-        demand.criticalPath = this->runTimes.forecast(job.terms.queue, unit.step().estimate).work;
+        demand.criticalPath = this->forecastOf(unit).work;
         demand.stretch = job.terms.stretch;
         demand.latencyTarget = job.terms.latencyTarget;
         candidates.push_back({ &unit, queueKeyOf(demand, now), demand.waitingSince });
@@ -460,6 +504,8 @@
     unit.inherited = false;
     unit.startedAt = 0;
     unit.inheritedWork.reset();
+    const GroupForecast& forecast = this->forecastOf(unit);
+    unit.forecastAtStart = forecast.learned ? std::optional(ForecastCoverage::quantilesOf(forecast.distribution)) : std::nullopt;
     unit.progress = unit.checkpointProgress;
     unit.progressAtStart = unit.checkpointProgress;
     unit.lastProgressAt = now;
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -215,6 +215,8 @@
         return;
     if (unit->state == UnitState::Running)
         this->abandonRun(*unit, now);
+    if (run.run != unit->run)
+        unit->startedAt = 0; // That of the later run, from which no run time can be learned.
     this->completeUnit(key, now);
 }
 
@@ -273,7 +275,7 @@
 // with most work shows the run time, the others have progressed further in the same time.
 void TaskPlanner::estimateInheritedRunTime(Unit& unit, double progress, Millis now) const
 {
-    const Millis expectedWork = this->runTimes.forecast(unit.job->terms.queue, unit.step().estimate).work;
+    const Millis expectedWork = this->forecastOf(unit).work;
     const Millis inheritedRunTime = static_cast<Millis>(static_cast<double>(expectedWork) * progress) - (now - unit.startedAt);
     unit.inheritedWork = std::min(unit.inheritedWork.value_or(expectedWork), std::max<Millis>(inheritedRunTime, 0));
 }
--- a/src/tasks/testing/learning_test.cc
+++ b/src/tasks/testing/learning_test.cc
@@ -85,11 +85,12 @@
         }
         RunTimes restoredTimes;
         WorkerSpeeds restoredSpeeds;
-        restoreEstimates(encodeEstimates(times, speeds), restoredTimes, restoredSpeeds);
+        RunTimeForecaster forecaster;
+        restoreEstimates(encodeEstimates(times, speeds, forecaster), restoredTimes, restoredSpeeds, forecaster);
         CPPUNIT_ASSERT(std::abs(restoredTimes.forecast("q", 1000).work - times.forecast("q", 1000).work) < 10);
         CPPUNIT_ASSERT(std::abs(restoredSpeeds.of("a") - speeds.of("a")) < 0.01);
         for (const char* malformed : { "", "5", "{}", "{\"queues\":5,\"speeds\":{}}", "{\"queues\":{\"q\":[]},\"speeds\":{}}" })
-            restoreEstimates(malformed, restoredTimes, restoredSpeeds);
+            restoreEstimates(malformed, restoredTimes, restoredSpeeds, forecaster);
         CPPUNIT_ASSERT(std::abs(restoredSpeeds.of("a") - speeds.of("a")) < 0.01);
     }
 
