--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -37,6 +37,7 @@
     double failures { 0.02 }; // Share of runs that fail.
     double lostAdvice { 0 }; // Share of requests to the advice service that are not answered.
     int racks { 0 }; // The number of racks that workers are spread over; 0: four workers in each rack.
+    double longRuns { 0 }; // Share of runs that take 7 times as long.
     bool uneven { false }; // Every task of a step except the first has a quarter of the first one's work.
 };
 
@@ -164,6 +165,7 @@
 
     std::int64_t countEnds(RunEnd end) const;
 
+    std::map<std::string, double> workFactors; // By workspace, the ratio of the work to the declared time; 1 if not listed.
     std::int64_t startsWithoutTicket { 0 }; // Starts that lacked a required ticket.
     std::int64_t workersInAdviceRequests { 0 }; // Workers listed in all advice requests.
 
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -195,6 +195,11 @@
     run.totalWork = std::max<Millis>(step.estimate, 1);
     if (this->options.uneven && order.run.task.index > 0)
         run.totalWork /= 4;
+    if (const auto factor = this->workFactors.find(this->jobs.at(task.job).workspace); factor != this->workFactors.end())
+        run.totalWork = static_cast<Millis>(static_cast<double>(run.totalWork) * factor->second);
+    constexpr Millis longFactor = 7;
+    if (this->options.longRuns > 0 && this->randomShare() < this->options.longRuns)
+        run.totalWork *= longFactor;
     run.remaining = run.totalWork;
     if (!order.checkpoint.empty())
         run.remaining -= std::min<Millis>(run.totalWork, std::stoll(order.checkpoint));
