--- a/src/tasks/preemption.cc
+++ b/src/tasks/preemption.cc
@@ -8,7 +8,7 @@
 
     // The objective is a multiple of the job's own run time, which may be shorter than forecast, and
     // then leaves less time to wait; tasks of one step differ by up to 30%.
-    constexpr double runTimeMargin = 0.3;
+    constexpr double runTimeMargin = 0.15;
 
 } // namespace
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -33,11 +33,13 @@
 #include "tasks/catalog.h"
 #include "tasks/evacuated_domains.h"
 #include "tasks/fair_shares.h"
+#include "tasks/forecast_coverage.h"
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
 #include "tasks/plan_table.h"
 #include "tasks/planner_state.h"
 #include "tasks/round_pacer.h"
+#include "tasks/run_time_forecaster.h"
 #include "tasks/run_times.h"
 #include "tasks/suspected_domains.h"
 #include "tasks/worker_speeds.h"
@@ -127,6 +129,9 @@
     // The number of runs on workers of a failure domain.
     std::size_t runCountIn(std::string_view domain) const;
 
+    // How often runs of this term ended within the quantiles forecast at their start.
+    const ForecastCoverage& forecastCoverage() const { return this->coverage; }
+
     // Descriptions of violated invariants; empty if all hold. For tests.
     std::vector<std::string> violations() const;
 
@@ -149,7 +154,11 @@
     void addUnit(ActiveJob&, const UnitKey&, Millis now);
     void completeUnit(const UnitKey&, Millis now);
     void requeueUnit(Unit&, Millis now);
+    static bool wasObservedFromStart(const Unit&);
     void learnRunTime(const Unit&, Millis now);
+    void learnUnfinishedRun(const Unit&);
+    static RunGroup groupOf(const Unit&);
+    double speedOf(const Unit&) const;
     void countFailedRun(const RunRef&, Millis now);
     void finishJob(const std::string& id, JobState, std::string reason, Millis now);
     void dropUnits(const std::string& id, Millis now);
@@ -223,7 +232,10 @@
     static bool hasProbingRun(const Worker&);
     detail::WorkerAvailability availabilityOf(const Worker&, Millis now) const;
     Snapshot makeSnapshot(const std::string& service, Millis now) const;
+    const detail::GroupForecast& forecastOf(const Unit&) const;
+    void expireForecasts(Millis now);
     Millis expectedRunTime(const Unit&) const;
+    Millis expectedEndWithoutProgress(const Unit&, Millis now) const;
     Millis expectedEnd(const Unit&, Millis now) const;
     double lostWorkOf(const Unit&, Millis now) const;
     double evictionCost(const Unit&, Millis now) const;
@@ -301,6 +313,10 @@
     bool evacuationsKnown { true };
     SuspectedDomains domainDoubts;
     RunTimes runTimes;
+    RunTimeForecaster runTimeForecaster;
+    ForecastCoverage coverage;
+    mutable std::map<RunGroup, std::shared_ptr<const detail::GroupForecast>> groupForecasts; // Of groups with units.
+    Millis forecastsValidUntil { 0 };
     WorkerSpeeds workerSpeeds;
     Millis movesCheckedAt { 0 }; // When late runs were last searched for.
     Millis lastWaitReportAt { 0 }; // When the wait of the oldest unit was last reported.
--- a/src/tasks/testing/heterogeneous_workers_test.cc
+++ b/src/tasks/testing/heterogeneous_workers_test.cc
@@ -6,6 +6,7 @@
 
 #include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 #include <fmt/format.h>
 #include <random>
 
@@ -229,16 +230,18 @@
         DrawnLoad load(3, mixedSpeeds);
         WorkerSpeeds speeds;
         speeds.addGangRun({ workerId(1) }, { 4000, 0.05 }, 5000);
-        const std::string before = encodeEstimates({}, speeds);
+        const std::string before = encodeEstimates({}, speeds, RunTimeForecaster());
         CPPUNIT_ASSERT(before.find("heterogeneous") == std::string::npos);
         load.addRuns(12);
         speeds.heterogeneous() = load.estimator;
-        const std::string record = encodeEstimates({}, speeds);
-        const std::string oldFields = before.substr(1, before.size() - 2);
-        CPPUNIT_ASSERT(record.find(oldFields) != std::string::npos);
+        const std::string record = encodeEstimates({}, speeds, RunTimeForecaster());
+        const auto fieldOf = [](const std::string& text, const char* name) { return nlohmann::json::parse(text).at(name); };
+        for (const char* name : { "queues", "speeds", "forecasts" })
+            CPPUNIT_ASSERT(fieldOf(record, name) == fieldOf(before, name));
         RunTimes runTimes;
         WorkerSpeeds restored;
-        restoreEstimates(record, runTimes, restored);
+        RunTimeForecaster forecaster;
+        restoreEstimates(record, runTimes, restored, forecaster);
         CPPUNIT_ASSERT(restored.areHeterogeneous());
         for (std::size_t i = 0; i < workerCount; ++i)
             CPPUNIT_ASSERT(std::abs(restored.of(workerId(i)) - speeds.of(workerId(i))) < 0.01);
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -176,6 +176,7 @@
 
     std::int64_t countEnds(RunEnd end) const;
 
+    std::map<std::string, double> workFactors; // By workspace, the ratio of the work to the declared time; 1 if not listed.
     std::int64_t startsWithoutTicket { 0 }; // Starts that lacked a required ticket.
     std::int64_t workersInAdviceRequests { 0 }; // Workers listed in all advice requests.
 
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -197,6 +197,8 @@
     Run run;
     run.startedAt = this->now;
     run.totalWork = this->workOf(order.run.task);
+    if (const auto factor = this->workFactors.find(this->jobs.at(task.job).workspace); factor != this->workFactors.end())
+        run.totalWork = static_cast<Millis>(static_cast<double>(run.totalWork) * factor->second);
     run.remaining = run.totalWork;
     if (!order.checkpoint.empty())
         run.remaining -= std::min(run.totalWork, std::stod(order.checkpoint));
