Refuse jobs that can't be of use in a lasting overload, with a Retry-After from the forecast drain

Cause: while more work waits than can be done while it is useful, jobs are accepted to wait until they are useless, and their callers learn of it only at the deadline.

Change: the planner compares the useful work of equal or higher priority of each queue with the room every 2 s, and writes load/QUEUE to the jobs stream while a job that arrives then can't be of use, and once when that ends. Instances refuse submissions to such a queue once the jobs stream was read up to the request, with a Retry-After spread over one to two times the drain, and don't forward them. A record counts for 5 s. Jobs of priority 0 of a workspace with a guarantee are always admitted.

--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -32,6 +32,8 @@
 
 void ControlLoop::handleJobRecord(const StoreRecord& record, Millis now)
 {
+    if (this->gateway.loadRecordRead(record, now))
+        return;
     const auto change = this->jobs.apply(record.key, record.value, record.offset, now);
     if (!change)
         return;
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -114,6 +114,18 @@
         return this->refuse(ticket, waiting, "the store is out of reach", now);
     if (this->unresolvedRecords.size() + this->storedRecords.size() >= this->options.maxUnreadRecords)
         return this->refuse(ticket, waiting, "too many records are yet to be read back", now);
+    // A job within its workspace's guarantee never waits behind others.
+    const bool mayBeGuaranteed = queue.terms.priority == 0 && this->catalog->guaranteedAcceleratorsOf(workspace) > 0;
+    const tasks::QueueLoad* load = mayBeGuaranteed ? nullptr : this->loads.find(queue.terms.queue, now, wallTime);
+    if (load && !this->isPossiblyStored(waiting.recordKey)) {
+        // An earlier attempt may have been stored through another instance, so the answer has to
+        // wait for a read of the jobs stream.
+        waiting.overloadRetry = tasks::retryDelayOf(*load, waiting.jobId);
+        waiting.recordKey.clear();
+        waiting.awaited = AwaitedEvent::JobsConfirmed;
+        this->waitingRequests.emplace(ticket, std::move(waiting));
+        return;
+    }
     job.value->id = waiting.jobId;
     job.value->workspace = std::move(workspace);
     job.value->terms = queue.terms;
@@ -258,7 +270,9 @@
         const std::uint64_t ticket = current->first;
         this->waitingRequests.erase(current);
         const JobEntry* entry = this->jobs.find(waiting.jobId);
-        if (waiting.request.kind == RequestKind::Cancel && this->isJobPossiblyStored(waiting.jobId))
+        if (waiting.request.kind == RequestKind::Submit)
+            this->refuseOverload(ticket, waiting, now);
+        else if (waiting.request.kind == RequestKind::Cancel && this->isJobPossiblyStored(waiting.jobId))
             this->answer(ticket, waiting, { .outcome = Outcome::Unknown, .message = "the job may be stored yet", .canPeerHelp = true }, now);
         else if (!entry)
             this->answer(ticket, waiting, { .outcome = Outcome::NoSuchJob }, now);
@@ -323,6 +337,16 @@
     this->answer(ticket, waiting, { .outcome = isPossiblyDone ? Outcome::Unknown : Outcome::NotNow, .retryAfter = retryDelay, .message = std::move(why), .canPeerHelp = true }, now);
 }
 
+// No peer can help, since all instances read the same record.
+void Gateway::refuseOverload(std::uint64_t ticket, const WaitingRequest& waiting, Millis now)
+{
+    if (this->jobs.find(waiting.jobId))
+        return this->answer(ticket, waiting, { .outcome = Outcome::Accepted }, now);
+    if (this->isJobPossiblyStored(waiting.jobId))
+        return this->answer(ticket, waiting, { .outcome = Outcome::Unknown, .retryAfter = retryDelay, .message = "the job may be stored yet", .canPeerHelp = true }, now);
+    this->answer(ticket, waiting, { .outcome = Outcome::NotNow, .retryAfter = waiting.overloadRetry, .message = "more work waits than can be done in time" }, now);
+}
+
 void Gateway::answer(std::uint64_t ticket, const WaitingRequest& waiting, CallerAnswer answer, Millis now)
 {
     this->answers.push_back({ ticket, std::move(answer), waiting.jobId, now - waiting.receivedAt });
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -25,6 +25,7 @@
 #include "instance/caller_protocol.h"
 #include "instance/store_protocol.h"
 #include "tasks/job_table.h"
+#include "tasks/load_table.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -76,6 +77,10 @@
     void jobsConfirmed(Millis confirmedAt, Millis now);
     void jobChanged(const std::string& id, Millis now);
 
+    // Reports a record of the jobs stream. Returns whether it is about the load of a queue; such a
+    // record is none of the job table's.
+    bool loadRecordRead(const StoreRecord& record, Millis now) { return this->loads.apply(record.key, record.value, record.offset, now); }
+
     void handleRequest(std::uint64_t ticket, const CallerRequest&, Millis now, Millis wallTime);
 
     // Removes and returns the oldest records to append, at least one if there are any. The
@@ -114,6 +119,7 @@
         std::string recordKey; // Key of the record that has to be durable; empty if there is none.
         Millis receivedAt { 0 };
         Millis deadline { 0 };
+        Millis overloadRetry { 0 }; // For a submission that is refused once the jobs stream was read: when to try again.
         bool sent { false }; // Whether an append of the record may have been executed.
     };
 
@@ -123,6 +129,7 @@
     void queueRecord(std::uint64_t ticket, WaitingRequest, std::string value);
     bool canAnswer(const WaitingRequest&, const tasks::JobEntry&) const;
     void answer(std::uint64_t ticket, const WaitingRequest&, CallerAnswer, Millis now);
+    void refuseOverload(std::uint64_t ticket, const WaitingRequest&, Millis now);
     void refuse(std::uint64_t ticket, const WaitingRequest&, std::string why, Millis now);
     std::vector<std::pair<std::uint64_t, WaitingRequest>> takeWaiting(const std::function<bool(const WaitingRequest&)>&);
     bool isPossiblyStored(const std::string& recordKey) const;
@@ -132,6 +139,7 @@
     const GatewayOptions options;
     const CallerProtocol& protocol;
     const tasks::JobTable& jobs;
+    tasks::LoadTable loads;
     std::shared_ptr<const tasks::Catalog> catalog;
     bool hasConfiguration { false };
     std::int64_t minConfigurationVersion { 0 };
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -62,6 +62,8 @@
     CPPUNIT_TEST(stateRequestDoesNotWaitWithoutStore);
     CPPUNIT_TEST(requestsAreAnsweredBeforeShutdown);
     CPPUNIT_TEST(cancelIsNotDeniedWhileSubmitIsUnresolved);
+    CPPUNIT_TEST(overloadIsRefusedTruthfully);
+    CPPUNIT_TEST(guaranteedJobsAreAdmittedInAnOverload);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -430,7 +432,46 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, this->gateway->configuration().version);
     }
 
+    // Guards against jobs that are accepted to wait until they are useless, against a refusal of a
+    // job that an earlier attempt has stored, and against refusals after the overload.
+    void overloadIsRefusedTruthfully()
+    {
+        this->reportLoad(startTime);
+        this->request(1, RequestKind::Submit, startTime);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        CPPUNIT_ASSERT(this->gateway->needsJobsRead());
+        this->confirmReads(startTime + 5);
+        const auto answers = this->gateway->takeAnswers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, answers.size());
+        CPPUNIT_ASSERT(answers[0].answer.outcome == Outcome::NotNow);
+        CPPUNIT_ASSERT(!answers[0].answer.canPeerHelp);
+        CPPUNIT_ASSERT(answers[0].answer.retryAfter >= 8000 && answers[0].answer.retryAfter <= 16000);
+        CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
+        this->request(2, RequestKind::Submit, startTime + 10);
+        this->applyJobRecord(); // Stored through another instance.
+        this->confirmReads(startTime + 15);
+        this->expect(2, Outcome::Accepted);
+        this->confirmReads(startTime + 5000);
+        this->request(3, RequestKind::Submit, startTime + 5001, "/p/0000000000000001");
+        CPPUNIT_ASSERT(!this->gateway->needsJobsRead());
+        this->request(4, RequestKind::Submit, startTime + 10, "/p/0000000000000001"); // Its record is queued already.
+        CPPUNIT_ASSERT(!this->gateway->needsJobsRead());
+    }
+
+    // Guards against the refusal of a job that its workspace's guarantee covers.
+    void guaranteedJobsAreAdmittedInAnOverload()
+    {
+        auto catalog = std::make_shared<tasks::Catalog>(*this->catalogWith(2, "key"));
+        catalog->workspaces.push_back({ "w", 8 });
+        this->gateway->configurationUpdated(catalog);
+        this->reportLoad(startTime);
+        this->request(1, RequestKind::Submit, startTime);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
+    }
+
 private:
+    void reportLoad(Millis now) { CPPUNIT_ASSERT(this->gateway->loadRecordRead({ "load/q", tasks::encodeLoad({ 8000, now }), 1000 }, now)); }
+
     std::shared_ptr<const tasks::Catalog> catalogWith(std::int64_t version, const std::string& key) const
     {
         auto catalog = std::make_shared<tasks::Catalog>();
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -100,6 +100,10 @@
 // other records. A planner that takes over loses what a few runs have shown since the last one.
 inline constexpr Millis learnedRecordInterval = 2000;
 
+// The minimum interval between records of overloaded queues, which every instance reads. They count
+// for 5 s, so one may be lost or late.
+inline constexpr Millis loadRecordInterval = 2000;
+
 // The number of workers in one request to the advice service: enough for a step with many
 // tasks, and few enough that the answer, whose time grows with each worker, does not make a job
 // late.
--- a/src/tasks/records.h
+++ b/src/tasks/records.h
@@ -6,6 +6,7 @@
 //     job/ID      the submitted job; written by the instance that accepted it
 //     cancel/ID   its cancellation; written by any instance
 //     state/ID    the state that callers see; written by the leading planner, a few times per job
+//     load/QUEUE  an excess of work (admission.h); written by the leading planner, read by LoadTable
 //
 // The second one changes with each start and end of a task, and only a planner that takes
 // over reads it:
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -206,6 +206,7 @@
     std::vector<Candidate> rankCandidates(const std::set<UnitKey>&, Millis now, Millis wall);
     void orderExcess(std::vector<Candidate>&, Millis now) const;
     FairShares sharesOf(const std::vector<Candidate>&) const;
+    void updateLoads(const std::vector<Candidate>&, Millis now, Millis wall);
     double remainingWorkOf(const ActiveJob&, Millis now) const;
     std::map<std::string_view, Resources> capacityByService() const;
     PlacementRequest requestOf(const Unit&) const;
@@ -329,6 +330,9 @@
         Millis at { 0 };
     };
     std::map<std::string, DecayingDemand> recentUrgentDemand; // By service; the decaying maximum.
+    Millis lastLoadCheckAt { 0 }; // When the backlogs of queues were last compared with the room.
+    std::set<std::string> overloadedQueues; // Queues with a record that says so.
+    std::map<std::string, std::string> loadsToRecord; // Values by key; a batch may wait for longer than the interval.
     Millis wallOffset { 0 }; // The wall-clock time less the local time.
     Round round;
     RoundPacer pacer;
--- a/src/tasks/task_planner_excess.cc
+++ b/src/tasks/task_planner_excess.cc
@@ -1,6 +1,9 @@
-// The order of waiting units that can't all be in time. The decisions are in overload_order.h.
+// The order of waiting units that can't all be in time, and the records of overloaded queues. The
+// decisions are in overload_order.h, fair_shares.h and admission.h.
 
+#include "tasks/admission.h"
 #include "tasks/overload_order.h"
+#include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
 
 #include <algorithm>
@@ -108,4 +111,64 @@
     std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) { return a.queueKey < b.queueKey; });
 }
 
+// Compares the work of equal or higher priority with the room, for each queue with waiting jobs.
+// Work that needs a label or a rack is left out: others don't wait behind it. So is work that is of
+// no use any more, which goes last.
+void TaskPlanner::updateLoads(const std::vector<Candidate>& candidates, Millis now, Millis wall)
+{
+    if (now < this->lastLoadCheckAt + loadRecordInterval || (candidates.empty() && this->overloadedQueues.empty()))
+        return;
+    this->lastLoadCheckAt = now;
+    struct ServiceWork {
+        Resources capacity;
+        Resources used;
+        std::map<std::int64_t, double> siteMillis; // By priority.
+    };
+    std::map<std::string_view, ServiceWork> services;
+    for (const auto& [service, capacity] : this->capacityByService())
+        services[service].capacity = capacity;
+    for (const auto& [key, unit] : this->units) {
+        if (unit.state != UnitState::Running)
+            continue;
+        ServiceWork& service = services[unit.job->terms.service];
+        service.used += unit.step().perTask.times(unit.members());
+        if (!unit.step().longRunning)
+            service.siteMillis[unit.job->terms.priority] += siteMillisOf(unit, this->expectedEnd(unit, now) - now, service.capacity);
+    }
+    struct QueueWork {
+        const QueueTerms* terms { nullptr };
+        Millis usefulSlack { 0 };
+    };
+    std::map<std::string_view, QueueWork> queues;
+    for (const Candidate& candidate : candidates) {
+        const Unit& unit = *candidate.unit;
+        if (unit.state != UnitState::Waiting || candidate.queueKey.isTooLate || !unit.step().label.empty() || !unit.step().dataRack.empty())
+            continue;
+        ServiceWork& service = services[unit.job->terms.service];
+        service.siteMillis[unit.job->terms.priority] += siteMillisOf(unit, this->expectedRunTime(unit), service.capacity);
+        QueueWork& queue = queues[unit.job->terms.queue];
+        queue.terms = &unit.job->terms;
+        queue.usefulSlack = std::max(queue.usefulSlack, candidate.latestStarts.useful - candidate.waitingSince);
+    }
+    const auto share = [](std::int64_t part, std::int64_t whole) { return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0; };
+    std::set<std::string> overloaded;
+    for (const auto& [name, queue] : queues) {
+        const ServiceWork& service = services.at(queue.terms->service);
+        QueueBacklog backlog { .usefulSlack = queue.usefulSlack };
+        for (const auto& [priority, siteMillis] : service.siteMillis)
+            backlog.waitMillis += priority <= queue.terms->priority ? siteMillis : 0;
+        backlog.usedShare = std::max(share(service.used.accelerators, service.capacity.accelerators), share(service.used.milliCores, service.capacity.milliCores));
+        const std::string queueName(name);
+        if (const auto drain = forecastDrain(backlog, this->overloadedQueues.contains(queueName))) {
+            overloaded.insert(queueName);
+            this->loadsToRecord[loadKeyOf(name)] = encodeLoad({ *drain, wall });
+        }
+    }
+    for (const std::string& queue : this->overloadedQueues) {
+        if (!overloaded.contains(queue))
+            this->loadsToRecord[loadKeyOf(queue)] = "";
+    }
+    this->overloadedQueues = std::move(overloaded);
+}
+
 } // namespace rattan::tasks
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -53,7 +53,7 @@
 // wait, so that several ends share one record: every instance has to read each record.
 bool TaskPlanner::isRecordDue(Millis now)
 {
-    if (!this->jobsToForget.empty())
+    if (!this->jobsToForget.empty() || !this->loadsToRecord.empty())
         return true;
     if (this->dirtyJobs.empty())
         return true;
@@ -82,7 +82,7 @@
     }
     if (!this->isRecordDue(now))
         return;
-    if (this->dirtyJobs.empty() && this->jobsToForget.empty()) {
+    if (this->dirtyJobs.empty() && this->jobsToForget.empty() && this->loadsToRecord.empty()) {
         // Ends that changed no job need no record and can be acknowledged.
         for (const auto& [incarnation, number] : this->endsInBatch) {
             if (Worker* worker = this->find(incarnation); worker && worker->description.incarnation == incarnation)
@@ -99,6 +99,9 @@
         this->lastLearnedRecordAt = now;
         batch.plans.emplace_back(formatKey({ RecordKind::Estimates, "" }), encodeEstimates(this->runTimes, this->workerSpeeds));
     }
+    for (const auto& [key, value] : this->loadsToRecord)
+        batch.jobs.emplace_back(key, value);
+    this->loadsToRecord.clear();
     this->recordDeletions(batch);
     this->dirtyJobs.clear();
     this->recordDueAt = noRecord;
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -431,8 +431,10 @@
     }
     if (this->round.kind == RoundKind::Full && !this->hasDeferredAdvice)
         ++this->advicePass;
-    if (this->round.kind == RoundKind::Full)
+    if (this->round.kind == RoundKind::Full) {
         this->reportOldestWait(candidates, snapshots, now);
+        this->updateLoads(candidates, now, wall);
+    }
 }
 
 bool TaskPlanner::tryPlace(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
--- a/src/tasks/testing/overload_replay.cc
+++ b/src/tasks/testing/overload_replay.cc
@@ -125,6 +125,7 @@
         {
             OverloadFigures result;
             result.violations = this->site.violations;
+            result.loadRecords = this->site.loadRecords.size();
             std::map<std::string, std::int64_t> stopsByUnit;
             for (const PlanEvent& event : this->site.planEvents) {
                 if (event.kind != PlanEventKind::UnitEvicted)
--- a/src/tasks/testing/overload_replay.h
+++ b/src/tasks/testing/overload_replay.h
@@ -19,6 +19,7 @@
     Millis slowestGuaranteedStart { 0 }; // From acceptance until all tasks of a job within its guarantee run.
     Millis slowestStart { 0 }; // From acceptance to the first start of any job.
     Millis start95 { 0 }; // 95 of 100 jobs have a first start within this time.
+    std::size_t loadRecords { 0 }; // Records of overloaded queues.
     double value { 0 }; // Share of the achievable value: 1 for a job in time, 0.3 if late.
     std::vector<std::string> violations;
     std::string text; // All figures, for the message of a failed test.
--- a/src/tasks/testing/overload_test.cc
+++ b/src/tasks/testing/overload_test.cc
@@ -10,6 +10,7 @@
 using namespace rattan::tasks;
 using rattan::tasks::testing::OverloadFigures;
 using rattan::tasks::testing::replayOverload;
+using rattan::tasks::testing::VirtualSite;
 
 namespace {
 
@@ -22,6 +23,7 @@
 class OverloadTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(OverloadTest);
     CPPUNIT_TEST(burstsStopFewRuns);
+    CPPUNIT_TEST(lastingExcessIsRecordedAndEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -38,6 +40,7 @@
             text += fmt::format("seed {}: {}\n", seed, figures.text);
             CPPUNIT_ASSERT_MESSAGE(figures.violations.empty() ? "" : figures.violations.front(), figures.violations.empty());
             CPPUNIT_ASSERT_MESSAGE(text, figures.slowestGuaranteedStart <= guaranteedStartBound);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t { 0 }, figures.loadRecords); // All jobs could be of use.
             CPPUNIT_ASSERT_MESSAGE(text, figures.start95 <= firstStartBound);
             CPPUNIT_ASSERT_MESSAGE(text, figures.unfinished == 0);
             CPPUNIT_ASSERT_MESSAGE(text, figures.mostStopsOfAUnit <= maxStopsPerUnit);
@@ -48,6 +51,39 @@
         CPPUNIT_ASSERT_MESSAGE(text, stops * measuredRuns < maxStops * runs);
         CPPUNIT_ASSERT_MESSAGE(text, lost * measuredRuns < maxLostCoreSeconds * runs);
     }
+
+    // Guards against jobs that are accepted although they can't be of any use, against records for
+    // queues that can serve, and against more than one record in 2 s for each instance to read.
+    void lastingExcessIsRecordedAndEnds()
+    {
+        VirtualSite site({ .seed = 81, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.run(1500);
+        const auto submit = [&](const std::string& id, const std::string& queue, std::int64_t priority) {
+            Job job;
+            job.id = id;
+            job.workspace = "w";
+            job.terms = { .queue = queue, .service = "s", .priority = priority, .maxAttempts = 4, .stretch = 1, .latencyTarget = 1000 };
+            job.text = "work";
+            job.steps.push_back({ .count = 16, .perTask = { 2000, 4000, 1 }, .estimate = 2000 });
+            site.submit(job);
+        };
+        for (int i = 0; i < 12; ++i)
+            submit(fmt::format("m{:02}", i), "middle", 1); // 12 s of work for 7 s in which a start is of use.
+        submit("u", "urgent", 0);
+        site.run(4500);
+        CPPUNIT_ASSERT(!site.loadRecords.empty());
+        const auto first = site.loadRecords.front().load;
+        CPPUNIT_ASSERT(first && first->drain >= 1000 && first->drain <= 12000);
+        CPPUNIT_ASSERT(site.runUntilFinished(60000));
+        site.run(site.now + 3000);
+        CPPUNIT_ASSERT(!site.loadRecords.back().load);
+        for (std::size_t i = 0; i < site.loadRecords.size(); ++i) {
+            CPPUNIT_ASSERT_EQUAL(std::string("middle"), site.loadRecords[i].queue);
+            CPPUNIT_ASSERT_EQUAL(i + 1 < site.loadRecords.size(), site.loadRecords[i].load.has_value());
+            CPPUNIT_ASSERT(i == 0 || site.loadRecords[i].at - site.loadRecords[i - 1].at >= 1980); // Records take 5 to 20 ms.
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OverloadTest);
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -182,6 +182,8 @@
             if (generation != this->plannerGeneration)
                 continue; // The planner's epoch was fenced before the write arrived.
             this->write(key, value);
+            if (const auto queue = queueOfLoadKey(key))
+                this->loadRecords.push_back({ this->now, *queue, decodeLoad(value) });
             const auto parsed = attempt([&, text = key] { return parseKey(text); });
             if (parsed.value && parsed.value->kind == RecordKind::State && this->stateOf(parsed.value->job) == JobState::Failed)
                 this->checkFailedJob(parsed.value->job);
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -11,6 +11,7 @@
 // is shown as failed without cause; no work waits beside idle workers (see lost_work_detector.h;
 // checked only while no fault is active or recent).
 
+#include "tasks/admission.h"
 #include "tasks/task_planner.h"
 #include "tasks/testing/lost_work_detector.h"
 
@@ -18,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -60,6 +62,12 @@
     std::string tracedJob; // The id of a job whose orders and runs are recorded in `trace`.
     std::vector<std::string> trace;
     std::vector<PlanEvent> planEvents; // All log events that planners have produced.
+    struct LoadRecord {
+        Millis at { 0 };
+        std::string queue;
+        std::optional<QueueLoad> load; // None if the excess has ended.
+    };
+    std::vector<LoadRecord> loadRecords; // All records of overloaded queues.
     std::unique_ptr<TaskPlanner> planner;
     JobTable table;
     PlanTable plans;
