--- a/src/tasks/testing/heterogeneous_workers_test.cc
+++ b/src/tasks/testing/heterogeneous_workers_test.cc
@@ -7,8 +7,8 @@
 #include <array>
 #include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
-#include <nlohmann/json.hpp>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <numeric>
 #include <random>
 
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -188,6 +188,8 @@
             if (generation != this->plannerGeneration)
                 continue; // The planner's epoch was fenced before the write arrived.
             this->write(key, value);
+            if (const auto queue = queueOfLoadKey(key))
+                this->loadRecords.push_back({ this->now, *queue, decodeLoad(value) });
             const auto parsed = attempt([&, text = key] { return parseKey(text); });
             if (parsed.value && parsed.value->kind == RecordKind::State && isFinal(this->stateOf(parsed.value->job)))
                 this->finishTimes.try_emplace(parsed.value->job, this->now);
