--- a/src/tasks/overload_order.cc
+++ b/src/tasks/overload_order.cc
@@ -60,11 +60,18 @@
     return now - waitingSince >= std::max(minWait, (latestStartInTime - waitingSince) / slackParts);
 }
 
+double jobValueOf(double work, double meanWork)
+{
+    constexpr double sizeShare = 0.7;
+    constexpr double maxRatio = 4;
+    return meanWork > 0 ? 1 - sizeShare + sizeShare * std::min(work / meanWork, maxRatio) : 1;
+}
+
 std::int64_t valueOrderOf(const ValueOrderInputs& inputs)
 {
     constexpr double scale = 1e9;
     constexpr double minWork = 0.001;
-    const double value = valueOfEnd(inputs.latestStarts, inputs.now);
+    const double value = inputs.jobValue * valueOfEnd(inputs.latestStarts, inputs.now);
     const auto slack = static_cast<double>(std::max<Millis>(inputs.latestStarts.inTime - inputs.waitingSince, 1));
     const double wait = static_cast<double>(std::max<Millis>(inputs.now - inputs.waitingSince, 0)) / slack;
     const double aging = 1 + wait + static_cast<double>(inputs.stops);
--- a/src/tasks/overload_order.h
+++ b/src/tasks/overload_order.h
@@ -59,8 +59,13 @@
     double remainingWork { 0 }; // Of the whole job, in core-seconds; an accelerator counts as several cores.
     std::int64_t stops { 0 }; // How often the unit was stopped for others.
     Millis now { 0 };
+    double jobValue { 1 }; // Of a result in time, relative to that of a job of mean size.
 };
 
+// The value of a job whose whole work is `work`. Most of it grows with the work, so that the order
+// doesn't starve large jobs, which are worth as much to their callers as several small ones.
+double jobValueOf(double work, double meanWork);
+
 // The position of a unit; the lowest goes first.
 std::int64_t valueOrderOf(const ValueOrderInputs&);
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -217,6 +217,8 @@
     FairShares sharesOf(const std::vector<Candidate>&) const;
     void updateLoads(const std::vector<Candidate>&, Millis now, Millis wall);
     double remainingWorkOf(const ActiveJob&, Millis now) const;
+    double wholeWorkOf(const Job&) const;
+    std::map<std::string_view, double> meanWorkByQueue() const;
     std::map<std::string_view, Resources> capacityByService() const;
     PlacementRequest requestOf(const Unit&) const;
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
--- a/src/tasks/task_planner_excess.cc
+++ b/src/tasks/task_planner_excess.cc
@@ -54,6 +54,33 @@
     return work;
 }
 
+// The work in core-seconds of one occurrence of the job.
+double TaskPlanner::wholeWorkOf(const Job& job) const
+{
+    double work = 0;
+    for (const Step& step : job.steps)
+        work += coreEquivalents(step.perTask) * static_cast<double>(step.count * this->runTimes.forecast(job.terms.queue, step.estimate).work) / 1000.0;
+    return work;
+}
+
+std::map<std::string_view, double> TaskPlanner::meanWorkByQueue() const
+{
+    struct Sum {
+        double work { 0 };
+        double jobs { 0 };
+    };
+    std::map<std::string_view, Sum> sums;
+    for (const auto& [id, active] : this->jobs) {
+        Sum& sum = sums[active.job->terms.queue];
+        sum.work += this->wholeWorkOf(*active.job);
+        ++sum.jobs;
+    }
+    std::map<std::string_view, double> means;
+    for (const auto& [queue, sum] : sums)
+        means[queue] = sum.work / sum.jobs;
+    return means;
+}
+
 FairShares TaskPlanner::sharesOf(const std::vector<Candidate>& candidates) const
 {
     FairShares shares;
@@ -88,7 +115,12 @@
     if (excess.empty())
         return;
     const FairShares shares = this->sharesOf(candidates);
-    std::map<const Job*, double> remainingWork;
+    struct JobSize {
+        double remainingWork { 0 };
+        double value { 1 };
+    };
+    std::map<const Job*, JobSize> sizes;
+    const std::map<std::string_view, double> meanWork = this->meanWorkByQueue();
     for (Candidate& candidate : candidates) {
         const Unit& unit = *candidate.unit;
         const QueueTerms& terms = unit.job->terms;
@@ -96,11 +128,11 @@
             continue;
         const ActiveJob& active = this->jobs.at(unit.key.job);
         const bool isLate = excess.isLate(terms.service, terms.priority);
-        const auto [work, isFirstUnit] = remainingWork.try_emplace(unit.job.get(), 0);
+        const auto [size, isFirstUnit] = sizes.try_emplace(unit.job.get());
         if (isFirstUnit && isLate)
-            work->second = this->remainingWorkOf(active, now);
+            size->second = { this->remainingWorkOf(active, now), jobValueOf(this->wholeWorkOf(*unit.job), meanWork.at(terms.queue)) };
         if (isLate)
-            candidate.queueKey.valueOrder = valueOrderOf({ candidate.latestStarts, candidate.waitingSince, work->second, unit.evictionCount, now });
+            candidate.queueKey.valueOrder = valueOrderOf({ candidate.latestStarts, candidate.waitingSince, size->second.remainingWork, unit.evictionCount, now, size->second.value });
         if (isFirstUnit && !active.started && isFirstStartDue(candidate.waitingSince, candidate.latestStarts.inTime, now)) {
             candidate.queueKey.priority = raisedPriority(terms.priority);
             candidate.queueKey.valueOrder = std::numeric_limits<std::int64_t>::min();
--- a/src/tasks/testing/overload_test.cc
+++ b/src/tasks/testing/overload_test.cc
@@ -197,6 +197,11 @@
         CPPUNIT_ASSERT(valueOrderOf({ starts, 0, 20, 0, 5000 }) < usual && valueOrderOf({ starts, 0, 300, 1, 5000 }) < usual);
         CPPUNIT_ASSERT(valueOrderOf({ starts, 0, 300, 0, 9000 }) < usual && valueOrderOf({ starts, 0, 300, 0, 10001 }) > usual);
         CPPUNIT_ASSERT(isFirstStartDue(1000, 6000, 5000) && !isFirstStartDue(1000, 6000, 4900) && !isFirstStartDue(0, 3600000, 800000));
+        // Guards against large jobs that wait for ever behind small ones.
+        const double meanWork = 300;
+        const auto beginOrderOf = [&](double work) { return valueOrderOf({ starts, 0, work, 0, 5000, jobValueOf(work, meanWork) }); };
+        CPPUNIT_ASSERT_EQUAL(valueClassOf(beginOrderOf(meanWork)), valueClassOf(beginOrderOf(1.3 * meanWork)));
+        CPPUNIT_ASSERT(-beginOrderOf(3 * meanWork) * 2 > -beginOrderOf(meanWork));
     }
 
     // Guards against refusals beside free resources or of useful jobs, and retries all at once.
