Draw random numbers of tests in a defined order, and run single tests by name

Cause: the verdict of the replay in virtual time depended on the machine. A worker's answer and its delay were drawn in two arguments of one call, which GCC evaluates from the left on this architecture and from the right on x86-64, so one seed gave two courses of events. Three other tests drew twice in one expression.

Change: one draw per statement. test programs take names of tests, also of those that KNOWN-RED.txt lists.

--- a/src/tasks/testing/heterogeneous_workers_test.cc
+++ b/src/tasks/testing/heterogeneous_workers_test.cc
@@ -47,8 +47,10 @@
                 const double work = std::uniform_real_distribution<double>(2000, 8000)(this->random);
                 std::lognormal_distribution<double> spread(0, std::uniform_real_distribution<double>(0.15, 0.3)(this->random));
                 std::vector<SpeedEstimator::Sample> samples;
-                for (std::size_t i = first; i < first + siblings; ++i)
-                    samples.push_back({ workerId(order[i]), work * (this->random() % 100 < 3 ? 7 : 1) * spread(this->random) / this->speeds[order[i]] });
+                for (std::size_t i = first; i < first + siblings; ++i) {
+                    const int factor = this->random() % 100 < 3 ? 7 : 1;
+                    samples.push_back({ workerId(order[i]), work * factor * spread(this->random) / this->speeds[order[i]] });
+                }
                 this->estimator.addSiblings(samples);
             }
         }
--- a/src/tasks/testing/placement_test.cc
+++ b/src/tasks/testing/placement_test.cc
@@ -267,7 +267,8 @@
             Snapshot snapshot;
             for (int i = 0; i < 6; ++i)
                 snapshot.workers.push_back(worker(std::string(1, static_cast<char>('a' + i)), i < 3 ? "r1" : "r2", static_cast<std::int64_t>(random() % 9)));
-            PlacementRequest request = makeRequest(1 + static_cast<std::int64_t>(random() % 6), 1 + static_cast<std::int64_t>(random() % 8));
+            const auto members = static_cast<std::int64_t>(1 + random() % 6);
+            PlacementRequest request = makeRequest(members, static_cast<std::int64_t>(1 + random() % 8));
             request.sameRack = random() % 2 == 0;
             std::map<std::string, std::int64_t> fittingMembers;
             for (const SnapshotWorker& snapshotWorker : snapshot.workers)
--- a/src/tasks/testing/run_time_forecaster_test.cc
+++ b/src/tasks/testing/run_time_forecaster_test.cc
@@ -34,7 +34,11 @@
     double between(double low, double high) { return std::uniform_real_distribution(low, high)(this->random); }
 
     // 3 of 100 runs take 7 times as long.
-    double work(double usual, double deviation) { return usual * std::lognormal_distribution(0.0, deviation)(this->random) * (this->between(0, 1) < 0.03 ? 7 : 1); }
+    double work(double usual, double deviation)
+    {
+        const double spread = std::lognormal_distribution(0.0, deviation)(this->random);
+        return usual * spread * (this->between(0, 1) < 0.03 ? 7 : 1);
+    }
 
     // Forecasts and then learns runs of 10 workspaces with 8 shapes.
     void play(RunTimeForecaster& forecaster, const Kind& kind, int runs, ForecastCoverage* coverage = nullptr)
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -251,10 +251,10 @@
         deliver(Reply(), this->now + timeout);
     } else {
         this->schedule(this->now + this->randomBetween(1, 8), [this, id, execute, deliver] {
-            if (!this->workers.at(id).isPartitioned && !this->workers.at(id).crashed)
-                deliver(execute(), this->now + this->randomBetween(1, 8));
-            else
-                deliver(Reply(), this->now + timeout);
+            if (this->workers.at(id).isPartitioned || this->workers.at(id).crashed)
+                return deliver(Reply(), this->now + timeout);
+            const Reply reply = execute();
+            deliver(reply, this->now + this->randomBetween(1, 8));
         });
     }
 }
--- a/testing/test_main.cc
+++ b/testing/test_main.cc
@@ -1,6 +1,7 @@
 // Runs every CppUnit suite linked into this program and closes with the
 // counts that testing/run adds up. Tests that KNOWN-RED.txt names, in lines
-// "test SUITE::NAME: ...", are passed over and printed.
+// "test SUITE::NAME: ...", are passed over and printed. Arguments select tests
+// by their names, those in KNOWN-RED.txt included: test-tasks SUITE::NAME
 
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
@@ -11,6 +12,7 @@
 #include <fstream>
 #include <iostream>
 #include <set>
+#include <span>
 #include <string>
 
 namespace {
@@ -28,7 +30,7 @@
     return names;
 }
 
-bool isKnownRed(const std::set<std::string>& names, const std::string& test)
+bool isNamed(const std::set<std::string>& names, const std::string& test)
 {
     for (const std::string& name : names) {
         if (test == name || test.ends_with("::" + name))
@@ -37,13 +39,15 @@
     return false;
 }
 
-// Adds all tests below this one that are not known to fail.
-void addTests(CppUnit::TestRunner& runner, CppUnit::Test& test, const std::set<std::string>& knownRed)
+// Adds the selected tests below this one, or if none are, all that are not known to fail.
+void addTests(CppUnit::TestRunner& runner, CppUnit::Test& test, const std::set<std::string>& selected, const std::set<std::string>& knownRed)
 {
     if (test.getChildTestCount() > 0) {
         for (int i = 0; i < test.getChildTestCount(); ++i)
-            addTests(runner, *test.getChildTestAt(i), knownRed);
-    } else if (isKnownRed(knownRed, test.getName())) {
+            addTests(runner, *test.getChildTestAt(i), selected, knownRed);
+    } else if (!selected.empty() && !isNamed(selected, test.getName())) {
+        return;
+    } else if (selected.empty() && isNamed(knownRed, test.getName())) {
         fmt::print("known red, not run: {}\n", test.getName());
     } else if (test.countTestCases() > 0) {
         runner.addTest(&test);
@@ -52,15 +56,17 @@
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
+    const std::span<char*> arguments(argv, static_cast<std::size_t>(argc));
+    const std::set<std::string> selected(arguments.begin() + 1, arguments.end());
     CppUnit::TestResult result;
     CppUnit::TestResultCollector collector;
     result.addListener(&collector);
     // Not deleted: the runner owns the tests that it is given.
     CppUnit::Test* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
     CppUnit::TestRunner runner;
-    addTests(runner, *all, readKnownRed());
+    addTests(runner, *all, selected, readKnownRed());
     runner.run(result);
     CppUnit::CompilerOutputter outputter(&collector, std::cerr);
     if (!collector.wasSuccessful())
