Read all streams again as soon as the store answers one of them

Cause: after an outage in which the store was silent, the reads that were sent during it hung until their timeouts.

Change: when a stream is confirmed, streams whose last read failed, or whose read is overdue by 300 ms, are read at once beside the call that hangs; when that read succeeds, a new one takes the place of the call.

--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -91,6 +91,8 @@
     if (!isReachable && stream == Stream::Claims)
         this->election.didRegainLog(now);
     isReachable = true;
+    for (StreamReader* reader : { &this->configurationReader, &this->jobsReader, &this->claimsReader })
+        reader->storeAnswered(now);
     if (stream == Stream::Configuration) {
         this->endEvacuationLoad(now);
         this->gateway.configurationConfirmed(confirmedAt);
--- a/src/instance/stream_reader.cc
+++ b/src/instance/stream_reader.cc
@@ -17,6 +17,9 @@
 
     constexpr std::chrono::milliseconds connectTimeout { 600 };
 
+    // Beyond the time for which a read may wait for records. A slow store answers within it.
+    constexpr Millis usualAnswerTime = 300;
+
 } // namespace
 
 StreamReader::StreamReader(http::AsyncClient& client, const StoreProtocol& protocol, const Clock& clock, StreamReaderOptions options, StreamHandler& handler)
@@ -52,9 +55,24 @@
         this->read(0, true);
 }
 
+void StreamReader::storeAnswered(Millis now)
+{
+    if (this->retryDelay == 0 && !this->isOverdue(now))
+        return;
+    // The store may serve only some streams. Then this one is read no more often than it would be otherwise.
+    if (now < this->failedAt + minRetryDelay)
+        return;
+    this->nextReadAt = std::min(this->nextReadAt, now);
+    if (this->callInFlight && !this->probeInFlight && this->loaded())
+        this->read(0, true);
+}
+
+bool StreamReader::isOverdue(Millis now) const { return this->callInFlight && now >= this->answerDueAt; }
+
 void StreamReader::load()
 {
     const Millis sentAt = this->clock.now();
+    this->answerDueAt = sentAt + usualAnswerTime;
     if (!this->loading) {
         this->loading = true;
         this->lastLoadedKey.clear();
@@ -69,7 +87,9 @@
     call.restartTimeoutOnData = true;
     call.connectTimeout = connectTimeout;
     this->callInFlight = true;
-    this->client.send(std::move(call), [this, sentAt](const http::Reply& reply) {
+    this->client.send(std::move(call), [this, sentAt, number = ++this->callNumber](const http::Reply& reply) {
+        if (number != this->callNumber)
+            return;
         this->callInFlight = false;
         this->handlePage(reply, sentAt);
     });
@@ -105,9 +125,22 @@
     call.timeout = std::chrono::milliseconds(wait + this->options.timeout);
     call.restartTimeoutOnData = true;
     call.connectTimeout = connectTimeout;
-    (isProbe ? this->probeInFlight : this->callInFlight) = true;
-    this->client.send(std::move(call), [this, isProbe, from, wait, sentAt](const http::Reply& reply) {
-        (isProbe ? this->probeInFlight : this->callInFlight) = false;
+    if (isProbe) {
+        this->probeInFlight = true;
+        this->client.send(std::move(call), [this, from, wait, sentAt](const http::Reply& reply) {
+            this->probeInFlight = false;
+            if (reply.ok() && this->isOverdue(this->clock.now()))
+                this->callInFlight = false; // It was sent while the store was out of reach. The next read takes its place.
+            this->handleRecords(reply, from, wait, sentAt);
+        });
+        return;
+    }
+    this->callInFlight = true;
+    this->answerDueAt = sentAt + wait + usualAnswerTime;
+    this->client.send(std::move(call), [this, from, wait, sentAt, number = ++this->callNumber](const http::Reply& reply) {
+        if (number != this->callNumber)
+            return;
+        this->callInFlight = false;
         this->handleRecords(reply, from, wait, sentAt);
     });
 }
@@ -143,6 +176,7 @@
 void StreamReader::handleFailure(const std::string& why)
 {
     const Millis now = this->clock.now();
+    this->failedAt = now;
     this->retryDelay = std::clamp(this->retryDelay * 2, minRetryDelay, maxRetryDelay);
     this->nextReadAt = now + this->retryDelay;
     this->handler.streamFailed(this->options.stream, why, now);
--- a/src/instance/stream_reader.h
+++ b/src/instance/stream_reader.h
@@ -13,6 +13,7 @@
 #include "http/async_client.h"
 #include "instance/store_protocol.h"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,11 @@
     // pause after a failed read, so call it until confirmedAt() is late enough.
     void probe();
 
+    // Reports that the store has answered a call of another reader. A stream that was not read
+    // since an outage is then read at once: a call sent during the outage may hang for another
+    // second, and callers with keys are refused until the configuration is confirmed.
+    void storeAnswered(Millis now);
+
     // In low-latency mode, records are read as soon as they are appended, without batching.
     void setLowLatency(bool lowLatency) { this->lowLatency = lowLatency; }
 
@@ -60,6 +66,7 @@
     bool shouldWait() const;
     void load();
     void read(Millis wait, bool isProbe);
+    bool isOverdue(Millis now) const;
     void handlePage(const http::Reply&, Millis sentAt);
     void handleRecords(const http::Reply&, std::int64_t from, Millis wait, Millis sentAt);
     void handleFailure(const std::string& why);
@@ -77,7 +84,10 @@
     std::int64_t endAtLoadStart { -1 };
     Millis loadSentAt { 0 };
     bool callInFlight { false };
+    std::uint64_t callNumber { 0 }; // Of the last call; the answers of earlier ones are ignored.
+    Millis answerDueAt { 0 }; // When the call in flight should have been answered.
     bool probeInFlight { false };
+    Millis failedAt { 0 }; // When the last call failed.
     Millis nextReadAt { 0 };
     Millis batchUntil { 0 };
     bool lowLatency { false };
--- a/src/instance/testing/stream_reader_test.cc
+++ b/src/instance/testing/stream_reader_test.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <future>
 #include <optional>
 
 using namespace rattan;
@@ -32,6 +33,7 @@
 class StreamReaderTest : public CppUnit::TestFixture, public StreamHandler {
     CPPUNIT_TEST_SUITE(StreamReaderTest);
     CPPUNIT_TEST(firstReadAfterFailureDoesNotWait);
+    CPPUNIT_TEST(readThatHangsIsRepeatedOnceTheStoreAnswers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,6 +68,33 @@
         CPPUNIT_ASSERT(this->immediateReads > immediateReadsBefore);
     }
 
+    // Guards against a stream that stays unconfirmed for more than a second after an outage, because
+    // its read was sent during the outage and is not answered.
+    void readThatHangsIsRepeatedOnceTheStoreAnswers()
+    {
+        http::Server server({ .address = "127.0.0.1:0" });
+        std::promise<void> released;
+        const std::shared_future<void> release = released.get_future().share();
+        server.fallback([this, release](const http::Request& request) {
+            const bool isWaiting = request.path == "/waiting";
+            ++(isWaiting ? this->waitingReads : this->immediateReads);
+            if (isWaiting && this->storeUnavailable)
+                release.wait();
+            return http::Answer { 200, "", "text/plain", {} };
+        });
+        CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
+        http::AsyncClient client({}, this->clock);
+        StreamReader reader(client, this->store, this->clock, { .stream = Stream::Configuration, .address = server.address(), .wait = 100, .timeout = 60000 }, *this);
+        this->storeUnavailable = true;
+        this->runUntil(reader, client, [&] { return this->waitingReads == 1; });
+        const Millis confirmedBefore = reader.confirmedAt();
+        this->storeUnavailable = false;
+        this->runUntil(reader, client, [&] { reader.storeAnswered(this->clock.now()); return reader.confirmedAt() > confirmedBefore; });
+        this->runUntil(reader, client, [&] { return this->waitingReads == 2; });
+        CPPUNIT_ASSERT_EQUAL(0, this->failures);
+        released.set_value();
+    }
+
     void recordRead(Stream, const StoreRecord&, Millis) override { }
     void loadStarted(Stream) override { }
     void streamConfirmed(Stream, std::int64_t, Millis, Millis) override { }
