Serve a caller's last attempt with a margin that fits its remaining time

Cause: 300 ms of the caller's timeout were reserved for the answer. Callers send the time that is left of their own deadline, so the last of several attempts often had less, and was refused at once with "no answer from the store in time" by a healthy instance, although an append takes about 20 ms.

Change: the margin is at most half of the time that the caller has left.

Test: lastAttemptOfCallerIsServed. timeoutDoesNotRefuseWhileSameRecordIsPending let the request time out after 100 of 400 ms; with the new margin it times out after 200 ms. What it asserts is unchanged.

--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -52,11 +52,20 @@
     return this->hasConfiguration && this->jobsLoaded && now - this->configurationConfirmedAt < this->options.maxConfigurationAge;
 }
 
+// The last attempt of a caller may have less time left than the usual margin, but an append
+// usually takes far less.
+Millis Gateway::answerTimeOf(Millis callerTimeout) const
+{
+    if (callerTimeout <= 0)
+        return this->options.maxAnswerTime;
+    const Millis margin = std::min(this->options.answerMargin, callerTimeout / 2);
+    return std::min(callerTimeout - margin, this->options.maxAnswerTime);
+}
+
 void Gateway::handleRequest(std::uint64_t ticket, const CallerRequest& request, Millis now, Millis wallTime)
 {
     WaitingRequest waiting { .request = request, .jobId = request.path.substr(request.path.rfind('/') + 1), .receivedAt = now };
-    const Millis timeout = request.timeout > 0 ? std::max<Millis>(request.timeout - this->options.answerMargin, 0) : this->options.maxAnswerTime;
-    waiting.deadline = now + std::min(timeout, this->options.maxAnswerTime);
+    waiting.deadline = now + this->answerTimeOf(request.timeout);
     if (!this->hasConfiguration || !this->jobsLoaded)
         return this->refuse(ticket, waiting, "this instance has just started", now);
     if (this->catalog->version < this->minConfigurationVersion)
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -50,7 +50,7 @@
     std::size_t maxWaitingRequests { 2000 }; // About 5 KB each, including the job.
     std::size_t maxUnreadRecords { 20000 }; // Records that were or may have been appended but were not read back; about 100 bytes each. Submissions are refused above this.
     Millis maxAnswerTime { 2500 }; // Callers time out after three seconds, and the answer needs time to reach them.
-    Millis answerMargin { 300 }; // Part of the caller's timeout that is reserved for sending the answer.
+    Millis answerMargin { 300 }; // Part of the caller's timeout that is reserved for sending the answer; at most half of it.
     Millis maxConfigurationAge { 4000 }; // API keys are not accepted if the configuration was last confirmed longer ago.
     Millis maxPendingCountAge { 1800 }; // The reported number of pending jobs may be at most two seconds old.
     // A request for the state of a running job waits this long for the end of the job, and is
@@ -157,6 +157,7 @@
         bool rejected { false }; // Whether the store rejected the last append, after an earlier one with a lost outcome.
     };
 
+    Millis answerTimeOf(Millis callerTimeout) const;
     void submit(std::uint64_t ticket, WaitingRequest, const tasks::Queue&, std::string workspace, Millis now, Millis wallTime);
     void cancel(std::uint64_t ticket, WaitingRequest, Millis now);
     void reportState(std::uint64_t ticket, WaitingRequest, Millis now);
