--- a/src/instance/store_contact.h
+++ b/src/instance/store_contact.h
@@ -33,7 +33,7 @@
     // Longer than the usual gap between records while jobs run, so that few probes are needed.
     static constexpr Millis quietTime = 500;
 
-    // A slow store answers a probe within 400 ms.
+    // Leaves a slow store enough time to answer the first probe.
     static constexpr Millis maxSilence = 900;
 
     Millis lastAnswerAt { 0 };
