Report jobs of which nothing runs, and what each of them waits for

What operators saw: jobs that could run had nothing running for seconds, and the log named neither these jobs nor a cause. work_waits covers only units that wait to be placed; a job whose run is placed and in doubt (its start or stop unanswered, its end unread, its worker silent, a record under way) was in no event.

Change: the planner looks four times a second for jobs with a ready task and nothing running. plan.decided of kind job_idle names, once a second, the one that has been idle for longest, the cause and the worker; three metrics count them by cause. For a job that is not placed it says whether a unit of it fits twice in resources that no run uses, whatever they are reserved for. No decision depends on it.

--- a/src/ctl/job_story.cc
+++ b/src/ctl/job_story.cc
@@ -56,6 +56,8 @@
             return fmt::format("{} waits though guaranteed ({})", field(fields, "unit"), why);
         if (kind == "work_waits")
             return fmt::format("{} has waited longest of all ({})", field(fields, "unit"), why);
+        if (kind == "job_idle")
+            return fmt::format("nothing of it runs ({})", why);
         if (kind == "unit_retried")
             return fmt::format("{} is over ({}); it waits again", runOf(fields), why);
         if (kind == "unit_stalled")
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -320,6 +320,12 @@
                 this->metrics.set("rattan_forecast_coverage", { { "quantile", fmt::format("{}", tasks::ForecastCoverage::quantiles.at(i)) } }, coverage->share(i));
         }
     }
+    const tasks::IdleJobCounts* known = this->leadership ? this->leadership->idleJobs() : nullptr;
+    const tasks::IdleJobCounts idleJobs = known ? *known : tasks::IdleJobCounts {};
+    for (std::size_t i = 0; i < tasks::idleCauseNames.size(); ++i)
+        this->metrics.set("rattan_idle_jobs", { { "cause", std::string(tasks::idleCauseNames.at(i)) } }, static_cast<double>(idleJobs.byCause.at(i)));
+    this->metrics.set("rattan_idle_jobs_beside_unused_resources", {}, static_cast<double>(idleJobs.besideUnusedResources));
+    this->metrics.set("rattan_longest_idle_seconds", {}, static_cast<double>(idleJobs.longest) / millisPerSecond);
     if (this->leadership)
         this->metrics.set("rattan_term_left_seconds", {}, static_cast<double>(this->election.termEndTime() - now) / millisPerSecond);
     for (const auto& [stream, reader] : { std::pair("configuration", &this->configurationReader), std::pair("jobs", &this->jobsReader), std::pair("claims", &this->claimsReader) })
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -57,6 +57,8 @@
     std::size_t runCountIn(std::string_view domain) const { return this->planner ? this->planner->runCountIn(domain) : 0; }
     // Null unless this instance plans.
     const tasks::ForecastCoverage* forecastCoverage() const { return this->planner ? &this->planner->forecastCoverage() : nullptr; }
+    // Null unless this instance plans.
+    const tasks::IdleJobCounts* idleJobs() const { return this->planner ? &this->planner->idleJobs() : nullptr; }
     void jobChanged(const tasks::JobTable::Change&, Millis now, Millis wallTime);
 
     // Reports that the job table contains every record that was appended before `at`.
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -76,6 +76,7 @@
     UnitWaits, // A unit that may evict others evicts none, and why.
     GuaranteeWaits, // A unit within its workspace's guarantee waits, and for what.
     WorkWaits, // The unit that has waited longest, why it waits, and the state of the workers and polls.
+    JobIdle, // The job of which nothing has run for longest although a task is ready, and what it waits for.
     RunLost, // No end was reported: the run's worker is gone or has not answered for a whole lease.
 };
 
--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -295,6 +295,23 @@
     return sum;
 }
 
+std::int64_t Snapshot::countUnusedFits(const PlacementRequest& request, std::int64_t limit) const
+{
+    std::map<std::string_view, std::int64_t> membersByRack; // One entry unless all members must be in one rack.
+    for (const SnapshotWorker& worker : this->workers) {
+        if (!this->isEligible(worker, request) || (!request.rack.empty() && worker.rack != request.rack))
+            continue;
+        std::int64_t count = std::min(fittingCount(worker.free, request.perMember), request.members * limit);
+        if (request.maxPerWorker > 0)
+            count = std::min(count, request.maxPerWorker);
+        membersByRack[request.sameRack ? std::string_view(worker.rack) : std::string_view()] += count;
+    }
+    std::int64_t fits = 0;
+    for (const auto& [rack, count] : membersByRack)
+        fits += count / request.members;
+    return std::min(fits, limit);
+}
+
 bool Snapshot::fitsOnUnpolledWorkers(const PlacementRequest& request) const
 {
     std::int64_t members = 0;
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -158,6 +158,10 @@
     };
     AvailableMembers countAvailableMembers(const PlacementRequest&) const;
 
+    // How many times the whole unit fits in resources that no run uses, up to `limit`, whatever these
+    // are reserved for.
+    std::int64_t countUnusedFits(const PlacementRequest&, std::int64_t limit) const;
+
     // True if the unit could be placed on the unpolled workers alone, if they were empty.
     bool fitsOnUnpolledWorkers(const PlacementRequest&) const;
 
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -139,6 +139,9 @@
 inline constexpr Millis minReportedWait = 1500;
 inline constexpr Millis waitReportInterval = 1000;
 
+// How often jobs of which nothing runs are searched for, which visits every run.
+inline constexpr Millis idleCheckInterval = 250;
+
 // A poll that has been due for at least this long counts as overdue in that report.
 inline constexpr Millis overduePollThreshold = 500;
 
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -121,6 +121,9 @@
     std::map<std::int64_t, Occurrence> occurrences; // Started and not done.
     std::set<std::int64_t> doneOutOfOrder;
     bool guaranteed { false }; // The job is within its workspace's guarantee.
+    Millis idleSince { 0 }; // Since when nothing of it runs although a task is ready, or 0.
+    Millis fitsTwiceSince { 0 }; // Since when a unit of it also fits twice in resources that no run uses, or 0.
+    Millis fitsCheckedAt { 0 }; // When that was last examined.
     JobPaths paths; // By the forecasts of `pathsAt`.
     Millis pathsAt { 0 }; // 0 if not computed yet.
 };
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -34,6 +34,7 @@
 #include "tasks/evacuated_domains.h"
 #include "tasks/fair_shares.h"
 #include "tasks/forecast_coverage.h"
+#include "tasks/idle_jobs.h"
 #include "tasks/job_table.h"
 #include "tasks/orders.h"
 #include "tasks/plan_table.h"
@@ -135,6 +136,9 @@
     // The number of runs on workers of a failure domain.
     std::size_t runCountIn(std::string_view domain) const;
 
+    // Jobs of which nothing runs although a task is ready, as of the last step().
+    const IdleJobCounts& idleJobs() const { return this->idleCounts; }
+
     // How often runs of this term ended within the quantiles forecast at their start.
     const ForecastCoverage& forecastCoverage() const { return this->coverage; }
 
@@ -301,6 +305,18 @@
     std::string pendingStopsText(Millis now) const;
     void reportRoutineCounts();
 
+    // Jobs of which nothing runs although a task is ready.
+    struct BlockingRun {
+        const Worker* worker { nullptr };
+        const PlacedRun* placedRun { nullptr };
+        bool isRunning { false }; // Some run of the job is running, so that nothing blocks it.
+    };
+    std::map<std::string_view, BlockingRun> findBlockingRuns() const;
+    void updateIdleJobs(Millis now);
+    void reportUnplacedJob(const ActiveJob&, Millis now);
+    void reportBlockedJob(const ActiveJob&, const BlockingRun&, Millis now);
+    void updateUnusedResources(const Unit&, const Snapshot&, const PlacementRequest&, Millis now);
+
     // Checks of violations().
     void checkWorkers(std::vector<std::string>&) const;
     void checkUnits(std::vector<std::string>&) const;
@@ -330,6 +346,9 @@
     WorkerSpeeds workerSpeeds;
     Millis movesCheckedAt { 0 }; // When late runs were last searched for.
     Millis lastWaitReportAt { 0 }; // When the wait of the oldest unit was last reported.
+    Millis nextIdleCheckAt { 0 }; // When idle jobs are searched for again.
+    Millis nextIdleReportAt { 0 }; // When the job that has been idle for longest may be reported again.
+    IdleJobCounts idleCounts;
     Millis lastLearnedRecordAt { 0 }; // When run times and worker speeds were last recorded.
     std::set<std::string> finishedJobs; // Jobs that ended in this term; a late repeat of their records is ignored.
 
--- /dev/null
+++ b/src/tasks/task_planner_idle.cc
@@ -0,0 +1,138 @@
+// Jobs of which nothing runs although a task is ready, and what each of them waits for. A run
+// counts as running only if its worker answers and no stop was requested: one member on a silent
+// worker keeps a whole gang from starting again.
+
+#include "tasks/planner_limits.h"
+#include "tasks/task_planner.h"
+
+#include <fmt/format.h>
+
+namespace rattan::tasks {
+
+using namespace detail;
+
+namespace {
+
+    IdleCause causeOf(const WorkerState& worker, const PlacedRun& placedRun)
+    {
+        if (placedRun.phase == RunPhase::Recording)
+            return IdleCause::NotRecorded;
+        if (placedRun.stopRequested)
+            return placedRun.startRuledOutAt > 0 ? IdleCause::EndUnread : IdleCause::StopUnanswered;
+        if (placedRun.phase == RunPhase::Running)
+            return IdleCause::WorkerSilent;
+        if (placedRun.inherited && !worker.hasAnswered)
+            return IdleCause::TakeoverUnsettled;
+        return placedRun.hasUnansweredStart ? IdleCause::StartUnanswered : IdleCause::StartPending;
+    }
+
+    bool isRunning(const WorkerState& worker, const PlacedRun& placedRun)
+    {
+        return placedRun.phase == RunPhase::Running && !placedRun.stopRequested && !worker.silent;
+    }
+
+    std::string textOf(const IdleJobCounts& counts)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < idleCauseNames.size(); ++i) {
+            if (counts.byCause[i] > 0)
+                text += fmt::format("{}{} {}", text.empty() ? "" : ", ", counts.byCause[i], idleCauseNames[i]);
+        }
+        return fmt::format("{}; {} beside unused resources", text, counts.besideUnusedResources);
+    }
+
+} // namespace
+
+// The run that keeps each job from being placed: of several, the one whose worker has not
+// answered for longest. A job with a run that is running has none.
+std::map<std::string_view, TaskPlanner::BlockingRun> TaskPlanner::findBlockingRuns() const
+{
+    std::map<std::string_view, BlockingRun> found;
+    for (const auto& [id, worker] : this->workers) {
+        for (const auto& [run, placedRun] : worker.placedRuns) {
+            if (placedRun.orphaned)
+                continue;
+            BlockingRun& known = found[run.task.job];
+            known.isRunning = known.isRunning || isRunning(worker, placedRun);
+            if (!known.worker || worker.lastAnswerAt < known.worker->lastAnswerAt) {
+                known.worker = &worker;
+                known.placedRun = &placedRun;
+            }
+        }
+    }
+    return found;
+}
+
+void TaskPlanner::updateIdleJobs(Millis now)
+{
+    if (now < this->nextIdleCheckAt)
+        return;
+    this->nextIdleCheckAt = now + idleCheckInterval;
+    const std::map<std::string_view, BlockingRun> blockingRuns = this->findBlockingRuns();
+    this->idleCounts = {};
+    const ActiveJob* longestIdle = nullptr;
+    for (auto& [id, active] : this->jobs) {
+        const auto blocking = blockingRuns.find(id);
+        const auto unit = this->units.lower_bound({ id, 0, 0, wholeGang });
+        const bool hasUnits = unit != this->units.end() && unit->first.job == id;
+        if (isFinal(active.state) || !hasUnits || (blocking != blockingRuns.end() && blocking->second.isRunning)) {
+            active.idleSince = active.fitsTwiceSince = 0;
+            continue;
+        }
+        if (active.idleSince == 0)
+            active.idleSince = now;
+        if (now - active.idleSince < IdleJobCounts::minIdleTime)
+            continue;
+        const IdleCause cause = blocking == blockingRuns.end() ? IdleCause::NotPlaced : causeOf(*blocking->second.worker, *blocking->second.placedRun);
+        ++this->idleCounts.byCause[static_cast<std::size_t>(cause)];
+        this->idleCounts.besideUnusedResources += active.fitsTwiceSince > 0 ? 1 : 0;
+        if (!longestIdle || active.idleSince < longestIdle->idleSince)
+            longestIdle = &active;
+    }
+    if (!longestIdle)
+        return;
+    this->idleCounts.longest = now - longestIdle->idleSince;
+    if (now < this->nextIdleReportAt)
+        return;
+    this->nextIdleReportAt = now + waitReportInterval;
+    const auto blocking = blockingRuns.find(longestIdle->job->id);
+    if (blocking == blockingRuns.end())
+        this->reportUnplacedJob(*longestIdle, now);
+    else
+        this->reportBlockedJob(*longestIdle, blocking->second, now);
+}
+
+void TaskPlanner::reportUnplacedJob(const ActiveJob& active, Millis now)
+{
+    const Unit& unit = this->units.lower_bound({ active.job->id, 0, 0, wholeGang })->second;
+    const std::string unused = active.fitsTwiceSince > 0 ? fmt::format("fits twice in unused resources for {} ms", now - active.fitsTwiceSince) : "does not fit twice in unused resources";
+    this->emit(PlanEventKind::JobIdle, unit.key, unit.run, "", fmt::format("for {} ms, {}, {}, {}; idle jobs: {}", now - active.idleSince, nameOf(IdleCause::NotPlaced), nameOf(unit.waitReason), unused, textOf(this->idleCounts)));
+}
+
+void TaskPlanner::reportBlockedJob(const ActiveJob& active, const BlockingRun& blocking, Millis now)
+{
+    const Worker& worker = *blocking.worker;
+    const PlacedRun& placedRun = *blocking.placedRun;
+    const std::string poll = worker.pollInFlight ? fmt::format("poll in flight for {} ms", now - worker.pollSentAt) : fmt::format("next poll in {} ms", worker.nextPollAt - now);
+    const std::string stop = placedRun.stopRequested ? fmt::format("stop requested {} ms ago", now - placedRun.stopRequestedAt) : "no stop requested";
+    this->emit(PlanEventKind::JobIdle, placedRun.unit, placedRun.run.run, worker.description.incarnation.id,
+        fmt::format("for {} ms, {}, worker {}, last answer {} ms ago, lease ends in {} ms, {}, {}; idle jobs: {}", now - active.idleSince, nameOf(causeOf(worker, placedRun)), worker.silent ? "silent" : "not silent",
+            now - std::max(worker.lastAnswerAt, this->termStartedAt), worker.leaseEndsBy - now, poll, stop, textOf(this->idleCounts)));
+}
+
+// Whether the unit's job is idle although the unit fits twice in resources that no run uses,
+// whatever they are reserved for. Searched for each job at an interval, since it visits every worker.
+void TaskPlanner::updateUnusedResources(const Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
+{
+    ActiveJob& active = this->jobs.at(unit.key.job);
+    if (active.idleSince == 0 || now < active.fitsCheckedAt + idleCheckInterval)
+        return;
+    active.fitsCheckedAt = now;
+    constexpr std::int64_t twice = 2;
+    if (snapshot.countUnusedFits(request, twice) < twice)
+        active.fitsTwiceSince = 0;
+    else if (active.fitsTwiceSince == 0)
+        active.fitsTwiceSince = now;
+}
+
+} // namespace rattan::tasks
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -32,6 +32,7 @@
     this->expireForecasts(now);
     this->expireLeases(now);
     this->failExhaustedJobs(now);
+    this->updateIdleJobs(now);
     for (auto& [id, active] : this->jobs) {
         if (!isFinal(active.state))
             this->beginDueOccurrences(active, now, wall);
@@ -439,6 +440,7 @@
         const bool isCacheable = request.isolatedJob.empty() && request.maxPerWorker == 0 && unit.excludedWorkers.empty() && !hasPolicy;
         FailedRequests& failed = failedRequests[service];
         const bool knownToFail = failed.covers(request);
+        this->updateUnusedResources(unit, snapshot->second, request, now);
         if (!knownToFail && this->tryPlace(candidate, snapshot->second, request, now)) {
             if (request.siblingCounts)
                 count(siblings, unit.workers);
