Show that jobs stand idle beside resources that are reserved for others

What operators saw: accepted jobs of one workspace had nothing running for three seconds and more in a calm stretch, although they could run, and moved later.

The rule is that a job with a ready task runs within 3 s where the task fits twice, however full the service is, if nothing is disturbed. The check in virtual time was narrower than the rule: it was silent while half of all accelerators were in use. With checkLostWorkAtAnyLoad it is not.

--- a/src/tasks/testing/lost_work_detector.cc
+++ b/src/tasks/testing/lost_work_detector.cc
@@ -22,7 +22,7 @@
 
 void LostWorkDetector::check(const View& view, std::vector<std::string>& violations)
 {
-    if (view.usedAccelerators * 2 >= view.accelerators)
+    if (!view.atAnyLoad && view.usedAccelerators * 2 >= view.accelerators)
         return this->reset();
     std::set<std::string> runningJobs;
     for (const TaskRef& task : view.running)
--- a/src/tasks/testing/lost_work_detector.h
+++ b/src/tasks/testing/lost_work_detector.h
@@ -2,7 +2,7 @@
 
 // Detects lost work: a job that was not cancelled and has had no running task for `maxIdleTime`,
 // although a task of it is ready, the task fits twice on workers that can take it, and less
-// than half of all accelerators are in use.
+// than half of all accelerators are in use; with `atAnyLoad`, however many are in use.
 //
 // The detector is given what workers do, not the planner's view. It counts capacity as free at
 // once, so a planner must use freed capacity within that time.
@@ -40,6 +40,7 @@
         std::vector<WorkerCapacity> workers; // Workers that can accept work.
         std::int64_t accelerators { 0 }; // Total of all workers that are present.
         std::int64_t usedAccelerators { 0 }; // Of these, those in use.
+        bool atAnyLoad { false };
         std::set<TaskRef> running;
         std::vector<const Job*> jobs; // Jobs that should run.
         std::function<bool(const TaskRef&)> isDone; // True if a run of the task has completed.
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -42,6 +42,7 @@
     std::vector<double> speeds; // Of the workers in turn; all have 1 if empty.
     double workSpread { 0 }; // The standard deviation of the logarithm of a task's work.
     double longTasks { 0 }; // Share of tasks with seven times the work.
+    bool checkLostWorkAtAnyLoad { false }; // Instead of only while less than half of all accelerators are in use.
     bool uneven { false }; // Every task of a step except the first has a quarter of the first one's work.
 };
 
--- a/src/tasks/testing/virtual_site_lost_work.cc
+++ b/src/tasks/testing/virtual_site_lost_work.cc
@@ -36,6 +36,7 @@
 {
     LostWorkDetector::View view;
     view.now = this->now;
+    view.atAnyLoad = this->options.checkLostWorkAtAnyLoad;
     for (const auto& [id, worker] : this->workers) {
         if (!worker.listed || worker.crashed)
             continue;
