Commit no resources to units that could not start there

What operators saw: jobs with nothing running beside unused resources, and in the log units that wait for stops while no stops are under way.

Cause: a unit that may not start on free resources because they are reserved for a unit before it was given the same resources as "free after stops": that view, and the search for runs to stop, ignored reservations.

Change: both searches leave out what is reserved for units that come before.

--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -25,7 +25,7 @@
             for (const std::size_t index : workers) {
                 const SnapshotWorker& worker = snapshot.workers[index];
                 if (!worker.isProbing && snapshot.isEligible(worker, request) && snapshot.respectsIsolation(worker, request))
-                    this->options.push_back({ .index = index, .available = worker.freeAfterStops });
+                    this->options.push_back({ .index = index, .available = snapshot.availableAfterStops(worker, request) });
             }
         }
 
--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -113,6 +113,13 @@
     return request.perMember.times(count).fitsIn(worker.freeBesideReservation);
 }
 
+Resources Snapshot::availableAfterStops(const SnapshotWorker& worker, const PlacementRequest& request) const
+{
+    if (!worker.reservedFrom || this->now + request.expectedRunTime <= *worker.reservedFrom)
+        return worker.freeAfterStops;
+    return componentMin(worker.freeAfterStops, worker.freeBesideReservation);
+}
+
 std::int64_t Snapshot::countFitting(const SnapshotWorker& worker, const PlacementRequest& request, View view) const
 {
     if (!this->isEligible(worker, request))
@@ -140,7 +147,7 @@
     }
     if (worker.isProbing && view != View::Empty)
         count = std::min<std::int64_t>(count, 1);
-    if (view == View::Free) {
+    if (view == View::Free || view == View::AfterStops) {
         while (count > 0 && !this->respectsReservation(worker, request, count))
             --count;
     }
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -167,6 +167,10 @@
 
     bool isEligible(const SnapshotWorker&, const PlacementRequest&) const;
 
+    // What the unit may use once all runs being stopped have ended: not what is reserved for units
+    // that come before it and would still be running then.
+    Resources availableAfterStops(const SnapshotWorker&, const PlacementRequest&) const;
+
     // False if placing the unit there would mix suspect tasks with other runs.
     bool respectsIsolation(const SnapshotWorker&, const PlacementRequest&) const;
 
--- a/src/tasks/testing/placement_test.cc
+++ b/src/tasks/testing/placement_test.cc
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(rackLabelAndLimitConstraintsAreRespected);
     CPPUNIT_TEST(committedResourcesAreNotReallocated);
     CPPUNIT_TEST(reservedResourcesAreUsedByRunsThatEndBefore);
+    CPPUNIT_TEST(resourcesReservedForOthersAreNotCommitted);
     CPPUNIT_TEST(urgentUnitsPreferFastWorkers);
     CPPUNIT_TEST(gangMembersHaveSimilarSpeeds);
     CPPUNIT_TEST(workersReservedForUrgentUnitsAreExclusiveUnderLoad);
@@ -169,6 +170,22 @@
         CPPUNIT_ASSERT(!snapshot.findFree(shortRun));
     }
 
+    // Guards against units that keep resources from others by waiting for stops that are not needed:
+    // what they wait for is free, but reserved, so they can't start there after the stops either.
+    void resourcesReservedForOthersAreNotCommitted()
+    {
+        Snapshot snapshot { .workers = { worker("a", "r1", 4) } };
+        snapshot.workers[0].allocations.push_back({ {}, { 1000, 1000, 4 }, 5000, false });
+        snapshot.reserve(makeRequest(1, 8));
+        PlacementRequest longRun = makeRequest(1, 2);
+        longRun.expectedRunTime = 6000;
+        CPPUNIT_ASSERT(!snapshot.findAfterStops(longRun));
+        CPPUNIT_ASSERT(!planEviction(
+            snapshot, longRun, [](const Allocation&) { return -1.0; }, 1e9));
+        longRun.expectedRunTime = 4000;
+        CPPUNIT_ASSERT(snapshot.findAfterStops(longRun));
+    }
+
     void urgentUnitsPreferFastWorkers()
     {
         const Snapshot snapshot { .workers = { worker("slow", "r1", 8, 0.8), worker("usual", "r1"), worker("fast", "r1", 8, 1.25) } };
