Test how soon work resumes after single faults and pairs of them

The site's check for lost work waits one lease and a second after the last fault; users count from four seconds. Faults of single calls, a frozen planner, polls that a worker holds, and a worker that is gone without a successor couldn't be expressed.

--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -3,12 +3,25 @@
 
 #include "tasks/testing/virtual_site.h"
 
+#include <algorithm>
+
 namespace rattan::tasks::testing {
 
+namespace {
+
+    // When calls without an answer are given up; a poll this long after the time for which the
+    // worker may hold it.
+    constexpr Millis orderTimeout = 230;
+    constexpr Millis pollTimeout = 800;
+
+} // namespace
+
 void VirtualSite::newPlanner()
 {
     this->recordFault();
     this->planner.reset();
+    if (this->now < this->frozenUntil)
+        this->frozenUntil = this->nextPlannerTurn = this->now; // Another process, which isn't frozen.
     ++this->term;
     ++this->plannerGeneration;
     PlannerOptions planning;
@@ -144,7 +157,7 @@
     this->checkLostWork();
     if (this->planner && this->now >= this->nextPlannerTurn)
         this->runPlanner();
-    else if (this->planner)
+    else if (this->planner && this->now >= this->frozenUntil)
         this->sendDueOrders();
 }
 
@@ -207,40 +220,69 @@
                 this->plans.apply(key, value, this->offset++);
         }
     });
-    this->schedule(std::max(jobsAt, plansAt) + 1, [this, batch, generation] {
-        if (generation == this->plannerGeneration)
-            this->planner->batchRecorded(batch.number, this->now);
+    this->deliver(std::max(jobsAt, plansAt) + 1, generation, [this, number = batch.number] { this->planner->batchRecorded(number, this->now); });
+}
+
+void VirtualSite::freezePlanner(Millis until)
+{
+    this->frozenUntil = until;
+    this->nextPlannerTurn = std::max(this->nextPlannerTurn, until);
+}
+
+void VirtualSite::deliver(Millis when, int generation, std::function<void()> report)
+{
+    this->schedule(when, [this, generation, report = std::move(report)] {
+        if (generation != this->plannerGeneration || !this->planner)
+            return;
+        if (this->now < this->frozenUntil)
+            return this->deliver(this->frozenUntil, generation, report);
+        report();
     });
 }
 
+std::optional<CallFault> VirtualSite::takeCallFault(CallKind kind, const std::string& worker)
+{
+    const auto found = std::find_if(this->callFaults.begin(), this->callFaults.end(), [&](const CallFault& fault) { return fault.kind == kind && (fault.worker.empty() || fault.worker == worker); });
+    if (found == this->callFaults.end())
+        return std::nullopt;
+    this->recordFault();
+    const CallFault fault = *found;
+    if (--found->count <= 0)
+        this->callFaults.erase(found);
+    return fault;
+}
+
 template <typename Execute, typename Answer>
-void VirtualSite::send(const std::string& id, Execute execute, Answer answer)
+void VirtualSite::send(const std::string& id, CallKind kind, Millis timeout, Execute execute, Answer answer)
 {
-    constexpr Millis timeout = 230;
-    const int generation = this->plannerGeneration;
-    const auto deliver = [this, generation, answer](auto reply, Millis when) {
-        this->schedule(when, [this, generation, answer, reply] {
-            if (generation == this->plannerGeneration && this->planner)
-                answer(reply);
-        });
-    };
     using Reply = decltype(execute());
+    const auto deliverReply = [this, generation = this->plannerGeneration, answer](const Reply& reply, Millis when) {
+        this->deliver(when, generation, [answer, reply] { answer(reply); });
+    };
     const double sample = this->randomShare();
     Worker& worker = this->workers.at(id);
     const double lostThreshold = this->options.lostOrders;
     const double lostAnswerThreshold = lostThreshold + this->options.lostAnswers;
     const double lateThreshold = lostAnswerThreshold + this->options.lateOrders;
+    const std::optional<CallFault> fault = this->takeCallFault(kind, id);
     if (worker.crashed) {
         constexpr Millis refusedAfter = 5;
-        deliver(Reply(), this->now + (worker.replaced ? refusedAfter : timeout));
-    } else if (worker.isPartitioned || sample < lostThreshold) {
-        deliver(Reply(), this->now + timeout);
-    } else if (sample < lostAnswerThreshold) {
+        deliverReply(Reply(), this->now + (worker.replaced ? refusedAfter : timeout));
+    } else if (worker.isPartitioned || sample < lostThreshold || (fault && fault->fate == CallFate::Lost)) {
+        deliverReply(Reply(), this->now + timeout);
+    } else if (fault && fault->fate == CallFate::Late) {
+        this->schedule(this->now + fault->delay, [this, id, execute] {
+            this->recordFault();
+            if (!this->workers.at(id).crashed)
+                execute();
+        });
+        deliverReply(Reply(), this->now + timeout);
+    } else if (sample < lostAnswerThreshold || fault) {
         this->schedule(this->now + this->randomBetween(1, 8), [this, id, execute] {
             if (!this->workers.at(id).crashed)
                 execute();
         });
-        deliver(Reply(), this->now + timeout);
+        deliverReply(Reply(), this->now + timeout);
     } else if (sample < lateThreshold) {
         // The order waits at the worker, and is dropped if the worker crashes in the meantime.
         this->schedule(this->now + this->randomBetween(2000, 12000), [this, id, execute, born = worker.born] {
@@ -248,13 +290,13 @@
             if (this->workers.at(id).born == born && !this->workers.at(id).crashed)
                 execute();
         });
-        deliver(Reply(), this->now + timeout);
+        deliverReply(Reply(), this->now + timeout);
     } else {
-        this->schedule(this->now + this->randomBetween(1, 8), [this, id, execute, deliver] {
+        this->schedule(this->now + this->randomBetween(1, 8), [this, id, execute, deliverReply, timeout] {
             if (this->workers.at(id).isPartitioned || this->workers.at(id).crashed)
-                return deliver(Reply(), this->now + timeout);
+                return deliverReply(Reply(), this->now + timeout);
             const Reply reply = execute();
-            deliver(reply, this->now + this->randomBetween(1, 8));
+            deliverReply(reply, this->now + this->randomBetween(1, 8));
         });
     }
 }
@@ -263,10 +305,7 @@
 {
     if (this->suppressedStarts > 0) {
         --this->suppressedStarts;
-        this->schedule(this->now + 5, [this, order, generation = this->plannerGeneration] {
-            if (generation == this->plannerGeneration && this->planner)
-                this->planner->startAnswered(order.worker, order.run, StartAnswer::NotSent, this->now);
-        });
+        this->deliver(this->now + 5, this->plannerGeneration, [this, order] { this->planner->startAnswered(order.worker, order.run, StartAnswer::NotSent, this->now); });
         return;
     }
     if (this->startDelay == 0)
@@ -283,15 +322,11 @@
     const std::int64_t term = this->term;
     const Millis until = order.decidedAt + this->options.lease;
     if (const Millis wait = std::exchange(this->nextStartDelay, 0); wait > 0) {
-        constexpr Millis timeout = 230;
         this->schedule(this->now + wait, [this, order, term, until] {
             this->recordFault();
             this->executeStart(order, term, until);
         });
-        this->schedule(this->now + timeout, [this, order, generation = this->plannerGeneration] {
-            if (generation == this->plannerGeneration && this->planner)
-                this->planner->startAnswered(order.worker, order.run, StartAnswer::NoAnswer, this->now);
-        });
+        this->deliver(this->now + orderTimeout, this->plannerGeneration, [this, order] { this->planner->startAnswered(order.worker, order.run, StartAnswer::NoAnswer, this->now); });
         return;
     }
     const Millis repeatDelay = std::exchange(this->nextStartRepeatDelay, 0);
@@ -302,7 +337,7 @@
         });
     }
     this->send(
-        order.worker.id, [this, order, term, until] { return std::optional(this->executeStart(order, term, until)); },
+        order.worker.id, CallKind::Start, orderTimeout, [this, order, term, until] { return std::optional(this->executeStart(order, term, until)); },
         [this, order, repeatDelay](const std::optional<StartAnswer>& answer) {
             const StartAnswer defaultAnswer = this->workers.at(order.worker.id).replaced ? StartAnswer::OtherIncarnation : StartAnswer::NoAnswer;
             const StartAnswer received = answer.value_or(defaultAnswer);
@@ -320,7 +355,7 @@
 {
     const std::int64_t term = this->term;
     this->send(
-        order.worker.id,
+        order.worker.id, CallKind::Stop, orderTimeout,
         [this, order, term] {
             Worker& worker = this->workers.at(order.worker.id);
             this->traceRun(order.run, order.worker.id, "stop received");
@@ -339,6 +374,8 @@
 
 void VirtualSite::poll(const PollOrder& order)
 {
+    if (this->options.longPolls)
+        return this->sendLongPoll(order);
     const Millis sentAt = this->now;
     const std::int64_t term = this->term;
     const Millis until = order.renewsLease ? this->now + this->options.lease : 0;
@@ -348,16 +385,47 @@
         if (generation != this->plannerGeneration)
             return;
         this->send(
-            order.worker.id, [this, order, term, until] { return this->executePoll(order, term, until); },
-            [this, order, sentAt](const std::optional<WorkerReport>& report) {
-                if (report) {
-                    this->recordReportedEnds(*report);
-                    this->planner->pollAnswered(order.worker, sentAt, order.concurrent, *report, this->now);
-                } else {
-                    this->planner->pollFailed(order.worker, order.concurrent, this->workers.at(order.worker.id).replaced ? WorkerFault::OtherIncarnation : WorkerFault::NoAnswer, this->now);
-                }
-            });
+            order.worker.id, CallKind::Poll, orderTimeout, [this, order, term, until] { return this->executePoll(order, term, until); },
+            [this, order, sentAt](const std::optional<WorkerReport>& report) { this->reportPoll(order, sentAt, report); });
     });
 }
 
+void VirtualSite::reportPoll(const PollOrder& order, Millis sentAt, const std::optional<WorkerReport>& report)
+{
+    if (!report)
+        return this->planner->pollFailed(order.worker, order.concurrent, this->workers.at(order.worker.id).replaced ? WorkerFault::OtherIncarnation : WorkerFault::NoAnswer, this->now);
+    this->recordReportedEnds(*report);
+    this->planner->pollAnswered(order.worker, sentAt, order.concurrent, *report, this->now);
+}
+
+void VirtualSite::sendLongPoll(const PollOrder& order)
+{
+    const Worker& worker = this->workers.at(order.worker.id);
+    const std::optional<CallFault> fault = this->takeCallFault(CallKind::Poll, order.worker.id);
+    HeldPoll held { order, this->now, this->term, worker.born, this->plannerGeneration, fault.has_value() };
+    if (worker.replaced)
+        return this->deliver(this->now + stepMillis, held.generation, [this, held] { this->reportPoll(held.order, held.sentAt, std::nullopt); });
+    if (worker.crashed || worker.isPartitioned || (fault && fault->fate == CallFate::Lost))
+        return this->deliver(this->now + order.wait + pollTimeout, held.generation, [this, held] { this->reportPoll(held.order, held.sentAt, std::nullopt); });
+    this->schedule(this->now + this->randomBetween(1, 8) + (fault ? fault->delay : 0), [this, held] { this->holdPoll(held); });
+}
+
+// Answers the poll once there is an end or the wait is over. A held poll is lost if the worker
+// restarts.
+void VirtualSite::holdPoll(const HeldPoll& held)
+{
+    const PollOrder& order = held.order;
+    const Worker& worker = this->workers.at(order.worker.id);
+    const Millis timeoutAt = std::max(held.sentAt + order.wait + pollTimeout, this->now);
+    const auto fail = [&] { this->deliver(timeoutAt, held.generation, [this, held] { this->reportPoll(held.order, held.sentAt, std::nullopt); }); };
+    if (worker.crashed || worker.born > held.born)
+        return fail();
+    const std::optional<WorkerReport> report = this->executePoll(order, held.term, order.renewsLease ? held.sentAt + this->options.lease : 0);
+    if (report && report->ended.empty() && this->now < held.sentAt + order.wait)
+        return this->schedule(this->now + stepMillis, [this, held] { this->holdPoll(held); });
+    if (worker.isPartitioned || held.answerIsLost || !report)
+        return fail();
+    this->deliver(this->now + this->randomBetween(1, 8), held.generation, [this, held, report] { this->reportPoll(held.order, held.sentAt, report); });
+}
+
 } // namespace rattan::tasks::testing
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -43,6 +43,29 @@
     double workSpread { 0 }; // The standard deviation of the logarithm of a task's work.
     double longTasks { 0 }; // Share of tasks with seven times the work.
     bool uneven { false }; // Every task of a step except the first has a quarter of the first one's work.
+    bool longPolls { false }; // Workers hold waiting polls until a run ends; otherwise each is answered after 100 ms.
+    Millis calmAfterFault { 0 }; // Lost work is checked from this time after the last fault; 0: one lease and a second.
+};
+
+// Faults of single calls to workers.
+enum class CallKind {
+    Start,
+    Stop,
+    Poll,
+};
+
+enum class CallFate {
+    Lost, // Neither executed nor answered.
+    AnswerLost, // Executed but not answered.
+    Late, // Executed later, by the worker that has the address at that time, and not answered.
+};
+
+struct CallFault {
+    CallKind kind { CallKind::Start };
+    CallFate fate { CallFate::Lost };
+    int count { 1 }; // The number of calls concerned.
+    Millis delay { 0 }; // Of a late call.
+    std::string worker; // Only calls to this worker, or empty.
 };
 
 class VirtualSite {
@@ -109,6 +132,10 @@
     // The next `count` starts are not sent; the planner receives the answer NotSent for them.
     void suppressNextStarts(int count) { this->suppressedStarts = count; }
 
+    // The next calls of a kind fail.
+    void failNextCalls(CallFault fault) { this->callFaults.push_back(std::move(fault)); }
+    void clearCallFaults() { this->callFaults.clear(); }
+
     // An earlier planner, which does not know yet that it has been replaced, renews the lease of
     // a worker that the new planner has not reached.
     void renewByEarlierPlanner(const std::string& id) { this->workers.at(id).leaseEnd = this->now + this->options.lease; }
@@ -126,6 +153,9 @@
     // The worker crashes and restarts under the same id without any runs.
     void restart(const std::string& id);
 
+    // The worker crashes, without a successor at its address.
+    void removeForGood(const std::string& id);
+
     // The worker crashes; three seconds later another worker has its address.
     void crash(const std::string& id);
 
@@ -145,6 +175,12 @@
     // The planner has no turn before the given time.
     void pausePlanner(Millis until) { this->nextPlannerTurn = until; }
 
+    // The planner has no turn before the given time and receives the answers of the meantime then.
+    void freezePlanner(Millis until);
+
+    // The end of the last fault.
+    Millis faultEndedAt() const { return this->lastFaultAt; }
+
     // Records become durable this much later.
     void delayRecords(Millis delay) { this->recordDelay = delay; }
 
@@ -253,7 +289,14 @@
     // Sends an order to a worker and the answer back, with the delays and losses of the simulated
     // network.
     template <typename Execute, typename Answer>
-    void send(const std::string& id, Execute execute, Answer answer);
+    void send(const std::string& id, CallKind kind, Millis timeout, Execute execute, Answer answer);
+
+    // Removes the fault that applies to this call, if there is one.
+    std::optional<CallFault> takeCallFault(CallKind kind, const std::string& worker);
+
+    // Calls a function of the current planner, later if the planner is frozen then or not at all if
+    // it was replaced.
+    void deliver(Millis when, int generation, std::function<void()> report);
 
     void start(const StartOrder& order);
     void sendStart(const StartOrder& order);
@@ -281,6 +324,19 @@
     void stop(const StopOrder& order);
 
     void poll(const PollOrder& order);
+    void reportPoll(const PollOrder& order, Millis sentAt, const std::optional<WorkerReport>& report);
+    void sendLongPoll(const PollOrder& order);
+
+    // A poll that the worker holds.
+    struct HeldPoll {
+        PollOrder order;
+        Millis sentAt { 0 };
+        std::int64_t term { 0 };
+        Millis born { 0 }; // Of the worker.
+        int generation { 0 };
+        bool answerIsLost { false };
+    };
+    void holdPoll(const HeldPoll& held);
 
     // Answers for the policy of every queue that has one: workers with an even number may run its
     // steps.
@@ -310,6 +366,8 @@
     Millis roundDuration { 0 };
     bool pollsBetweenTurns { false };
     int suppressedStarts { 0 };
+    std::vector<CallFault> callFaults;
+    Millis frozenUntil { 0 };
     std::map<std::string, Millis> crashDelays; // Time after the start at which a job's first task crashes its worker.
     std::map<TaskRef, std::int64_t> crashes; // Number of workers that crashed while running a task.
     std::map<TaskRef, std::int64_t> startsAfterCrashes; // Number of starts after the third crash.
--- a/src/tasks/testing/virtual_site_lost_work.cc
+++ b/src/tasks/testing/virtual_site_lost_work.cc
@@ -12,13 +12,15 @@
     const SiteOptions& faults = this->options;
     if (!this->planner || faults.lostOrders > 0 || faults.lostAnswers > 0 || faults.lateOrders > 0 || faults.lostAdvice > 0)
         return true;
+    if (this->now < this->frozenUntil)
+        return true;
     if (this->startDelay > 0 || this->nextStartDelay > 0 || this->suppressedStarts > 0 || this->recordDelay > 0)
         return true;
     return std::any_of(this->workers.begin(), this->workers.end(), [](const auto& row) { return !row.second.crashed && (row.second.isPartitioned || row.second.isStalled || row.second.failsAll); });
 }
 
-// Checks for lost work, but not until one lease and a margin after the last fault: the planner
-// gives up the runs of an unreachable worker only after one lease.
+// Checks for lost work, but not until a while after the last fault, by default one lease and a
+// margin: the planner gives up the runs of an unreachable worker only after one lease.
 void VirtualSite::checkLostWork()
 {
     constexpr Millis checkInterval = 100;
@@ -27,7 +29,8 @@
         this->recordFault();
     if (this->now % checkInterval != 0)
         return;
-    if (this->now < this->lastFaultAt + this->options.lease + margin)
+    const Millis calmAfterFault = this->options.calmAfterFault > 0 ? this->options.calmAfterFault : this->options.lease + margin;
+    if (this->now < this->lastFaultAt + calmAfterFault)
         return this->lostWorkDetector.reset();
     this->lostWorkDetector.check(this->detectorView(), this->violations);
 }
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -82,6 +82,21 @@
     worker.ended.clear();
 }
 
+void VirtualSite::removeForGood(const std::string& id)
+{
+    constexpr Millis timeUntilUnlisted = 4500;
+    Worker& worker = this->workers.at(id);
+    if (worker.crashed)
+        return;
+    this->recordFault();
+    worker.crashed = true;
+    this->dropRuns(worker, id);
+    this->schedule(this->now + timeUntilUnlisted, [this, id] {
+        this->workers.at(id).listed = false;
+        this->publishWorkers();
+    });
+}
+
 void VirtualSite::crash(const std::string& id)
 {
     constexpr Millis replacementDelay = 3000;
