Read the end of a stopped run beside a poll that is held or lost

What callers saw: a job could stand still for three seconds after an answered stop, in an otherwise calm stretch.

Cause: once a stop was answered, the end of a running task was read only by the worker's regular poll. If that poll was lost, it was given up after 2.8 s; if an earlier end of the worker was not durable yet, no poll was sent until it was, which takes two turns of the planner for each such end. A quick poll beside the pending one was sent only for starts in doubt.

Change: if the stop of a run was answered, the maximum time of a stop is over, and no poll that was sent since then has been answered, a quick poll is due. It renews no lease and acknowledges nothing, and waits for the backoff of a silent worker.

Evidence: lostPollDoesNotDelayTheEndOfAStoppedRun fails before and passes now; the gang runs again 275 ms after the stop instead of 3,045 ms, with a lost poll and with a lost answer alike. The number of additional polls was not measured.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -285,6 +285,7 @@
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
     static bool isEndExpected(const Worker&);
     bool isLeaseHalfOver(const Worker&, Millis now) const;
+    bool isEndOverdue(const Worker&, const PlacedRun&, Millis now) const;
     bool isConcurrentPollDue(const Worker&, Millis now) const;
     bool isPollDue(const Worker&, Millis now) const;
     void addPoll(Worker&, Millis now, Orders&) const;
--- a/src/tasks/task_planner_polls.cc
+++ b/src/tasks/task_planner_polls.cc
@@ -37,15 +37,27 @@
     return worker.hasAnswered && worker.needsLease() && now + this->options.maxLease / 2 >= worker.leaseEndsBy;
 }
 
+// Whether the end of a run whose stop was answered must have been listed by now, but no poll that
+// was sent since then has been answered.
+bool TaskPlanner::isEndOverdue(const Worker& worker, const PlacedRun& placedRun, Millis now) const
+{
+    const Millis endsBy = placedRun.startRuledOutAt + this->options.stopTimeout;
+    return placedRun.phase == RunPhase::Running && placedRun.startRuledOutAt > 0 && now > endsBy && worker.incarnationConfirmedAt <= endsBy;
+}
+
 // Whether a poll is needed that does not wait for the pending one. The next poll settles a start
 // that was refused as superseded or whose stop was answered, but the pending poll may be held open
-// until a run ends, which would delay the task.
+// until a run ends, or be lost, which would delay the task. Nor does it wait for an earlier end of
+// the worker to become durable.
 bool TaskPlanner::isConcurrentPollDue(const Worker& worker, Millis now) const
 {
     if (worker.quickPollInFlight)
         return false;
     if (worker.hasAnswered && !worker.silent && this->isInDoubtedDomain(worker, now))
         return true;
+    const bool hasOverdueEnd = now >= worker.nextPollAt && std::any_of(worker.placedRuns.begin(), worker.placedRuns.end(), [&](const auto& row) { return this->isEndOverdue(worker, row.second, now); });
+    if (hasOverdueEnd && !this->isPollDue(worker, now))
+        return true;
     if (!worker.pollInFlight)
         return false;
     return std::any_of(worker.placedRuns.begin(), worker.placedRuns.end(), [&](const auto& row) {
--- a/src/tasks/testing/resume_after_fault_test.cc
+++ b/src/tasks/testing/resume_after_fault_test.cc
@@ -190,6 +190,7 @@
     CPPUNIT_TEST_SUITE(ResumeAfterFaultTest);
     CPPUNIT_TEST(workResumesAfterEachFault);
     CPPUNIT_TEST(workResumesAfterTwoFaults);
+    CPPUNIT_TEST(lostPollDoesNotDelayTheEndOfAStoppedRun);
     CPPUNIT_TEST(gangOfAGoneWorkerResumesAfterItsLease);
     CPPUNIT_TEST(takeoversDoNotExtendTheLeaseOfAGoneWorker);
     CPPUNIT_TEST_SUITE_END();
@@ -221,6 +222,24 @@
         }
     }
 
+    // Guards against a job that waits until a lost poll is given up, although the stop of its run
+    // was answered.
+    void lostPollDoesNotDelayTheEndOfAStoppedRun()
+    {
+        for (const CallFate fate : { CallFate::Lost, CallFate::AnswerLost }) {
+            Course course(2, 0);
+            course.run(5000);
+            const Millis faultBefore = course.site.faultEndedAt();
+            course.site.failNextCalls({ .kind = CallKind::Poll, .fate = fate, .worker = course.hostOf(1) });
+            while (course.site.faultEndedAt() == faultBefore && course.site.now < 8000)
+                course.run(course.site.now + 5);
+            const Millis stoppedAt = course.site.now;
+            course.site.leave(course.hostOf(0));
+            course.run(stoppedAt + 1000);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t { 4 }, course.site.runsOf(gang));
+        }
+    }
+
     // Guards against a gang that waits longer than the lease of a member whose worker is gone.
     void gangOfAGoneWorkerResumesAfterItsLease()
     {
