Read what has arrived when a stopped process continues

What callers saw: not shown by a trace. After SIGSTOP and SIGCONT the control loop made all decisions of one iteration on the new time, before it had read anything that arrived while the process was stopped: the store counted as unreachable, the claims as unread and relayed orders as overdue, although the answers lay in the sockets.

Cause: epoll_wait ends with EINTR after SIGCONT, also without a signal handler (signal(7)). The client took this for a pass without ready sockets, and ControlLoop::step() came before the next pass.

Change: after EINTR the sockets are queried again, without waiting. A thread that only waits for a processor was not affected: its wait ends with all sockets that are ready by then.

Evidence: answersThatArriveDuringASignalAreRead failed before ("assertion failed: answered") and passes now. It interrupts the wait by a signal whose handler sends the answer.

--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <optional>
 #include <poll.h>
 #include <set>
@@ -215,7 +216,11 @@
     bool handleSockets(std::chrono::milliseconds maxWait)
     {
         std::array<epoll_event, maxEventsPerPass> events {};
-        const int readyCount = epoll_wait(this->epollDescriptor, events.data(), static_cast<int>(events.size()), static_cast<int>(maxWait.count()));
+        int readyCount = epoll_wait(this->epollDescriptor, events.data(), static_cast<int>(events.size()), static_cast<int>(maxWait.count()));
+        // The wait ends without events when a stopped process continues, although sockets may have
+        // become ready meanwhile.
+        while (readyCount < 0 && errno == EINTR)
+            readyCount = epoll_wait(this->epollDescriptor, events.data(), static_cast<int>(events.size()), 0);
         for (int i = 0; i < readyCount; ++i) {
             const epoll_event& event = events[static_cast<std::size_t>(i)];
             if (event.data.fd == this->wakeDescriptor) {
--- a/src/http/testing/async_client_test.cc
+++ b/src/http/testing/async_client_test.cc
@@ -7,8 +7,11 @@
 #include <array>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
 #include <ctime>
 #include <fmt/format.h>
+#include <fstream>
+#include <functional>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <optional>
@@ -98,6 +101,18 @@
         std::size_t requests { 0 };
     };
 
+    std::function<void()> answerDuringSignal; // Called by a signal handler; makes only system calls.
+
+    // Whether the thread waits in the kernel, by its file in /proc.
+    bool isSleeping(const std::string& threadState)
+    {
+        std::ifstream file(threadState);
+        std::string text;
+        std::getline(file, text);
+        const std::size_t nameEnd = text.rfind(") ");
+        return nameEnd != std::string::npos && text.substr(nameEnd + 2, 1) == "S";
+    }
+
     double threadCpuSeconds()
     {
         timespec cpuTime {};
@@ -116,6 +131,7 @@
     CPPUNIT_TEST(silentPeerTimesOut);
     CPPUNIT_TEST(receivedAnswersDoNotTimeOut);
     CPPUNIT_TEST(receivedAnswersDoNotTimeOutAfterBacklog);
+    CPPUNIT_TEST(answersThatArriveDuringASignalAreRead);
     CPPUNIT_TEST(silentPeerTimesOutUnderLoad);
     CPPUNIT_TEST(connectTimeoutSendsNothing);
     CPPUNIT_TEST(refusedConnectionSendsNothing);
@@ -266,6 +282,33 @@
         }
     }
 
+    // Guards against a process that was stopped and decides on the time that has passed before it
+    // reads what has arrived meanwhile: the wait for sockets ends by the signal alone then.
+    void answersThatArriveDuringASignalAreRead()
+    {
+        HoldingPeer peer;
+        bool answered = false;
+        this->client->send({ .address = peer.address(), .timeout = 60s, .connectTimeout = 60s }, [&](const Reply& reply) { answered = reply.ok(); });
+        this->runUntil([&] { return peer.readRequests() == 1; });
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        answerDuringSignal = [&] { peer.sendAll(answer); };
+        struct sigaction action { };
+        struct sigaction previous { };
+        action.sa_handler = [](int) { answerDuringSignal(); };
+        sigaction(SIGUSR1, &action, &previous);
+        const pthread_t waitingThread = pthread_self();
+        const std::string threadState = fmt::format("/proc/self/task/{}/stat", gettid());
+        std::thread signaller([&] {
+            while (!isSleeping(threadState))
+                std::this_thread::yield();
+            pthread_kill(waitingThread, SIGUSR1);
+        });
+        this->client->run(20s);
+        signaller.join();
+        sigaction(SIGUSR1, &previous, nullptr);
+        CPPUNIT_ASSERT(answered);
+    }
+
     // Every pass leaves arrived answers unread. Guards against calls to a silent peer that
     // never time out in this state; they time out somewhat later than usual.
     void silentPeerTimesOutUnderLoad()
