Read acknowledgements before a session with a relay times out

What callers saw: orders to many workers ended without an answer at one moment, and their workers counted as silent, after the planner's process had had no processor for half a second or more.

Cause: a batch that is not acknowledged within 500 ms ends the session with the relay and with it all orders under way. The limit was a kj timer. kj fires timers in the pass in which it learns of ready sockets, and the messages in them are decoded later in the loop. So after a standstill the timeout always came before the acknowledgement that lay in the socket. The limit for connecting had the same order.

Change: after its limit a promise fails only when 64 further passes of the event loop, without waiting, have read what had arrived. A pass handles 16 sockets. DeliveryThread takes a timer, so that a test controls the time.

Evidence: acknowledgementsThatHaveArrivedDoNotTimeOut failed before (the next event was PeerLost) and passes now; 5.5 s pass on the test's timer while the delivery thread is in a callback and the acknowledgement arrives. New as well: peerWithoutAcknowledgementIsLost, passing before and after. The limit for connecting uses the same function and has no test of its own. test-delivery: 36 passed, 0 failed.

--- a/src/delivery/delivery_thread.cc
+++ b/src/delivery/delivery_thread.cc
@@ -3,6 +3,10 @@
 // error ends it and both sides start a new one, because the codec of a session relies on
 // every message. A session is ended later in the loop and not in the promise that detected
 // the error, since that promise would destroy itself.
+//
+// kj fires a timer in the same pass as, or before, the events of sockets. After a suspension of
+// this thread all timeouts would therefore end before the acknowledgements that lie in the sockets
+// are read. Here a timeout takes effect only after further passes that read what has arrived.
 
 #include "delivery/delivery_thread.h"
 
@@ -29,6 +33,9 @@
     constexpr auto batchTimeout = 500 * kj::MILLISECONDS;
     constexpr auto connectTimeout = 400 * kj::MILLISECONDS;
 
+    // The event loop handles up to 16 ready sockets per pass, and there are far fewer than 1,000.
+    constexpr int maxReadPasses = 64;
+
     constexpr int maxUnacknowledgedBatches = 400; // Batches of answers in flight in one session.
 
 } // namespace
@@ -122,6 +129,7 @@
     explicit EventLoop(DeliveryThread& owner)
         : owner(owner)
         , io(kj::setupAsyncIo())
+        , timer(owner.timer ? *owner.timer : this->io.provider->getTimer())
         , wakeStream(this->io.lowLevelProvider->wrapInputFd(owner.wakeFd, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK | kj::LowLevelAsyncIoProvider::ALREADY_CLOEXEC))
         , tasks(*this)
     {
@@ -188,6 +196,23 @@
         std::erase_if(this->outgoing, [&](const auto& row) { return row.second.term != command.term; });
     }
 
+    // Fails if the promise is not resolved within the limit and nothing that has arrived resolves it.
+    template <typename T>
+    kj::Promise<T> within(kj::Duration limit, kj::Promise<T> promise)
+    {
+        auto expired = this->timer.afterDelay(limit).then([this] { return this->readArrived(); }).then([]() -> kj::Promise<T> { return KJ_EXCEPTION(OVERLOADED, "operation timed out"); });
+        return promise.exclusiveJoin(kj::mv(expired));
+    }
+
+    // Resolves after everything that had arrived when it was called was read and handled.
+    kj::Promise<void> readArrived(int passes = maxReadPasses)
+    {
+        if (passes == 0)
+            return kj::READY_NOW;
+        auto polled = this->io.provider->getTimer().afterDelay(0 * kj::SECONDS).then([] { return kj::evalLast([] {}); });
+        return polled.then([this, passes] { return this->readArrived(passes - 1); });
+    }
+
     void connect(const std::string& peer, std::int64_t term, OutgoingSession& out)
     {
         out.number = ++this->lastSession;
@@ -196,7 +221,7 @@
             auto connection = address->connect();
             return connection.attach(kj::mv(address));
         });
-        auto connected = this->io.provider->getTimer().timeoutAfter(connectTimeout, kj::mv(stream));
+        auto connected = this->within(connectTimeout, kj::mv(stream));
         auto ready = connected.then([this, peer, number = out.number](kj::Own<kj::AsyncIoStream>&& stream) {
             this->handleConnected(peer, number, kj::mv(stream));
         });
@@ -238,7 +263,7 @@
         auto rows = request.initOrders(static_cast<unsigned>(batch.calls.size()));
         for (unsigned i = 0; i < rows.size(); ++i)
             out.codec.encode(batch.calls[i], rows[i]);
-        auto acknowledged = this->io.provider->getTimer().timeoutAfter(batchTimeout, request.send().ignoreResult());
+        auto acknowledged = this->within(batchTimeout, request.send().ignoreResult());
         this->tasks.add(acknowledged.catch_([this, peer = batch.peer, number = out.number](kj::Exception&& problem) { this->schedulePeerLost(peer, number, problem); }));
     }
 
@@ -302,6 +327,7 @@
 
     DeliveryThread& owner;
     kj::AsyncIoContext io;
+    kj::Timer& timer;
     kj::Own<kj::AsyncInputStream> wakeStream;
     bool isStopping { false };
     std::uint64_t lastSession { 0 };
@@ -312,9 +338,10 @@
     kj::TaskSet tasks;
 };
 
-DeliveryThread::DeliveryThread(std::string address, std::function<void()> wake)
+DeliveryThread::DeliveryThread(std::string address, std::function<void()> wake, kj::Timer* timer)
     : listenAddress(std::move(address))
     , wakeOwner(std::move(wake))
+    , timer(timer)
     , commands(maxCommands)
     , events(maxEvents)
 {
--- a/src/delivery/delivery_thread.h
+++ b/src/delivery/delivery_thread.h
@@ -24,11 +24,17 @@
 #include <thread>
 #include <variant>
 
+namespace kj {
+class Timer;
+}
+
 namespace rattan::delivery {
 
 class DeliveryThread final : public DeliveryPort {
 public:
-    DeliveryThread(std::string address, std::function<void()> wake);
+    // Timeouts are measured with the timer, or with that of the thread's event loop if it is null.
+    // The timer must outlive the thread and is used on it only.
+    DeliveryThread(std::string address, std::function<void()> wake, kj::Timer* timer = nullptr);
     ~DeliveryThread() override;
     DeliveryThread(const DeliveryThread&) = delete;
     DeliveryThread& operator=(const DeliveryThread&) = delete;
@@ -63,6 +69,7 @@
 
     std::string listenAddress;
     std::function<void()> wakeOwner;
+    kj::Timer* const timer;
     BoundedQueue<Command> commands;
     BoundedQueue<DeliveryEvent> events;
     int wakeFd { -1 }; // An eventfd that wakes the thread.
--- a/src/delivery/testing/delivery_thread_test.cc
+++ b/src/delivery/testing/delivery_thread_test.cc
@@ -3,6 +3,8 @@
 #include "delivery/testing/fake_delivery.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <kj/timer.h>
 #include <optional>
 
 using namespace rattan;
@@ -16,8 +18,9 @@
 // The DeliveryThread of one instance, and a blocking wait for its next event of a type.
 class TestInstance {
 public:
-    TestInstance()
-        : thread("127.0.0.1:0", [this] { this->wakes.tryPush(1); })
+    explicit TestInstance(kj::Timer* timer = nullptr)
+        : thread(
+            "127.0.0.1:0", [this] { this->handleWake(); }, timer)
     {
         CPPUNIT_ASSERT(!attemptVoid([&] { return this->thread.start(); }));
     }
@@ -30,10 +33,29 @@
                 if (const auto* match = std::get_if<Event>(&*event))
                     return *match;
             }
-            CPPUNIT_ASSERT(this->wakes.popFor(std::chrono::seconds(20)));
+            this->waitForWake();
         }
     }
 
+    DeliveryEvent waitForAny()
+    {
+        for (;;) {
+            if (auto event = this->thread.next())
+                return *event;
+            this->waitForWake();
+        }
+    }
+
+    void waitForWake() { CPPUNIT_ASSERT(this->wakes.popFor(std::chrono::seconds(20))); }
+
+    void handleWake()
+    {
+        this->wakes.tryPush(1);
+        if (const auto action = std::exchange(this->atNextEvent, nullptr))
+            action();
+    }
+
+    std::function<void()> atNextEvent; // Runs on the delivery thread, which does nothing else meanwhile.
     BoundedQueue<int> wakes { 10000 };
     DeliveryThread thread;
 };
@@ -44,6 +66,8 @@
     CPPUNIT_TEST(reportsAreTransferredUnchanged);
     CPPUNIT_TEST(unreachablePeerIsReportedLost);
     CPPUNIT_TEST(stoppedPeerIsLostAndReplaced);
+    CPPUNIT_TEST(acknowledgementsThatHaveArrivedDoNotTimeOut);
+    CPPUNIT_TEST(peerWithoutAcknowledgementIsLost);
     CPPUNIT_TEST(closingATermEndsItsSessions);
     CPPUNIT_TEST(startFailsIfAddressIsInUse);
     CPPUNIT_TEST_SUITE_END();
@@ -132,6 +156,29 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), other.waitFor<OrdersReceived>().calls.at(0).id);
     }
 
+    // Guards against a relay that is given up, with all orders sent to it, because its
+    // acknowledgement lay in the socket while the planner's process was suspended.
+    void acknowledgementsThatHaveArrivedDoNotTimeOut()
+    {
+        TestInstance other;
+        const auto received = this->sendAndSuspend([&] {
+            this->held.tryPush(1);
+            // The relay has acknowledged the first batch before it reads one of another connection.
+            other.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w2") } } });
+            this->relay.waitFor<OrdersReceived>();
+        });
+        this->relay.thread.answer({ received.session, { { 1, "w1", { PollReply {}, 200 } } } });
+        CPPUNIT_ASSERT(std::holds_alternative<AnswersReceived>(this->suspended.waitForAny()));
+    }
+
+    // Guards against orders that wait forever for a relay that is suspended.
+    void peerWithoutAcknowledgementIsLost()
+    {
+        this->sendAndSuspend([] {});
+        CPPUNIT_ASSERT_EQUAL(this->relay.thread.address(), this->suspended.waitFor<PeerLost>().peer);
+        this->held.tryPush(1);
+    }
+
     void closingATermEndsItsSessions()
     {
         this->planner.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w1") } } });
@@ -147,8 +194,33 @@
     }
 
 private:
+    // Sends a batch to the relay, which holds its acknowledgement back until something is pushed to
+    // `held`. Then 5.5 s pass for the thread of `suspended` without a turn; `meanwhile` is called
+    // in that time.
+    OrdersReceived sendAndSuspend(const std::function<void()>& meanwhile)
+    {
+        std::string closedAddress;
+        {
+            const TestInstance stopped;
+            closedAddress = stopped.thread.address();
+        }
+        this->relay.atNextEvent = [this] { this->held.popFor(std::chrono::seconds(20)); };
+        this->suspended.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w1") } } });
+        const auto received = this->relay.waitFor<OrdersReceived>();
+        this->suspended.atNextEvent = [this, meanwhile] {
+            meanwhile();
+            this->timer->advanceTo(this->timer->now() + 5500 * kj::MILLISECONDS);
+        };
+        this->suspended.thread.send({ closedAddress, term, 0, { { 1, pollOf("w1") } } });
+        CPPUNIT_ASSERT_EQUAL(closedAddress, this->suspended.waitFor<PeerLost>().peer);
+        return received;
+    }
+
+    BoundedQueue<int> held { 1 };
+    std::unique_ptr<kj::TimerImpl> timer { std::make_unique<kj::TimerImpl>(kj::origin<kj::TimePoint>()) }; // Its destructor may throw, which that of a test may not.
     TestInstance planner;
     TestInstance relay;
+    TestInstance suspended { this->timer.get() };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeliveryThreadTest);
