End overdue relayed orders only after arrived answers are handled

Here all relayed orders that were under way for 1.6 s (2 s more for a poll that may wait 2 s) ended without an answer when the planner's process went on after a standstill, although it still held its term.

Cause: RelayedChannel::step() compared the time with the orders' limits. After a standstill the answers may lie in the event queue, which is handled after step(), or in the socket, which another thread reads at its own pace.

Without a result the request is repeated every 500 ms; a port that accepts none, since its queue is full or its thread has ended, lets them end at once as before.

Evidence: with step() as before (a trial) answersThatHaveArrivedAreNotOverdue and overdueOrdersEndIfThePortFailsDuringACheck fail, with the change they pass. The existing tests are unchanged: FakePort accepts no checks unless a test asks for it.

--- a/src/delivery/delivery_port.h
+++ b/src/delivery/delivery_port.h
@@ -66,7 +66,14 @@
     std::string reason;
 };
 
-using DeliveryEvent = std::variant<OrdersReceived, SessionEnded, AnswersReceived, PeerLost>;
+// As an event: everything that had arrived from peers when the check was requested has been
+// reported before it.
+struct ArrivalCheck {
+    std::int64_t term { 0 };
+    Millis requestedAt { 0 };
+};
+
+using DeliveryEvent = std::variant<OrdersReceived, SessionEnded, AnswersReceived, PeerLost, ArrivalCheck>;
 
 class DeliveryPort {
 public:
@@ -76,6 +83,9 @@
     virtual bool send(OrderBatch) = 0;
     virtual bool answer(AnswerBatch) = 0;
 
+    // Requests an event with the same content.
+    virtual bool checkArrivals(ArrivalCheck) = 0;
+
     // Closes the sessions that were opened to other instances for any term except this one.
     virtual void closeOtherTerms(std::int64_t term) = 0;
 };
--- a/src/delivery/delivery_thread.cc
+++ b/src/delivery/delivery_thread.cc
@@ -191,6 +191,11 @@
         this->tasks.add(delivered.catch_([this, session = batch.session](kj::Exception&&) { this->scheduleIncomingEnd(session); }));
     }
 
+    void execute(const ArrivalCheck& check)
+    {
+        this->tasks.add(this->readArrived().then([this, check] { this->push(check); }));
+    }
+
     void execute(const CloseOtherTerms& command)
     {
         std::erase_if(this->outgoing, [&](const auto& row) { return row.second.term != command.term; });
@@ -409,6 +414,8 @@
 
 bool DeliveryThread::answer(AnswerBatch batch) { return this->push(std::move(batch)); }
 
+bool DeliveryThread::checkArrivals(ArrivalCheck check) { return this->push(check); }
+
 void DeliveryThread::closeOtherTerms(std::int64_t term) { this->push(CloseOtherTerms { term }); }
 
 std::optional<DeliveryEvent> DeliveryThread::next()
--- a/src/delivery/delivery_thread.h
+++ b/src/delivery/delivery_thread.h
@@ -45,6 +45,7 @@
 
     bool send(OrderBatch) override;
     bool answer(AnswerBatch) override;
+    bool checkArrivals(ArrivalCheck) override;
     void closeOtherTerms(std::int64_t term) override;
 
     std::optional<DeliveryEvent> next();
@@ -62,7 +63,7 @@
         std::int64_t term { 0 };
     };
 
-    using Command = std::variant<OrderBatch, AnswerBatch, CloseOtherTerms>;
+    using Command = std::variant<OrderBatch, AnswerBatch, ArrivalCheck, CloseOtherTerms>;
 
     bool push(Command);
     void run(const std::function<void(unsigned port, std::string problem)>& started);
--- a/src/delivery/relayed_channel.cc
+++ b/src/delivery/relayed_channel.cc
@@ -61,7 +61,24 @@
         if (!out.ids.empty() && now >= out.sendDeadline)
             this->flush(peer, out, now);
     }
-    while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+    if (this->deadlines.empty() || now < std::max(this->deadlines.begin()->first, this->nextArrivalCheckAt))
+        return;
+    this->nextArrivalCheckAt = now + arrivalCheckInterval;
+    if (!this->port.checkArrivals({ this->term, now }))
+        this->endOverdueOrders(now, now);
+}
+
+void RelayedChannel::handleArrivalCheck(const ArrivalCheck& check, Millis now)
+{
+    if (check.term != this->term)
+        return;
+    this->nextArrivalCheckAt = 0;
+    this->endOverdueOrders(check.requestedAt, now);
+}
+
+void RelayedChannel::endOverdueOrders(Millis overdueAt, Millis now)
+{
+    while (!this->deadlines.empty() && this->deadlines.begin()->first <= overdueAt) {
         const std::uint32_t id = this->deadlines.begin()->second;
         this->complete(id, missingAnswer(this->pending.at(id).call), now);
     }
@@ -85,7 +102,7 @@
 
 Millis RelayedChannel::nextWake() const
 {
-    Millis next = this->deadlines.empty() ? std::numeric_limits<Millis>::max() : this->deadlines.begin()->first;
+    Millis next = this->deadlines.empty() ? std::numeric_limits<Millis>::max() : std::max(this->deadlines.begin()->first, this->nextArrivalCheckAt);
     for (const auto& [peer, out] : this->outgoing) {
         if (!out.ids.empty())
             next = std::min(next, out.sendDeadline);
--- a/src/delivery/relayed_channel.h
+++ b/src/delivery/relayed_channel.h
@@ -7,12 +7,15 @@
 //     channel.step(now);                       // at the end of each turn
 //     channel.handleAnswers(answers, now);     // received from the port
 //     channel.handlePeerLost(peerLost, now);   // received from the port
+//     channel.handleArrivalCheck(check, now);  // received from the port
 //
 // Orders for one relay are sent in batches: starts and stops at the end of the turn in which
 // send() was called, polls within `maxPollDelay` or with the next start or stop. Every order
 // completes: by its answer, when its relay is lost, or after a timeout within which any relay
-// would have reported that the worker did not answer. An order without an answer may have been
-// executed, or may be executed later, as on any channel. Not thread-safe.
+// would have reported that the worker did not answer. A timeout takes effect only after the port
+// has reported everything that had arrived, since this process may have been suspended. An order
+// without an answer may have been executed, or may be executed later, as on any channel. Not
+// thread-safe.
 
 #include "delivery/delivery_port.h"
 #include "delivery/relay_selector.h"
@@ -30,11 +33,16 @@
     // A poll waits up to this long, to be sent in one message with other orders.
     static constexpr Millis maxPollDelay = 20;
 
+    // A check of the port without a result is requested again after this time, and orders end
+    // without one if the port accepts no request any more.
+    static constexpr Millis arrivalCheckInterval = 500;
+
     RelayedChannel(std::int64_t term, RelaySelector&, WorkerChannel& direct, DeliveryPort&, const Clock&);
 
     void send(const WorkerCall&, Handler) override;
     void handleAnswers(const AnswersReceived&, Millis now);
     void handlePeerLost(const PeerLost&, Millis now);
+    void handleArrivalCheck(const ArrivalCheck&, Millis now);
     void step(Millis now);
 
     // The time at which step() must be called even if no event occurs.
@@ -55,6 +63,7 @@
 
     void sendDirect(const WorkerCall&, const Handler&);
     void flush(const std::string& peer, OutgoingBatch&, Millis now);
+    void endOverdueOrders(Millis overdueAt, Millis now);
     void complete(std::uint32_t id, const WorkerAnswer&, Millis now);
 
     const std::int64_t term;
@@ -65,6 +74,7 @@
     std::map<std::uint32_t, Pending> pending;
     std::set<std::pair<Millis, std::uint32_t>> deadlines; // The time at which each pending order completes without an answer.
     std::map<std::string, OutgoingBatch> outgoing; // By peer.
+    Millis nextArrivalCheckAt { 0 }; // Later than now while a check is in progress.
     std::uint32_t lastId { 0 };
 };
 
--- a/src/delivery/testing/delivery_thread_test.cc
+++ b/src/delivery/testing/delivery_thread_test.cc
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(stoppedPeerIsLostAndReplaced);
     CPPUNIT_TEST(acknowledgementsThatHaveArrivedDoNotTimeOut);
     CPPUNIT_TEST(peerWithoutAcknowledgementIsLost);
+    CPPUNIT_TEST(arrivedAnswersAreReportedBeforeACheck);
     CPPUNIT_TEST(closingATermEndsItsSessions);
     CPPUNIT_TEST(startFailsIfAddressIsInUse);
     CPPUNIT_TEST_SUITE_END();
@@ -160,13 +161,7 @@
     // acknowledgement lay in the socket while the planner's process was suspended.
     void acknowledgementsThatHaveArrivedDoNotTimeOut()
     {
-        TestInstance other;
-        const auto received = this->sendAndSuspend([&] {
-            this->held.tryPush(1);
-            // The relay has acknowledged the first batch before it reads one of another connection.
-            other.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w2") } } });
-            this->relay.waitFor<OrdersReceived>();
-        });
+        const auto received = this->sendAndSuspend([&](const OrdersReceived&) { this->releaseRelay(); });
         this->relay.thread.answer({ received.session, { { 1, "w1", { PollReply {}, 200 } } } });
         CPPUNIT_ASSERT(std::holds_alternative<AnswersReceived>(this->suspended.waitForAny()));
     }
@@ -174,11 +169,26 @@
     // Guards against orders that wait forever for a relay that is suspended.
     void peerWithoutAcknowledgementIsLost()
     {
-        this->sendAndSuspend([] {});
+        this->sendAndSuspend([](const OrdersReceived&) {});
         CPPUNIT_ASSERT_EQUAL(this->relay.thread.address(), this->suspended.waitFor<PeerLost>().peer);
         this->held.tryPush(1);
     }
 
+    // Guards against orders that end without an answer after a suspension although their answers
+    // have arrived.
+    void arrivedAnswersAreReportedBeforeACheck()
+    {
+        constexpr Millis requestedAt = 77;
+        this->sendAndSuspend([&](const OrdersReceived& received) {
+            this->releaseRelay();
+            this->relay.thread.answer({ received.session, { { 1, "w1", { PollReply {}, 200 } } } });
+            this->waitUntilRelayHasSent();
+            this->suspended.thread.checkArrivals({ term, requestedAt });
+        });
+        CPPUNIT_ASSERT(std::holds_alternative<AnswersReceived>(this->suspended.waitForAny()));
+        CPPUNIT_ASSERT_EQUAL(requestedAt, std::get<ArrivalCheck>(this->suspended.waitForAny()).requestedAt);
+    }
+
     void closingATermEndsItsSessions()
     {
         this->planner.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w1") } } });
@@ -194,10 +204,28 @@
     }
 
 private:
+    // Lets the relay send its acknowledgement, and returns when it has.
+    void releaseRelay()
+    {
+        this->held.tryPush(1);
+        this->waitUntilRelayHasSent();
+    }
+
+    // Returns when the relay has sent everything that it was to send before the call. It does so
+    // in the pass of its event loop in which it reads the first of two batches of another
+    // connection.
+    void waitUntilRelayHasSent()
+    {
+        for (const std::uint32_t id : { 1, 2 }) {
+            this->planner.thread.send({ this->relay.thread.address(), term, 0, { { id, pollOf("w2") } } });
+            this->relay.waitFor<OrdersReceived>();
+        }
+    }
+
     // Sends a batch to the relay, which holds its acknowledgement back until something is pushed to
     // `held`. Then 5.5 s pass for the thread of `suspended` without a turn; `meanwhile` is called
     // in that time.
-    OrdersReceived sendAndSuspend(const std::function<void()>& meanwhile)
+    OrdersReceived sendAndSuspend(const std::function<void(const OrdersReceived&)>& meanwhile)
     {
         std::string closedAddress;
         {
@@ -207,8 +235,8 @@
         this->relay.atNextEvent = [this] { this->held.popFor(std::chrono::seconds(20)); };
         this->suspended.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w1") } } });
         const auto received = this->relay.waitFor<OrdersReceived>();
-        this->suspended.atNextEvent = [this, meanwhile] {
-            meanwhile();
+        this->suspended.atNextEvent = [this, meanwhile, received] {
+            meanwhile(received);
             this->timer->advanceTo(this->timer->now() + 5500 * kj::MILLISECONDS);
         };
         this->suspended.thread.send({ closedAddress, term, 0, { { 1, pollOf("w1") } } });
--- a/src/delivery/testing/fake_delivery.h
+++ b/src/delivery/testing/fake_delivery.h
@@ -50,9 +50,17 @@
         this->answers.push_back(std::move(batch));
         return true;
     }
+    bool checkArrivals(ArrivalCheck check) override
+    {
+        if (this->acceptsChecks)
+            this->checks.push_back(check);
+        return this->acceptsChecks;
+    }
     void closeOtherTerms(std::int64_t term) override { this->keptTerm = term; }
 
     bool isFull { false };
+    bool acceptsChecks { false };
+    std::vector<ArrivalCheck> checks;
     std::vector<OrderBatch> orders;
     std::vector<AnswerBatch> answers;
     std::int64_t keptTerm { 0 };
--- a/src/delivery/testing/relayed_channel_test.cc
+++ b/src/delivery/testing/relayed_channel_test.cc
@@ -52,6 +52,7 @@
         return true;
     }
     bool answer(AnswerBatch) override { return true; }
+    bool checkArrivals(ArrivalCheck) override { return false; }
     void closeOtherTerms(std::int64_t) override { }
 
     Millis backlog() const { return static_cast<Millis>(std::max(this->freeAt - static_cast<double>(this->clock.now()), 0.0)); }
@@ -77,6 +78,9 @@
     CPPUNIT_TEST(lostRelayLeavesSentOrdersUnanswered);
     CPPUNIT_TEST(ordersAreNotSentIfPortIsFull);
     CPPUNIT_TEST(lateAnswerDoesNotCompleteAnOrderTwice);
+    CPPUNIT_TEST(answersThatHaveArrivedAreNotOverdue);
+    CPPUNIT_TEST(overdueOrdersEndAfterACheck);
+    CPPUNIT_TEST(overdueOrdersEndIfThePortFailsDuringACheck);
     CPPUNIT_TEST(answersOfAnotherTermAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -183,6 +187,57 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->answers.size());
     }
 
+    // Guards against orders that end without an answer although the relay's answers have arrived,
+    // because the process was suspended until after their timeout.
+    void answersThatHaveArrivedAreNotOverdue()
+    {
+        this->port.acceptsChecks = true;
+        this->sendTo("w1", startOf("w1", "job"));
+        this->channel->step(this->clock.now());
+        const std::uint32_t id = this->port.orders[0].calls[0].id;
+        this->clock.advance(5500);
+        this->channel->step(this->clock.now());
+        CPPUNIT_ASSERT(this->answers.empty());
+        this->channel->handleAnswers({ relay, term, { { id, "w1", { .reply = StartReply { tasks::StartAnswer::Started, 5 } } } } }, this->clock.now());
+        this->channel->handleArrivalCheck(this->port.checks.at(0), this->clock.now());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->answers.size());
+        CPPUNIT_ASSERT(this->startAnswer("w1") == tasks::StartAnswer::Started);
+    }
+
+    // Guards against orders that wait forever for a relay that stays connected and does not answer.
+    void overdueOrdersEndAfterACheck()
+    {
+        this->port.acceptsChecks = true;
+        this->sendTo("w1", startOf("w1", "job"));
+        this->clock.advance(1000);
+        this->sendTo("w2", startOf("w2", "job"));
+        this->clock.advance(1000);
+        this->channel->step(this->clock.now());
+        this->clock.advance(1000);
+        this->channel->handleArrivalCheck(this->port.checks.at(0), this->clock.now());
+        CPPUNIT_ASSERT(this->startAnswer("w1") == tasks::StartAnswer::NoAnswer);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->answers.size());
+        CPPUNIT_ASSERT(this->channel->nextWake() <= this->clock.now());
+        this->channel->step(this->clock.now());
+        this->channel->handleArrivalCheck(this->port.checks.at(1), this->clock.now());
+        CPPUNIT_ASSERT(this->startAnswer("w2") == tasks::StartAnswer::NoAnswer);
+    }
+
+    void overdueOrdersEndIfThePortFailsDuringACheck()
+    {
+        this->port.acceptsChecks = true;
+        this->sendTo("w1", startOf("w1", "job"));
+        this->clock.advance(5000);
+        this->channel->step(this->clock.now());
+        this->port.acceptsChecks = false;
+        this->channel->step(this->clock.now());
+        CPPUNIT_ASSERT(this->answers.empty());
+        this->clock.advance(RelayedChannel::arrivalCheckInterval);
+        CPPUNIT_ASSERT(this->channel->nextWake() <= this->clock.now());
+        this->channel->step(this->clock.now());
+        CPPUNIT_ASSERT(this->startAnswer("w1") == tasks::StartAnswer::NoAnswer);
+    }
+
     void answersOfAnotherTermAreIgnored()
     {
         this->sendTo("w1", startOf("w1", "job"));
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -112,6 +112,7 @@
     void handleDelivery(const delivery::SessionEnded& session, Millis) { this->orderForwarder.handleSessionEnded(session); }
     void handleDelivery(const delivery::AnswersReceived&, Millis now);
     void handleDelivery(const delivery::PeerLost&, Millis now);
+    void handleDelivery(const delivery::ArrivalCheck&, Millis now);
     bool maySend(const delivery::WorkerCall&) const;
     bool areEvacuationsKnown(Millis now) const;
     void evacuationsChanged(Millis now);
--- a/src/instance/control_loop_delivery.cc
+++ b/src/instance/control_loop_delivery.cc
@@ -50,6 +50,12 @@
         this->leadership->peerLost(peer, now);
 }
 
+void ControlLoop::handleDelivery(const delivery::ArrivalCheck& check, Millis now)
+{
+    if (this->leadership)
+        this->leadership->arrivalsChecked(check, now);
+}
+
 // Offers are sent only while the job table is recent, since sending a start requires its job.
 void ControlLoop::sendRelayOffer(Millis now)
 {
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -77,6 +77,7 @@
 
     // Events of the instances that relay orders for this one.
     void answersReceived(const delivery::AnswersReceived& answers, Millis now) { this->relayedChannel.handleAnswers(answers, now); }
+    void arrivalsChecked(const delivery::ArrivalCheck& check, Millis now) { this->relayedChannel.handleArrivalCheck(check, now); }
     void peerLost(const delivery::PeerLost&, Millis now);
 
     // StreamHandler, for the stream of workers.
