Wait for answers to requests that were sent after their timeout

What callers saw: starts and stops over new connections were sent and in the same pass counted as not answered, so their workers got the order and the planner had to wait the doubt out.

Cause: the limit of a call counts from send(). When the connection had been opened during a standstill, the next pass sent the request and then found its limit over. Any loop that is later than the limit (230 ms for starts and stops) between opening a connection and sending does the same.

Change: a request whose first byte is sent after its limit gets the whole limit again for its answer, once. A call whose connection isn't open by then still ends as certainly not sent.

--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -10,7 +10,9 @@
 // started after its deadline and handled every socket that was ready, or after a series of
 // passes that left sockets unhandled; in both cases only if nothing can be read from its socket.
 // The check of the socket is needed because the thread may have been suspended between two
-// passes, so the duration of such a series does not show that the answer is missing.
+// passes, so the duration of such a series does not show that the answer is missing. A request
+// that is sent after its deadline, which a suspension while its connection is opened can cause, gets
+// the whole time for its answer.
 
 #include "http/async_client.h"
 
@@ -67,10 +69,13 @@
         // The earlier of the deadlines that apply; sendDeadline applies until a byte is sent.
         Millis deadline() const { return this->transfer.hasSentBytes ? this->answerDeadline : std::min(this->sendDeadline, this->answerDeadline); }
 
-        // Extends the answer deadline if bytes were received since the last extension and the
-        // call has restartTimeoutOnData.
+        // Extends the answer deadline if the request was sent after it, since the call would end in
+        // doubt before the peer can answer; and if bytes were received since the last extension and
+        // the call has restartTimeoutOnData.
         void extendDeadline(Millis now)
         {
+            if (this->transfer.hasSentBytes && this->transfer.firstByteAt > this->answerDeadline)
+                this->answerDeadline = this->transfer.firstByteAt + this->transfer.call.timeout.count();
             if (!this->transfer.call.restartTimeoutOnData || this->transfer.bytesReceived == this->bytesAtExtension)
                 return;
             this->bytesAtExtension = this->transfer.bytesReceived;
@@ -333,6 +338,7 @@
     CURL* handle = this->native->acquireHandle();
     auto newCall = std::make_unique<PendingCall>();
     newCall->transfer.call = std::move(call);
+    newCall->transfer.clock = &this->native->clock;
     newCall->handler = std::move(handler);
     newCall->group = this->group;
     const Millis now = this->native->clock.now();
--- a/src/http/async_client.h
+++ b/src/http/async_client.h
@@ -10,7 +10,7 @@
 // Handlers run inside run() and can send further calls. The handler of a call is called
 // exactly once, soon after the timeout at the latest, unless cancelGroup() cancels the
 // call. An answer that has arrived is never reported as a timeout, however late run()
-// reads it. If a reused connection turns out to be dead, libcurl opens a new one and
+// reads it. The timeout of a request that is sent after it begins anew. If a reused connection turns out to be dead, libcurl opens a new one and
 // resends the request, provided that it has no body or its `canResend` is true;
 // Reply::wasResent() reports this. Only wake() is safe to call from another thread.
 
--- a/src/http/testing/async_client_test.cc
+++ b/src/http/testing/async_client_test.cc
@@ -132,6 +132,7 @@
     CPPUNIT_TEST(receivedAnswersDoNotTimeOut);
     CPPUNIT_TEST(receivedAnswersDoNotTimeOutAfterBacklog);
     CPPUNIT_TEST(answersThatArriveDuringASignalAreRead);
+    CPPUNIT_TEST(requestsSentAfterTheirTimeoutWaitForAnAnswer);
     CPPUNIT_TEST(silentPeerTimesOutUnderLoad);
     CPPUNIT_TEST(connectTimeoutSendsNothing);
     CPPUNIT_TEST(refusedConnectionSendsNothing);
@@ -309,6 +310,36 @@
         CPPUNIT_ASSERT(answered);
     }
 
+    // Guards against requests that are sent and given up at once, because their timeout passed while
+    // the process was suspended and the connection was being opened.
+    void requestsSentAfterTheirTimeoutWaitForAnAnswer()
+    {
+        HoldingPeer peer;
+        this->useManualClock();
+        std::optional<Reply> answeredReply;
+        this->client->send({ .address = peer.address(), .timeout = 230ms, .connectTimeout = 230ms }, [&](const Reply& reply) { answeredReply = reply; });
+        this->client->run(0ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, peer.readRequests());
+        this->manualClock.advance(5500);
+        this->runUntil([&] { return peer.readRequests() == 1 || answeredReply; });
+        this->manualClock.advance(200);
+        this->client->run(0ms);
+        CPPUNIT_ASSERT(!answeredReply);
+        peer.answerAllRequests();
+        this->runUntil([&] { return answeredReply.has_value(); });
+        CPPUNIT_ASSERT(answeredReply->ok());
+
+        const SilentPeer silent;
+        std::optional<Reply> silentReply;
+        this->client->send({ .address = silent.address(), .timeout = 230ms, .connectTimeout = 230ms }, [&](const Reply& reply) { silentReply = reply; });
+        this->client->run(0ms);
+        this->manualClock.advance(5500);
+        this->client->run(0ms);
+        this->manualClock.advance(231);
+        this->client->run(0ms);
+        CPPUNIT_ASSERT(silentReply && !silentReply->ok());
+    }
+
     // Every pass leaves arrived answers unread. Guards against calls to a silent peer that
     // never time out in this state; they time out somewhat later than usual.
     void silentPeerTimesOutUnderLoad()
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -88,7 +88,8 @@
         if (type == CURLINFO_HEADER_OUT || type == CURLINFO_DATA_OUT) {
             if (std::exchange(transfer->awaitsFirstByte, false))
                 countTransmission(*transfer);
-            transfer->hasSentBytes = true;
+            if (!std::exchange(transfer->hasSentBytes, true) && transfer->clock)
+                transfer->firstByteAt = transfer->clock->now();
             transfer->bytesSent += size;
         }
         if (type == CURLINFO_HEADER_IN || type == CURLINFO_DATA_IN)
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -3,6 +3,7 @@
 // The configuration of libcurl handles and the evaluation of their results, shared by both
 // HTTP clients.
 
+#include "base/clock.h"
 #include "http/client.h"
 
 #include <curl/curl.h>
@@ -16,6 +17,8 @@
     Reply reply;
     bool isOverLimit { false };
     bool hasSentBytes { false };
+    const Clock* clock { nullptr }; // For `firstByteAt`, which is not set without a clock.
+    Millis firstByteAt { 0 }; // When the first byte was sent.
     std::chrono::steady_clock::time_point firstTransmissionAt; // Start of the first transmission.
     bool awaitsFirstByte { false }; // No byte of the current transmission has been sent.
     std::size_t bodyBytesSent { 0 }; // Body bytes passed to libcurl; used only if the call must not be resent.
