Don't pause the planner in proportion to a standstill

In virtual time nothing was placed for 3.6 s although workers were free, when the planner's process had no processor for 0.9 s in the middle of a round. Full rounds pause for three times the measured duration of the last one, planner turns for twice, polls for once.

Cause: the duration was taken from the clock alone, so time without processor counted as work.

Change: countedDuration() takes the elapsed time, the processor time of the thread and the share of a core of this instance. Up to 200 ms the elapsed time counts whole; beyond it as far as four times the processor time on that share explains it. So a round of 408 ms on 0.12 cores with 49 ms of processor time counts whole, as before, and so does one on a full core that other processes slow down up to four times. Slowed down further, rounds pause less than before. RoundPacer itself is unchanged.

Evidence: with the elapsed time alone (a trial) suspendedTimeDoesNotCount and jobsStartSoonAfterASuspensionInARound fail: the second job starts at 5,625 ms of virtual time, allowed are 3,830. With the change they pass. Not run: plays on weak machines, which the limits are meant for; nextPlanAt and nextPollsAt use the same function and have no test of their own.

--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -1,6 +1,7 @@
 #include "instance/leadership.h"
 
 #include "instance/events.h"
+#include "instance/work_meter.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -181,17 +182,16 @@
 // one run per answer would use all processor time. Several answers share a run instead.
 void Leadership::runPlanner(Millis now, Millis wallTime)
 {
+    const WorkMeter meter(this->services.clock, now, this->services.settings.processorCores);
     this->forgetExpiredJobs(now);
     this->planner->step(now, wallTime);
     // The planner spaces its runs by their duration, so that on a slow machine they do not delay
     // the renewal of the term.
-    const Millis duration = this->services.clock.now() - now;
-    this->planner->reportStepDuration(duration, this->services.clock.now());
-    if (duration >= slowRoundThreshold)
+    this->planner->reportStepDuration(meter.counted(), this->services.clock.now());
+    if (const Millis duration = meter.elapsed(); duration >= slowRoundThreshold)
         this->logSlowRound(duration);
     this->executeOrders(this->planner->takeOrders(now), now);
-    const Millis finishedAt = this->services.clock.now();
-    this->nextPlanAt = finishedAt + (finishedAt - now) * planPauseFactor;
+    this->nextPlanAt = this->services.clock.now() + meter.counted() * planPauseFactor;
 }
 
 void Leadership::sendDueOrders(Millis now)
@@ -200,10 +200,10 @@
         this->sendStart(order);
     if (now < this->nextPollsAt || !this->planner->hasDuePolls())
         return;
+    const WorkMeter meter(this->services.clock, now, this->services.settings.processorCores);
     for (const tasks::PollOrder& order : this->planner->takeDuePolls(now).polls)
         this->sendPoll(order, now);
-    const Millis finishedAt = this->services.clock.now();
-    this->nextPollsAt = finishedAt + std::max<Millis>(finishedAt - now, 1);
+    this->nextPollsAt = this->services.clock.now() + std::max<Millis>(meter.counted(), 1);
 }
 
 void Leadership::checkBatch(Millis now)
--- a/src/tasks/round_pacer.h
+++ b/src/tasks/round_pacer.h
@@ -6,7 +6,7 @@
 //     pacer.markChanged();                              // an answer, a job or a worker
 //     const RoundKind kind = pacer.next(now, urgentWaits);
 //     if (kind != RoundKind::None) { pacer.roundStarted(kind, now); ... }
-//     pacer.roundFinished(kind, duration, now);         // measured by the caller's clock
+//     pacer.roundFinished(kind, duration, now);         // as by countedDuration()
 //
 // It is meant for full workers and hundreds of waiting units on a machine with a small
 // share of a core. A round over all units then takes so long that rounds must be rare, or
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -100,7 +100,7 @@
     bool hasDueStarts() const { return !this->startOrders.empty(); }
     std::vector<StartOrder> takeDueStarts() { return std::exchange(this->startOrders, {}); }
 
-    // Reports how long the last step() took, by the caller's clock.
+    // Reports how long the last step() took, as by countedDuration().
     void reportStepDuration(Millis duration, Millis now) { this->pacer.roundFinished(this->round.kind, duration, now); }
 
     // Counts of the last step(), for the log event of a slow one.
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -3,6 +3,11 @@
 
 #include "tasks/testing/virtual_site.h"
 
+#include "tasks/step_duration.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace rattan::tasks::testing {
 
 void VirtualSite::newPlanner()
@@ -162,8 +167,12 @@
 {
     this->nextPlannerTurn = this->now + this->plannerInterval;
     this->planner->step(this->now, this->now);
-    if (this->planner->lastRound().kind == RoundKind::Full)
-        this->planner->reportStepDuration(this->roundDuration, this->now + this->roundDuration);
+    if (this->planner->lastRound().kind == RoundKind::Full) {
+        const Millis suspension = std::exchange(this->nextSuspension, 0);
+        const Millis elapsed = this->roundDuration + suspension;
+        this->planner->reportStepDuration(countedDuration({ .elapsed = elapsed, .processorTime = this->roundDuration }), this->now + elapsed);
+        this->nextPlannerTurn = std::max(this->nextPlannerTurn, this->now + suspension);
+    }
     Orders orders = this->planner->takeOrders(this->now);
     this->planEvents.insert(this->planEvents.end(), orders.events.begin(), orders.events.end());
     for (const RecordBatch& batch : orders.batches)
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -153,6 +153,10 @@
     // three times that duration.
     void setRoundDuration(Millis duration) { this->roundDuration = duration; }
 
+    // The planner's process is suspended for this long in the middle of the next round over all
+    // units. The time is part of the round's duration as its caller measures it.
+    void suspendNextRound(Millis duration) { this->nextSuspension = duration; }
+
     // Polls that remain after a turn are sent before the next one.
     void pollBetweenTurns() { this->pollsBetweenTurns = true; }
 
@@ -308,6 +312,7 @@
     Millis plannerInterval { 0 };
     Millis nextPlannerTurn { 0 };
     Millis roundDuration { 0 };
+    Millis nextSuspension { 0 };
     bool pollsBetweenTurns { false };
     int suppressedStarts { 0 };
     std::map<std::string, Millis> crashDelays; // Time after the start at which a job's first task crashes its worker.
