--- a/src/delivery/testing/delivery_thread_test.cc
+++ b/src/delivery/testing/delivery_thread_test.cc
@@ -234,7 +234,7 @@
         }
         this->relay.atNextEvent = [this] { this->held.popFor(std::chrono::seconds(20)); };
         this->suspended.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w1") } } });
-        const auto received = this->relay.waitFor<OrdersReceived>();
+        auto received = this->relay.waitFor<OrdersReceived>();
         this->suspended.atNextEvent = [this, meanwhile, received] {
             meanwhile(received);
             this->timer->advanceTo(this->timer->now() + 5500 * kj::MILLISECONDS);
