--- a/src/delivery/testing/delivery_thread_test.cc
+++ b/src/delivery/testing/delivery_thread_test.cc
@@ -3,6 +3,8 @@
 #include "delivery/testing/fake_delivery.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <kj/timer.h>
 #include <optional>
 
 using namespace rattan;
@@ -16,8 +18,9 @@
 // The DeliveryThread of one instance, and a blocking wait for its next event of a type.
 class TestInstance {
 public:
-    TestInstance()
-        : thread("127.0.0.1:0", [this] { this->wakes.tryPush(1); })
+    explicit TestInstance(kj::Timer* timer = nullptr)
+        : thread(
+            "127.0.0.1:0", [this] { this->handleWake(); }, timer)
     {
         CPPUNIT_ASSERT(!attemptVoid([&] { return this->thread.start(); }));
     }
@@ -30,10 +33,29 @@
                 if (const auto* match = std::get_if<Event>(&*event))
                     return *match;
             }
-            CPPUNIT_ASSERT(this->wakes.popFor(std::chrono::seconds(20)));
+            this->waitForWake();
         }
     }
 
+    DeliveryEvent waitForAny()
+    {
+        for (;;) {
+            if (auto event = this->thread.next())
+                return *event;
+            this->waitForWake();
+        }
+    }
+
+    void waitForWake() { CPPUNIT_ASSERT(this->wakes.popFor(std::chrono::seconds(20))); }
+
+    void handleWake()
+    {
+        this->wakes.tryPush(1);
+        if (const auto action = std::exchange(this->atNextEvent, nullptr))
+            action();
+    }
+
+    std::function<void()> atNextEvent; // Runs on the delivery thread, which does nothing else meanwhile.
     BoundedQueue<int> wakes { 10000 };
     DeliveryThread thread;
 };
@@ -44,6 +66,9 @@
     CPPUNIT_TEST(reportsAreTransferredUnchanged);
     CPPUNIT_TEST(unreachablePeerIsReportedLost);
     CPPUNIT_TEST(stoppedPeerIsLostAndReplaced);
+    CPPUNIT_TEST(acknowledgementsThatHaveArrivedDoNotTimeOut);
+    CPPUNIT_TEST(peerWithoutAcknowledgementIsLost);
+    CPPUNIT_TEST(arrivedAnswersAreReportedBeforeACheck);
     CPPUNIT_TEST(closingATermEndsItsSessions);
     CPPUNIT_TEST(startFailsIfAddressIsInUse);
     CPPUNIT_TEST_SUITE_END();
@@ -132,6 +157,38 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(2), other.waitFor<OrdersReceived>().calls.at(0).id);
     }
 
+    // Guards against a relay that is given up, with all orders sent to it, because its
+    // acknowledgement lay in the socket while the planner's process was suspended.
+    void acknowledgementsThatHaveArrivedDoNotTimeOut()
+    {
+        const auto received = this->sendAndSuspend([&](const OrdersReceived&) { this->releaseRelay(); });
+        this->relay.thread.answer({ received.session, { { 1, "w1", { PollReply {}, 200 } } } });
+        CPPUNIT_ASSERT(std::holds_alternative<AnswersReceived>(this->suspended.waitForAny()));
+    }
+
+    // Guards against orders that wait forever for a relay that is suspended.
+    void peerWithoutAcknowledgementIsLost()
+    {
+        this->sendAndSuspend([](const OrdersReceived&) {});
+        CPPUNIT_ASSERT_EQUAL(this->relay.thread.address(), this->suspended.waitFor<PeerLost>().peer);
+        this->held.tryPush(1);
+    }
+
+    // Guards against orders that end without an answer after a suspension although their answers
+    // have arrived.
+    void arrivedAnswersAreReportedBeforeACheck()
+    {
+        constexpr Millis requestedAt = 77;
+        this->sendAndSuspend([&](const OrdersReceived& received) {
+            this->releaseRelay();
+            this->relay.thread.answer({ received.session, { { 1, "w1", { PollReply {}, 200 } } } });
+            this->waitUntilRelayHasSent();
+            this->suspended.thread.checkArrivals({ term, requestedAt });
+        });
+        CPPUNIT_ASSERT(std::holds_alternative<AnswersReceived>(this->suspended.waitForAny()));
+        CPPUNIT_ASSERT_EQUAL(requestedAt, std::get<ArrivalCheck>(this->suspended.waitForAny()).requestedAt);
+    }
+
     void closingATermEndsItsSessions()
     {
         this->planner.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w1") } } });
@@ -147,8 +204,51 @@
     }
 
 private:
+    // Lets the relay send its acknowledgement, and returns when it has.
+    void releaseRelay()
+    {
+        this->held.tryPush(1);
+        this->waitUntilRelayHasSent();
+    }
+
+    // Returns when the relay has sent everything that it was to send before the call. It does so
+    // in the pass of its event loop in which it reads the first of two batches of another
+    // connection.
+    void waitUntilRelayHasSent()
+    {
+        for (const std::uint32_t id : { 1, 2 }) {
+            this->planner.thread.send({ this->relay.thread.address(), term, 0, { { id, pollOf("w2") } } });
+            this->relay.waitFor<OrdersReceived>();
+        }
+    }
+
+    // Sends a batch to the relay, which holds its acknowledgement back until something is pushed to
+    // `held`. Then 5.5 s pass for the thread of `suspended` without a turn; `meanwhile` is called
+    // in that time.
+    OrdersReceived sendAndSuspend(const std::function<void(const OrdersReceived&)>& meanwhile)
+    {
+        std::string closedAddress;
+        {
+            const TestInstance stopped;
+            closedAddress = stopped.thread.address();
+        }
+        this->relay.atNextEvent = [this] { this->held.popFor(std::chrono::seconds(20)); };
+        this->suspended.thread.send({ this->relay.thread.address(), term, 0, { { 1, pollOf("w1") } } });
+        auto received = this->relay.waitFor<OrdersReceived>();
+        this->suspended.atNextEvent = [this, meanwhile, received] {
+            meanwhile(received);
+            this->timer->advanceTo(this->timer->now() + 5500 * kj::MILLISECONDS);
+        };
+        this->suspended.thread.send({ closedAddress, term, 0, { { 1, pollOf("w1") } } });
+        CPPUNIT_ASSERT_EQUAL(closedAddress, this->suspended.waitFor<PeerLost>().peer);
+        return received;
+    }
+
+    BoundedQueue<int> held { 1 };
+    std::unique_ptr<kj::TimerImpl> timer { std::make_unique<kj::TimerImpl>(kj::origin<kj::TimePoint>()) }; // Its destructor may throw, which that of a test may not.
     TestInstance planner;
     TestInstance relay;
+    TestInstance suspended { this->timer.get() };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeliveryThreadTest);
--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -10,7 +10,9 @@
 // started after its deadline and handled every socket that was ready, or after a series of
 // passes that left sockets unhandled; in both cases only if nothing can be read from its socket.
 // The check of the socket is needed because the thread may have been suspended between two
-// passes, so the duration of such a series does not show that the answer is missing.
+// passes, so the duration of such a series does not show that the answer is missing. A request
+// that is sent after its deadline, which a suspension while its connection is opened can cause, gets
+// the whole time for its answer.
 
 #include "http/async_client.h"
 
@@ -18,6 +20,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <optional>
 #include <poll.h>
 #include <set>
@@ -66,10 +69,13 @@
         // The earlier of the deadlines that apply; sendDeadline applies until a byte is sent.
         Millis deadline() const { return this->transfer.hasSentBytes ? this->answerDeadline : std::min(this->sendDeadline, this->answerDeadline); }
 
-        // Extends the answer deadline if bytes were received since the last extension and the
-        // call has restartTimeoutOnData.
+        // Extends the answer deadline if the request was sent after it, since the call would end in
+        // doubt before the peer can answer; and if bytes were received since the last extension and
+        // the call has restartTimeoutOnData.
         void extendDeadline(Millis now)
         {
+            if (this->transfer.hasSentBytes && this->transfer.firstByteAt > this->answerDeadline)
+                this->answerDeadline = this->transfer.firstByteAt + this->transfer.call.timeout.count();
             if (!this->transfer.call.restartTimeoutOnData || this->transfer.bytesReceived == this->bytesAtExtension)
                 return;
             this->bytesAtExtension = this->transfer.bytesReceived;
@@ -109,6 +115,7 @@
     std::unordered_map<curl_socket_t, CURL*> socketOwners; // The call that uses each open socket.
     std::vector<CURL*> idleHandles;
     std::map<std::string_view, Traffic> traffic;
+    std::uint64_t timedOutCalls { 0 };
     std::optional<Millis> backlogSince; // Start of the current sequence of passes that leave ready sockets unhandled.
 
     static int onSocket(CURL* handle, curl_socket_t socket, int socketEvents, void* user, void* socketData)
@@ -214,7 +221,11 @@
     bool handleSockets(std::chrono::milliseconds maxWait)
     {
         std::array<epoll_event, maxEventsPerPass> events {};
-        const int readyCount = epoll_wait(this->epollDescriptor, events.data(), static_cast<int>(events.size()), static_cast<int>(maxWait.count()));
+        int readyCount = epoll_wait(this->epollDescriptor, events.data(), static_cast<int>(events.size()), static_cast<int>(maxWait.count()));
+        // The wait ends without events when a stopped process continues, although sockets may have
+        // become ready meanwhile.
+        while (readyCount < 0 && errno == EINTR)
+            readyCount = epoll_wait(this->epollDescriptor, events.data(), static_cast<int>(events.size()), 0);
         for (int i = 0; i < readyCount; ++i) {
             const epoll_event& event = events[static_cast<std::size_t>(i)];
             if (event.data.fd == this->wakeDescriptor) {
@@ -267,6 +278,7 @@
             pendingCall.extendDeadline(now);
             const bool isExpired = pendingCall.deadline() <= latestExpired;
             if (isExpired && !pendingCall.hasUnreadData()) {
+                ++this->timedOutCalls;
                 this->complete(handle, CURLE_OPERATION_TIMEDOUT);
                 continue;
             }
@@ -326,6 +338,7 @@
     CURL* handle = this->native->acquireHandle();
     auto newCall = std::make_unique<PendingCall>();
     newCall->transfer.call = std::move(call);
+    newCall->transfer.clock = &this->native->clock;
     newCall->handler = std::move(handler);
     newCall->group = this->group;
     const Millis now = this->native->clock.now();
@@ -373,6 +386,8 @@
 
 std::size_t AsyncClient::callsInFlight() const { return this->native->pendingCalls.size(); }
 
+std::uint64_t AsyncClient::timedOutCalls() const { return this->native->timedOutCalls; }
+
 const std::map<std::string_view, Traffic>& AsyncClient::traffic() const { return this->native->traffic; }
 
 } // namespace rattan::http
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -1,6 +1,7 @@
 #include "instance/leadership.h"
 
 #include "instance/events.h"
+#include "instance/work_meter.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -64,6 +65,8 @@
         return fmt::format("{}.{}.{}.{}/{}", run.task.job, run.task.occurrence, run.task.step, run.task.index, run.run);
     }
 
+    std::string_view wayOf(const WorkerAnswer& answer) { return answer.relay.empty() ? "direct" : std::string_view(answer.relay); }
+
     std::string_view nameOf(PlanEventKind kind)
     {
         constexpr std::array<std::string_view, 17> names { "unit_placed", "tasks_placed", "unit_evicted", "units_done", "unit_retried", "unit_stalled",
@@ -179,17 +182,16 @@
 // one run per answer would use all processor time. Several answers share a run instead.
 void Leadership::runPlanner(Millis now, Millis wallTime)
 {
+    const WorkMeter meter(this->services.clock, now, this->services.settings.processorCores);
     this->forgetExpiredJobs(now);
     this->planner->step(now, wallTime);
     // The planner spaces its runs by their duration, so that on a slow machine they do not delay
     // the renewal of the term.
-    const Millis duration = this->services.clock.now() - now;
-    this->planner->reportStepDuration(duration, this->services.clock.now());
-    if (duration >= slowRoundThreshold)
+    this->planner->reportStepDuration(meter.counted(), this->services.clock.now());
+    if (const Millis duration = meter.elapsed(); duration >= slowRoundThreshold)
         this->logSlowRound(duration);
     this->executeOrders(this->planner->takeOrders(now), now);
-    const Millis finishedAt = this->services.clock.now();
-    this->nextPlanAt = finishedAt + (finishedAt - now) * planPauseFactor;
+    this->nextPlanAt = this->services.clock.now() + meter.counted() * planPauseFactor;
 }
 
 void Leadership::sendDueOrders(Millis now)
@@ -198,10 +200,10 @@
         this->sendStart(order);
     if (now < this->nextPollsAt || !this->planner->hasDuePolls())
         return;
+    const WorkMeter meter(this->services.clock, now, this->services.settings.processorCores);
     for (const tasks::PollOrder& order : this->planner->takeDuePolls(now).polls)
         this->sendPoll(order, now);
-    const Millis finishedAt = this->services.clock.now();
-    this->nextPollsAt = finishedAt + std::max<Millis>(finishedAt - now, 1);
+    this->nextPollsAt = this->services.clock.now() + std::max<Millis>(meter.counted(), 1);
 }
 
 void Leadership::checkBatch(Millis now)
@@ -332,7 +334,7 @@
         if (now - order.decidedAt >= slowOrderThreshold)
             logEvent(events::orderSlow, { { "order", "start" }, { "run", formatRun(order.run) }, { "worker", order.worker.id }, { "since_decided_ms", now - order.decidedAt }, { "since_sent_ms", now - sentAt } });
         if (reply.answer != StartAnswer::Started)
-            logEvent(events::orderRefused, { { "order", "start" }, { "run", formatRun(order.run) }, { "worker", order.worker.id }, { "answer", tasks::nameOf(reply.answer) }, { "status", answer.status } });
+            logEvent(events::orderRefused, { { "order", "start" }, { "run", formatRun(order.run) }, { "worker", order.worker.id }, { "answer", tasks::nameOf(reply.answer) }, { "status", answer.status }, { "since_sent_ms", now - sentAt }, { "way", wayOf(answer) } });
         this->planner->startAnswered(order.worker, order.run, reply.answer, now);
     });
 }
@@ -348,7 +350,7 @@
             this->workerClocks.update(order.worker, *reply.clock, now);
         this->services.metrics.count("rattan_orders_total", { { "order", "stop" }, { "outcome", reply.stopped ? "taken" : "not_taken" } });
         if (!reply.stopped)
-            logEvent(events::orderRefused, { { "order", "stop" }, { "run", formatRun(order.run) }, { "worker", order.worker.id }, { "status", answer.status } });
+            logEvent(events::orderRefused, { { "order", "stop" }, { "run", formatRun(order.run) }, { "worker", order.worker.id }, { "status", answer.status }, { "since_sent_ms", now - sentAt }, { "way", wayOf(answer) } });
         if (reply.deposed)
             this->termLost = true;
         this->planner->stopAnswered(order.worker, order.run, reply.stopped, now);
