Move the list of workers out of Leadership

Cause: what reads the entries of the list stood among the orders of a term and could not be tested without one. Change: WorkerList (src/instance/worker_list.h) is the handler of the stream of workers. No change of behaviour.

--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -80,7 +80,8 @@
     , catalog(std::make_shared<tasks::Catalog>())
     , directChannel(services.client, services.workers, static_cast<int>(term), [this](const WorkerCall& call) { return this->confirmLeadership() && this->services.maySend(call); })
     , relayedChannel(term, services.relaySelector, this->directChannel, services.deliveryPort, services.clock)
-    , workersReader(services.client, services.store, services.clock, workerListOptions(services.settings), *this)
+    , workerList(services.workers, services.metrics)
+    , workersReader(services.client, services.store, services.clock, workerListOptions(services.settings), this->workerList)
     , jobsAppender(Stream::Jobs, term, services.client, services.store, services.clock, services.settings.storeAddress, services.metrics)
     , plansAppender(Stream::Plans, term, services.client, services.store, services.clock, services.settings.storeAddress, services.metrics)
     , plans(plans)
@@ -149,7 +150,6 @@
     this->planner = std::make_unique<tasks::TaskPlanner>(options, this->jobs, this->plans, now, wallTime);
     this->planner->applyCatalog(this->catalog);
     this->planner->setEvacuatedDomains(this->evacuatedDomains, this->evacuationsKnown, now);
-    this->workerListChanged = true;
     logEvent(events::leadTaken, { { "term", this->termNumber }, { "jobs", this->jobs.all().size() }, { "plans", this->plans.all().size() }, { "runs", this->planner->runCount() } });
     if (this->plans.unreadable() > 0)
         logEvent(events::recordUnreadable, { { "stream", "plans" }, { "records", this->plans.unreadable() } });
@@ -162,7 +162,7 @@
     this->workersReader.step(now);
     if (!this->planner || !this->workersReader.loaded())
         return;
-    if (this->workerListChanged)
+    if (this->workerList.takeChanged())
         this->updateWorkers(now);
     this->checkBatch(now);
     if (now >= this->nextPlanAt)
@@ -223,10 +223,9 @@
 
 void Leadership::updateWorkers(Millis now)
 {
-    this->workerListChanged = false;
     std::vector<tasks::WorkerDescription> currentWorkerDescriptions;
     std::vector<delivery::WorkerLocation> places;
-    for (const auto& [id, description] : this->workerDescriptions) {
+    for (const auto& [id, description] : this->workerList.workers()) {
         currentWorkerDescriptions.push_back(description);
         places.push_back({ id, description.domain });
     }
@@ -390,44 +389,4 @@
     logEvent(events::roundSlow, { { "took_ms", duration }, { "units", round.kind == tasks::RoundKind::Urgent ? "urgent" : "all" }, { "candidates", round.candidates }, { "placed", round.placed }, { "searches", round.searches }, { "eviction_searches", round.evictionSearches }, { "reservations", round.reservations }, { "term", this->termNumber } });
 }
 
-void Leadership::recordRead(Stream, const StoreRecord& record, Millis)
-{
-    auto& target = this->loadingWorkerList ? this->loadingWorkerDescriptions : this->workerDescriptions;
-    this->workerListChanged = true;
-    if (record.value.empty()) {
-        target.erase(record.key);
-        return;
-    }
-    const Attempt<tasks::WorkerDescription> description = attempt([&] { return this->services.workers.parseWorkerDescription(record.key, record.value); });
-    if (description.value) {
-        target[record.key] = *description.value;
-        return;
-    }
-    // The record was written by another program or is damaged, so it describes no usable worker.
-    target.erase(record.key);
-    logEvent(events::recordUnreadable, { { "stream", "workers" }, { "key", record.key }, { "why", description.error.message } });
-}
-
-void Leadership::loadStarted(Stream)
-{
-    this->loadingWorkerList = true;
-    this->loadingWorkerDescriptions.clear();
-}
-
-void Leadership::streamConfirmed(Stream, std::int64_t, Millis, Millis)
-{
-    if (!this->loadingWorkerList)
-        return;
-    this->loadingWorkerList = false;
-    this->workerDescriptions = std::move(this->loadingWorkerDescriptions);
-    this->loadingWorkerDescriptions.clear();
-    this->workerListChanged = true;
-}
-
-void Leadership::streamFailed(Stream, const std::string& why, Millis)
-{
-    this->services.metrics.count("rattan_store_failures_total", { { "stream", "workers" } });
-    static_cast<void>(why);
-}
-
 } // namespace rattan::instance
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -21,10 +21,10 @@
 #include "instance/stream_reader.h"
 #include "instance/term_appender.h"
 #include "instance/worker_clocks.h"
+#include "instance/worker_list.h"
 #include "tasks/election.h"
 #include "tasks/task_planner.h"
 
-#include <map>
 #include <memory>
 #include <string>
 
@@ -44,10 +44,10 @@
     delivery::DirectChannel::CanSend maySend; // Whether operators' requests permit the order; checked just before it is sent.
 };
 
-class Leadership final : public StreamHandler {
+class Leadership final {
 public:
     Leadership(std::int64_t term, TermServices, const tasks::JobTable&, const tasks::PlanTable&);
-    ~Leadership() override;
+    ~Leadership();
     Leadership(const Leadership&) = delete;
     Leadership& operator=(const Leadership&) = delete;
 
@@ -79,12 +79,6 @@
     void answersReceived(const delivery::AnswersReceived& answers, Millis now) { this->relayedChannel.handleAnswers(answers, now); }
     void peerLost(const delivery::PeerLost&, Millis now);
 
-    // StreamHandler, for the stream of workers.
-    void recordRead(Stream, const StoreRecord&, Millis now) override;
-    void loadStarted(Stream) override;
-    void streamConfirmed(Stream, std::int64_t end, Millis confirmedAt, Millis now) override;
-    void streamFailed(Stream, const std::string& why, Millis now) override;
-
 private:
     void beginPlanning(Millis now, Millis wallTime);
     void runPlanner(Millis now, Millis wallTime);
@@ -112,11 +106,8 @@
     std::unique_ptr<tasks::TaskPlanner> planner;
     delivery::DirectChannel directChannel;
     delivery::RelayedChannel relayedChannel;
+    WorkerList workerList;
     StreamReader workersReader;
-    std::map<std::string, tasks::WorkerDescription> workerDescriptions;
-    std::map<std::string, tasks::WorkerDescription> loadingWorkerDescriptions;
-    bool loadingWorkerList { false };
-    bool workerListChanged { false };
     WorkerClocks workerClocks;
 
     TermAppender jobsAppender;
