Refuse workers whose address cannot be called

Callers see: nothing, until another program writes such an entry. Then orders and polls go to an address that is not a worker's. Cause: the check is that of listen addresses. It accepts port 0, a port with leading zeros, -0, and an address with a NUL, since inet_pton() reads to the first one ("127.0.0.1\0x:80"). Change: a NUL is refused for every address.

--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -187,7 +187,7 @@
     bool isAddress(const std::string& text)
     {
         const std::size_t colon = text.rfind(':');
-        if (colon == std::string::npos)
+        if (colon == std::string::npos || text.find('\0') != std::string::npos) // inet_pton() reads to the first NUL.
             return false;
         std::string host = text.substr(0, colon);
         if (host.size() > 2 && host.front() == '[' && host.back() == ']')
