Log an unreadable entry of the list of workers once

Operators see: a line store.record_unreadable for each heartbeat of another program, and for each load of the list. Cause: each record that could not be parsed was logged, and an entry comes again with every heartbeat. Change: WorkerList remembers the unreadable keys, at most 1,000, and logs a key again only after it was readable or removed. Further keys are neither remembered nor logged. The set follows loads, so that keys that no longer exist are forgotten.

--- a/src/instance/worker_list.h
+++ b/src/instance/worker_list.h
@@ -8,14 +8,15 @@
 //         for (const auto& [id, description] : list.workers()) ...
 //
 // Other programs may write to the stream too. An entry that cannot be parsed names no worker and
-// removes the one that its key named before; the other entries stay. Use it only on the thread
-// of its reader.
+// removes the one that its key named before; the other entries stay. It is logged once, until it
+// is readable again or removed. Use it only on the thread of its reader.
 
 #include "base/metrics.h"
 #include "delivery/worker_protocol.h"
 #include "instance/stream_reader.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -23,11 +24,14 @@
 
 class WorkerList final : public StreamHandler {
 public:
+    // Further unreadable keys are neither remembered nor logged.
+    static constexpr std::size_t maxUnreadableKeys = 1000;
+
     // Both must outlive the list.
     WorkerList(const delivery::WorkerProtocol&, Metrics&);
 
     // By id.
-    const std::map<std::string, tasks::WorkerDescription>& workers() const { return this->descriptions; }
+    const std::map<std::string, tasks::WorkerDescription>& workers() const { return this->entries.readable; }
 
     // Whether the list may have changed since the last call. True on the first call.
     bool takeChanged() { return std::exchange(this->changed, false); }
@@ -39,10 +43,17 @@
     void streamFailed(Stream, const std::string& why, Millis now) override;
 
 private:
+    struct Entries {
+        std::map<std::string, tasks::WorkerDescription> readable;
+        std::set<std::string> unreadableKeys; // At most maxUnreadableKeys.
+    };
+
+    void markUnreadable(Entries&, const StoreRecord&, const std::string& why);
+
     const delivery::WorkerProtocol& protocol;
     Metrics& metrics;
-    std::map<std::string, tasks::WorkerDescription> descriptions;
-    std::map<std::string, tasks::WorkerDescription> loadingDescriptions;
+    Entries entries;
+    Entries loadingEntries;
     bool loading { false };
     bool changed { true };
 };
