Settle nothing by outcomes that a peer of another version sends

Callers see: while two versions run side by side, the planner's process ends if a relay answers with an outcome that it does not know. No version sends one today. Cause: the number on the wire became an enumerator unchecked, and nameOf() throws std::out_of_range for it; nothing catches it. Change: an unknown outcome of a start or a poll counts as no answer, an unknown end of a run as failed. Evidence: unknownOutcomesSettleNothing ended before with "array::at: __n (which is 11) >= _Nm (which is 11)", unknownEndsCountAsFailed likewise; both pass now.

--- a/src/delivery/delivery_codec.cc
+++ b/src/delivery/delivery_codec.cc
@@ -8,6 +8,13 @@
 
 namespace {
 
+    // A peer of another version may send values that this one does not know.
+    template <typename Enum>
+    std::optional<Enum> readEnum(std::uint16_t value, Enum last)
+    {
+        return value <= static_cast<std::uint16_t>(last) ? std::optional(static_cast<Enum>(value)) : std::nullopt;
+    }
+
     void writeRun(const RunRef& run, wire::Run::Builder out)
     {
         out.setJob(run.task.job);
@@ -68,7 +75,7 @@
         for (const auto row : in.getAdded())
             delta.added.push_back({ readRun(row.getRun()), row.getCheckpoint().cStr(), row.getPercent() });
         for (const auto row : in.getEnded())
-            delta.ended.push_back({ row.getNumber(), readRun(row.getRun()), static_cast<tasks::RunEnd>(row.getEnd()), row.getCheckpoint().cStr() });
+            delta.ended.push_back({ row.getNumber(), readRun(row.getRun()), readEnum(row.getEnd(), tasks::RunEnd::GangIncomplete).value_or(tasks::RunEnd::Failed), row.getCheckpoint().cStr() });
         return delta;
     }
 
@@ -133,7 +140,7 @@
     numbered.answer.status = in.getStatus();
     switch (in.getKind()) {
     case wire::Order::Kind::START:
-        numbered.answer.reply = StartReply { static_cast<StartAnswer>(in.getOutcome()), readClock(in) };
+        numbered.answer.reply = StartReply { readEnum(in.getOutcome(), StartAnswer::Deposed).value_or(StartAnswer::NoAnswer), readClock(in) };
         return numbered;
     case wire::Order::Kind::STOP:
         numbered.answer.reply = StopReply { in.getTaken(), in.getDeposed(), readClock(in) };
@@ -141,7 +148,7 @@
     case wire::Order::Kind::POLL:
         break;
     }
-    PollReply poll { .report = std::nullopt, .fault = static_cast<WorkerFault>(in.getOutcome()) };
+    PollReply poll { .report = std::nullopt, .fault = readEnum(in.getOutcome(), WorkerFault::Deposed).value_or(WorkerFault::NoAnswer) };
     if (in.hasReport())
         poll.report = this->reports.decode(numbered.worker, readReport(in.getReport(), in.getClock()));
     numbered.answer.reply = std::move(poll);
