Pass over single entries of the instance list that cannot be parsed

Callers see: rattan-entry, rattan-planner and rattan-driver no longer follow the list while one odd entry is on it: new executors and workers are not used, and those that left still are. Cause: the first entry that could not be parsed failed the whole read, and so every following one. Change: such an entry names no instance; the others hold. Evidence: oddEntriesLeaveTheOthersInPlace (test-platform) failed before at an entry that is a number, and passes now.

--- a/src/platform/instance_list.cc
+++ b/src/platform/instance_list.cc
@@ -101,9 +101,9 @@
     reader.allowUnknownFields();
     std::vector<Instance> instances;
     for (const Json& item : reader.array("instances", mostInstances)) {
-        BOOST_LEAF_AUTO(instance, parseInstance(item, this->address));
-        if (wants(this->query, instance))
-            instances.push_back(std::move(instance));
+        Attempt<Instance> instance = attempt([&] { return parseInstance(item, this->address); });
+        if (instance && wants(this->query, *instance)) // An entry that cannot be parsed names no instance; the others hold.
+            instances.push_back(std::move(*instance));
     }
     if (auto error = reader.error())
         return fail(std::move(*error));
