Return borrowed resources to urgent units, and stop only where a unit can start

Change: an urgent unit counts no work as lost where it stops a run that borrows. Only a unit that may take resources back sees such a run as ending. Searches for runs to stop leave out workers kept for others, and a plan without a run to stop commits nothing. Each unit keeps for itself since when it fits twice, and a round is due when it may borrow. Taking back counts as an eviction search. Jobs are searched twice a second; counting unused resources ends early.

Evidence: urgentGangsStartInTimeBesideIdleJobs now needs two of four borrowed workers; none of its 6 members started before this change.

--- a/src/tasks/eviction.cc
+++ b/src/tasks/eviction.cc
@@ -24,7 +24,7 @@
         {
             for (const std::size_t index : workers) {
                 const SnapshotWorker& worker = snapshot.workers[index];
-                if (!worker.isProbing && snapshot.isEligible(worker, request) && snapshot.respectsIsolation(worker, request))
+                if (!worker.isProbing && snapshot.isEligible(worker, request) && !Snapshot::isKeptForOthers(worker, request) && snapshot.respectsIsolation(worker, request))
                     this->options.push_back({ .index = index, .available = snapshot.availableAfterStops(worker, request) });
             }
         }
--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -97,6 +97,16 @@
     return !contains(request.excludedWorkers, worker.id);
 }
 
+bool Snapshot::isKeptForOthers(const SnapshotWorker& worker, const PlacementRequest& request)
+{
+    return worker.urgentOnly && !request.urgent && !request.usesReserved && worker.rack != request.rack;
+}
+
+Millis Snapshot::endOf(const Allocation& allocation, const PlacementRequest& request) const
+{
+    return request.takesBack && allocation.borrowed ? std::min(this->now, allocation.expectedEnd) : allocation.expectedEnd;
+}
+
 bool Snapshot::respectsIsolation(const SnapshotWorker& worker, const PlacementRequest& request) const
 {
     if (request.isolatedJob.empty())
@@ -133,8 +143,7 @@
     }
     if (view != View::Empty && !this->respectsIsolation(worker, request))
         return 0;
-    const bool isExcluded = worker.urgentOnly && !request.urgent && !request.usesReserved && worker.rack != request.rack;
-    if (isExcluded && view != View::Empty)
+    if (view != View::Empty && isKeptForOthers(worker, request))
         return 0;
     const Resources available = view == View::Empty ? worker.capacity : view == View::AfterStops ? worker.freeAfterStops
                                                                                                  : componentMin(worker.free, worker.freeAfterStops);
@@ -311,7 +320,10 @@
         std::int64_t count = std::min(fittingCount(worker.free, request.perMember), request.members * limit);
         if (request.maxPerWorker > 0)
             count = std::min(count, request.maxPerWorker);
-        membersByRack[request.sameRack ? std::string_view(worker.rack) : std::string_view()] += count;
+        std::int64_t& members = membersByRack[request.sameRack ? std::string_view(worker.rack) : std::string_view()];
+        members += count;
+        if (members >= request.members * limit)
+            return limit;
     }
     std::int64_t fits = 0;
     for (const auto& [rack, count] : membersByRack)
@@ -424,7 +436,7 @@
         if (!this->isEligible(worker, request) || worker.reservedFrom || (!request.rack.empty() && worker.rack != request.rack))
             continue;
         std::vector<Allocation> allocations = worker.allocations;
-        std::sort(allocations.begin(), allocations.end(), [](const Allocation& a, const Allocation& b) { return a.expectedEnd < b.expectedEnd; });
+        std::sort(allocations.begin(), allocations.end(), [&](const Allocation& a, const Allocation& b) { return this->endOf(a, request) < this->endOf(b, request); });
         Resources free = componentMin(worker.free, worker.freeAfterStops);
         // What runs being stopped leave is in freeAfterStops, less what is committed to others.
         bool hasStopped = false;
@@ -447,7 +459,7 @@
                 stopped -= componentMin(worker.free, worker.freeAfterStops);
                 free += stopped;
             }
-            addOpenings(std::max(allocation.expectedEnd, this->now));
+            addOpenings(std::max(this->endOf(allocation, request), this->now));
         }
     }
     // The rack in which all members can start earliest.
@@ -486,7 +498,7 @@
             const bool hasStops = std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const Allocation& allocation) { return allocation.stopping && allocation.expectedEnd <= reservation.at; });
             worker.freeBesideReservation = hasStops ? worker.freeAfterStops : componentMin(worker.free, worker.freeAfterStops);
             for (const Allocation& allocation : worker.allocations) {
-                if (!allocation.stopping && allocation.expectedEnd <= reservation.at)
+                if (!allocation.stopping && this->endOf(allocation, request) <= reservation.at)
                     worker.freeBesideReservation += allocation.resources;
             }
         }
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -84,6 +84,7 @@
     Millis expectedRunTime { 0 };
     bool urgent { false }; // Placed on the workers reserved for urgent units first.
     bool usesReserved { false }; // Placed also in resources that are reserved for other units.
+    bool takesBack { false }; // In a reservation, runs that borrow count as ending now.
     double minSpeed { 0 }; // Slower workers are skipped.
     double maxSpeed { 100 }; // Faster workers are skipped.
     SpeedPreference speedPreference { SpeedPreference::None }; // On a heterogeneous site.
@@ -170,6 +171,9 @@
 
     bool isEligible(const SnapshotWorker&, const PlacementRequest&) const;
 
+    // True if the worker is kept for urgent units and the unit may not use it.
+    static bool isKeptForOthers(const SnapshotWorker&, const PlacementRequest&);
+
     // What the unit may use once all runs being stopped have ended: not what is reserved for units
     // that come before it and would still be running then.
     Resources availableAfterStops(const SnapshotWorker&, const PlacementRequest&) const;
@@ -185,6 +189,7 @@
         Empty,
     };
 
+    Millis endOf(const Allocation&, const PlacementRequest&) const;
     std::optional<Placement> find(const PlacementRequest&, View) const;
     std::optional<Placement> findFreeByTiers(const PlacementRequest&) const;
     std::optional<Placement> findWithin(const PlacementRequest&, View, const std::string* rack) const;
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -140,7 +140,10 @@
 inline constexpr Millis waitReportInterval = 1000;
 
 // How often jobs of which nothing runs are searched for, which visits every run.
-inline constexpr Millis idleCheckInterval = 250;
+inline constexpr Millis idleCheckInterval = 500;
+
+// How often unused resources are counted for a unit of such a job, which visits every worker.
+inline constexpr Millis unusedCheckInterval = 250;
 
 // How long a job may have nothing running beside unused resources for two of its units that are
 // reserved for others. Jobs must run within three seconds; a record, a start and a round need the rest.
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -82,6 +82,8 @@
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
     WaitReason waitReason { WaitReason::NotConsidered };
+    Millis fitsTwiceSince { 0 }; // Since when it waits, of an idle job, although it fits twice in resources that no run uses, or 0.
+    Millis fitsCheckedAt { 0 }; // When that was last examined.
     EvictionRefusal reportedRefusal { EvictionRefusal::None }; // The last one logged, so that it isn't logged again in each round.
     Millis waitReportedAt { 0 }; // When the reason for waiting was last logged.
     std::vector<std::string> excludedWorkers; // Workers on which a run failed or stalled.
@@ -123,8 +125,6 @@
     std::set<std::int64_t> doneOutOfOrder;
     bool guaranteed { false }; // The job is within its workspace's guarantee.
     Millis idleSince { 0 }; // Since when nothing of it runs although a task is ready, or 0.
-    Millis fitsTwiceSince { 0 }; // Since when a unit of it also fits twice in resources that no run uses, or 0.
-    Millis fitsCheckedAt { 0 }; // When that was last examined.
     JobPaths paths; // By the forecasts of `pathsAt`.
     Millis pathsAt { 0 }; // 0 if not computed yet.
 };
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -51,6 +51,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -242,7 +243,8 @@
     Deadlines deadlinesOf(const Unit&) const;
     double stopWeightOf(const Unit&, Millis now) const;
     bool tryEvict(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
-    bool tryReclaim(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
+    bool mayTakeBack(const Candidate&, Millis now) const;
+    bool tryTakeBack(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void evict(const EvictionPlan&, const Unit&, Snapshot&, const PlacementRequest&, Millis now);
     void reportEvictionRefusal(Unit&, detail::EvictionRefusal, double cost, double bound);
     WorkerCounts workersOfSiblings(const UnitKey&) const;
@@ -318,11 +320,12 @@
         const PlacedRun* placedRun { nullptr };
         bool isRunning { false }; // Some run of the job is running, so that nothing blocks it.
     };
-    std::map<std::string_view, BlockingRun> findBlockingRuns() const;
+    std::unordered_map<std::string_view, BlockingRun> findBlockingRuns() const;
     void updateIdleJobs(Millis now);
     void reportUnplacedJob(const ActiveJob&, Millis now);
     void reportBlockedJob(const ActiveJob&, const BlockingRun&, Millis now);
-    void updateUnusedResources(const Unit&, const Snapshot&, const PlacementRequest&, Millis now);
+    Millis fitsTwiceSince(const ActiveJob&) const;
+    void updateUnusedResources(Unit&, const Snapshot&, const PlacementRequest&, Millis now);
 
     // Checks of violations().
     void checkWorkers(std::vector<std::string>&) const;
--- a/src/tasks/task_planner_evictions.cc
+++ b/src/tasks/task_planner_evictions.cc
@@ -105,7 +105,11 @@
     Unit& unit = *candidate.unit;
     const bool guaranteed = candidate.queueKey.guaranteed;
     const std::int64_t priority = unit.job->terms.priority;
-    const auto evictionCostOf = [&](const Allocation& run) { return run.guaranteed || (!guaranteed && (run.priority <= priority || run.stops >= maxStopsPerUnit)) ? -1.0 : run.lostWork; };
+    const auto evictionCostOf = [&](const Allocation& run) {
+        if (run.guaranteed || (!guaranteed && (run.priority <= priority || run.stops >= maxStopsPerUnit)))
+            return -1.0;
+        return run.borrowed && priority == 0 ? 0.0 : run.lostWork; // The workers were kept for urgent units.
+    };
     constexpr double noBound = std::numeric_limits<double>::max();
     const double bound = guaranteed ? noBound : this->maxLostWork(candidate, now);
     const auto plan = planEviction(snapshot, request, evictionCostOf, noBound);
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -5,6 +5,7 @@
 #include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace rattan::tasks {
@@ -45,9 +46,9 @@
 
 // The run that keeps each job from being placed: of several, the one whose worker has not
 // answered for longest. A job with a run that is running has none.
-std::map<std::string_view, TaskPlanner::BlockingRun> TaskPlanner::findBlockingRuns() const
+std::unordered_map<std::string_view, TaskPlanner::BlockingRun> TaskPlanner::findBlockingRuns() const
 {
-    std::map<std::string_view, BlockingRun> found;
+    std::unordered_map<std::string_view, BlockingRun> found;
     for (const auto& [id, worker] : this->workers) {
         for (const auto& [run, placedRun] : worker.placedRuns) {
             if (placedRun.orphaned)
@@ -68,7 +69,7 @@
     if (now < this->nextIdleCheckAt)
         return;
     this->nextIdleCheckAt = now + idleCheckInterval;
-    const std::map<std::string_view, BlockingRun> blockingRuns = this->findBlockingRuns();
+    const std::unordered_map<std::string_view, BlockingRun> blockingRuns = this->findBlockingRuns();
     this->idleCounts = {};
     const ActiveJob* longestIdle = nullptr;
     for (auto& [id, active] : this->jobs) {
@@ -76,7 +77,7 @@
         const auto unit = this->units.lower_bound({ id, 0, 0, wholeGang });
         const bool hasUnits = unit != this->units.end() && unit->first.job == id;
         if (isFinal(active.state) || !hasUnits || (blocking != blockingRuns.end() && blocking->second.isRunning)) {
-            active.idleSince = active.fitsTwiceSince = 0;
+            active.idleSince = 0;
             continue;
         }
         if (active.idleSince == 0)
@@ -85,7 +86,7 @@
             continue;
         const IdleCause cause = blocking == blockingRuns.end() ? IdleCause::NotPlaced : causeOf(*blocking->second.worker, *blocking->second.placedRun);
         ++this->idleCounts.byCause[static_cast<std::size_t>(cause)];
-        this->idleCounts.besideUnusedResources += active.fitsTwiceSince > 0 ? 1 : 0;
+        this->idleCounts.besideUnusedResources += this->fitsTwiceSince(active) > 0 ? 1 : 0;
         if (!longestIdle || active.idleSince < longestIdle->idleSince)
             longestIdle = &active;
     }
@@ -105,7 +106,8 @@
 void TaskPlanner::reportUnplacedJob(const ActiveJob& active, Millis now)
 {
     const Unit& unit = this->units.lower_bound({ active.job->id, 0, 0, wholeGang })->second;
-    const std::string unused = active.fitsTwiceSince > 0 ? fmt::format("fits twice in unused resources for {} ms", now - active.fitsTwiceSince) : "does not fit twice in unused resources";
+    const Millis fitsSince = this->fitsTwiceSince(active);
+    const std::string unused = fitsSince > 0 ? fmt::format("fits twice in unused resources for {} ms", now - fitsSince) : "does not fit twice in unused resources";
     this->emit(PlanEventKind::JobIdle, unit.key, unit.run, "", fmt::format("for {} ms, {}, {}, {}; idle jobs: {}", now - active.idleSince, nameOf(IdleCause::NotPlaced), nameOf(unit.waitReason), unused, textOf(this->idleCounts)));
 }
 
@@ -120,19 +122,35 @@
             now - std::max(worker.lastAnswerAt, this->termStartedAt), worker.leaseEndsBy - now, poll, stop, textOf(this->idleCounts)));
 }
 
-// Whether the unit's job is idle although the unit fits twice in resources that no run uses,
-// whatever they are reserved for. Searched for each job at an interval, since it visits every worker.
-void TaskPlanner::updateUnusedResources(const Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
+// Since when a unit of an idle job has fitted twice in unused resources, or 0 if none does.
+Millis TaskPlanner::fitsTwiceSince(const ActiveJob& active) const
 {
-    ActiveJob& active = this->jobs.at(unit.key.job);
-    if (active.idleSince == 0 || now < active.fitsCheckedAt + idleCheckInterval)
+    Millis earliest = 0;
+    for (auto next = this->units.lower_bound({ active.job->id, 0, 0, wholeGang }); next != this->units.end() && next->first.job == active.job->id; ++next) {
+        const Millis since = next->second.fitsTwiceSince;
+        if (since > 0 && (earliest == 0 || since < earliest))
+            earliest = since;
+    }
+    return earliest > 0 ? std::max(earliest, active.idleSince) : 0;
+}
+
+// Examines whether the unit's job is idle although the unit fits twice in resources that no run
+// uses, whatever they are reserved for. Done at an interval, since it visits every worker.
+void TaskPlanner::updateUnusedResources(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
+{
+    const ActiveJob& active = this->jobs.at(unit.key.job);
+    if (active.idleSince == 0)
+        unit.fitsTwiceSince = 0;
+    if (active.idleSince == 0 || now < unit.fitsCheckedAt + unusedCheckInterval)
         return;
-    active.fitsCheckedAt = now;
+    unit.fitsCheckedAt = now;
     constexpr std::int64_t twice = 2;
-    if (snapshot.countUnusedFits(request, twice) < twice)
-        active.fitsTwiceSince = 0;
-    else if (active.fitsTwiceSince == 0)
-        active.fitsTwiceSince = now;
+    if (snapshot.countUnusedFits(request, twice) < twice) {
+        unit.fitsTwiceSince = 0;
+    } else if (unit.fitsTwiceSince < active.idleSince) {
+        unit.fitsTwiceSince = now;
+        this->pacer.scheduleBy(now + maxIdleBesideReserved);
+    }
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/task_planner_reserved.cc
+++ b/src/tasks/task_planner_reserved.cc
@@ -5,20 +5,20 @@
 #include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
 
-#include <limits>
-
 namespace rattan::tasks {
 
 using namespace detail;
 
-// A reservation is worth less than the progress of a job that has had nothing running for long
-// while its unit fits twice in unused resources. One unit is enough: the others respect the
-// reservations. What is committed to units that wait for stops is not taken, since the stops take
+// Places one unit of a job that has had nothing running for long while the unit fits twice in
+// unused resources. The job's other units respect the reservations. What is committed to units that wait for stops is not taken, since the stops take
 // a short time.
 bool TaskPlanner::tryPlaceInReserved(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
-    const ActiveJob& active = this->jobs.at(candidate.unit->key.job);
-    if (active.fitsTwiceSince == 0 || now < active.fitsTwiceSince + maxIdleBesideReserved || !request.isolatedJob.empty() || this->hasPlacedUnits(active))
+    const Unit& unit = *candidate.unit;
+    const ActiveJob& active = this->jobs.at(unit.key.job);
+    if (active.idleSince == 0 || unit.fitsTwiceSince < active.idleSince || now < unit.fitsTwiceSince + maxIdleBesideReserved)
+        return false;
+    if (!request.isolatedJob.empty() || this->hasPlacedUnits(active))
         return false;
     PlacementRequest anywhere = request;
     anywhere.usesReserved = true;
@@ -40,19 +40,24 @@
     return false;
 }
 
-// Stops only units that were placed in reserved resources while this one waited for them, if it
-// would be late otherwise. Without that, a gang that needs most workers would wait for ever, as
-// jobs that wait for it to begin borrow again and again. A unit that fits twice can borrow itself.
-bool TaskPlanner::tryReclaim(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
+// Whether the unit may stop others to use resources that are reserved for it. Without that, a gang
+// that needs most workers would never start, since jobs that wait meanwhile borrow again and
+// again. Urgent units stop others by their own rules, and a unit that fits twice can borrow.
+bool TaskPlanner::mayTakeBack(const Candidate& candidate, Millis now) const
+{
+    const Unit& unit = *candidate.unit;
+    return unit.job->terms.priority > 0 && unit.fitsTwiceSince == 0 && now >= candidate.latestStarts.inTime;
+}
+
+// Stops only units that were placed in reserved resources while this one waited for them.
+bool TaskPlanner::tryTakeBack(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     const Unit& unit = *candidate.unit;
     const std::int64_t priority = unit.job->terms.priority;
-    if (priority == 0 || now < candidate.latestStarts.inTime || this->jobs.at(unit.key.job).fitsTwiceSince > 0)
-        return false; // An urgent unit stops others by its own rules.
-    const auto evictionCostOf = [&](const Allocation& run) { return run.borrowed && !run.guaranteed && run.priority >= priority && run.placedAt >= unit.waitingSince ? run.lostWork : -1.0; };
-    const auto plan = planEviction(snapshot, request, evictionCostOf, std::numeric_limits<double>::max());
-    if (!plan || plan->lostWork > this->maxLostWork(candidate, now) / maxLostWorkFraction)
-        return false;
+    const auto lostWorkIfTaken = [&](const Allocation& run) { return run.borrowed && !run.guaranteed && run.priority >= priority && run.placedAt >= unit.waitingSince ? run.lostWork : -1.0; };
+    const auto plan = planEviction(snapshot, request, lostWorkIfTaken, this->maxLostWork(candidate, now) / maxLostWorkFraction);
+    if (!plan || plan->victims.empty())
+        return false; // Without victims, the unit can't start there for another reason.
     this->evict(*plan, unit, snapshot, request, now);
     return true;
 }
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -249,8 +249,6 @@
     allocation.stops = unit.evictionCount;
     allocation.placedAt = unit.placedAt;
     allocation.borrowed = unit.borrows && unit.evictionCount == 0;
-    if (allocation.borrowed)
-        allocation.expectedEnd = std::min(allocation.expectedEnd, now + this->options.stopTimeout);
     allocation.priority = std::min(unit.job->terms.priority, unit.rankedPriority);
     allocation.guaranteed = this->jobs.at(unit.key.job).guaranteed;
     return allocation;
@@ -460,13 +458,18 @@
         // after a takeover they answer within a fraction of a second.
         const bool hasUnpolledResources = !snapshot->second.unpolled.empty() && snapshot->second.fitsOnUnpolledWorkers(request);
         const bool mayReserve = couldFit && reservations[service] < maxReservations;
+        request.takesBack = this->mayTakeBack(candidate, now);
         std::optional<Snapshot::Reservation> reservation;
         if (mayReserve)
             reservation = snapshot->second.findReservation(request);
-        if (reservation && reservation->at <= now + this->options.stopTimeout && this->tryReclaim(candidate, snapshot->second, request, now)) {
-            unit.waitReason = WaitReason::AwaitsStops;
-            failedRequests.erase(service);
-            continue;
+        if (request.takesBack && reservation && reservation->at <= now && evictionSearches < maxEvictionSearches) {
+            ++evictionSearches;
+            ++this->round.evictionSearches;
+            if (this->tryTakeBack(candidate, snapshot->second, request, now)) {
+                unit.waitReason = WaitReason::AwaitsStops;
+                failedRequests.erase(service);
+                continue;
+            }
         }
         if (couldFit && !hasUnpolledResources && evictionSearches < maxEvictionSearches && this->canEvict(candidate, now) && this->mustStopOthers(candidate, reservation, now)) {
             ++evictionSearches;
