--- a/src/delivery/delivery.capnp.h
+++ b/src/delivery/delivery.capnp.h
@@ -7,3300 +7,4024 @@
 #include <kj/windows-sanity.h>
 #if !CAPNP_LITE
 #include <capnp/capability.h>
-#endif  // !CAPNP_LITE
+#endif // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
-
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
 namespace schemas {
 
-CAPNP_DECLARE_SCHEMA(88d3087eb4b116d7);
-CAPNP_DECLARE_SCHEMA(a5d874a3bc1c8bce);
-CAPNP_DECLARE_SCHEMA(ec307128c8859841);
-CAPNP_DECLARE_SCHEMA(9bb2f7d6e2e9b584);
-CAPNP_DECLARE_SCHEMA(b29a6dba2c222e36);
-enum class Kind_b29a6dba2c222e36: uint16_t {
-  START,
-  STOP,
-  POLL,
-};
-CAPNP_DECLARE_ENUM(Kind, b29a6dba2c222e36);
-CAPNP_DECLARE_SCHEMA(be2cee3c6c8895a9);
-CAPNP_DECLARE_SCHEMA(bbb6ea7f5aaa4f04);
-CAPNP_DECLARE_SCHEMA(add138467f0c0cfd);
-CAPNP_DECLARE_SCHEMA(ed5aab28cb5fbdaf);
-CAPNP_DECLARE_SCHEMA(867204df7fa01bcf);
-CAPNP_DECLARE_SCHEMA(a3e71f03f7a42d6a);
-CAPNP_DECLARE_SCHEMA(adda9ed6a0617be7);
-CAPNP_DECLARE_SCHEMA(ca0115b9cf7a2c4a);
-CAPNP_DECLARE_SCHEMA(c64f5cae7dba12bc);
-CAPNP_DECLARE_SCHEMA(99cdbe1174290923);
-CAPNP_DECLARE_SCHEMA(ee98b033e48ce37b);
-CAPNP_DECLARE_SCHEMA(89980e2db4810202);
-CAPNP_DECLARE_SCHEMA(c5842c75c8623949);
-CAPNP_DECLARE_SCHEMA(a0e16c6c5c206f4b);
-
-}  // namespace schemas
-}  // namespace capnp
+    CAPNP_DECLARE_SCHEMA(88d3087eb4b116d7);
+    CAPNP_DECLARE_SCHEMA(a5d874a3bc1c8bce);
+    CAPNP_DECLARE_SCHEMA(ec307128c8859841);
+    CAPNP_DECLARE_SCHEMA(9bb2f7d6e2e9b584);
+    CAPNP_DECLARE_SCHEMA(b29a6dba2c222e36);
+    enum class Kind_b29a6dba2c222e36 : uint16_t {
+        START,
+        STOP,
+        POLL,
+    };
+    CAPNP_DECLARE_ENUM(Kind, b29a6dba2c222e36);
+    CAPNP_DECLARE_SCHEMA(be2cee3c6c8895a9);
+    CAPNP_DECLARE_SCHEMA(bbb6ea7f5aaa4f04);
+    CAPNP_DECLARE_SCHEMA(add138467f0c0cfd);
+    CAPNP_DECLARE_SCHEMA(ed5aab28cb5fbdaf);
+    CAPNP_DECLARE_SCHEMA(867204df7fa01bcf);
+    CAPNP_DECLARE_SCHEMA(a3e71f03f7a42d6a);
+    CAPNP_DECLARE_SCHEMA(adda9ed6a0617be7);
+    CAPNP_DECLARE_SCHEMA(ca0115b9cf7a2c4a);
+    CAPNP_DECLARE_SCHEMA(c64f5cae7dba12bc);
+    CAPNP_DECLARE_SCHEMA(99cdbe1174290923);
+    CAPNP_DECLARE_SCHEMA(ee98b033e48ce37b);
+    CAPNP_DECLARE_SCHEMA(89980e2db4810202);
+    CAPNP_DECLARE_SCHEMA(c5842c75c8623949);
+    CAPNP_DECLARE_SCHEMA(a0e16c6c5c206f4b);
+
+} // namespace schemas
+} // namespace capnp
 
 namespace rattan {
 namespace delivery {
-namespace wire {
-
-struct Run {
-  Run() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88d3087eb4b116d7, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Worker {
-  Worker() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a5d874a3bc1c8bce, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Details {
-  Details() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ec307128c8859841, 0, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Order {
-  Order() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-  typedef ::capnp::schemas::Kind_b29a6dba2c222e36 Kind;
-
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9bb2f7d6e2e9b584, 4, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Running {
-  Running() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(be2cee3c6c8895a9, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Moved {
-  Moved() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bbb6ea7f5aaa4f04, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Ended {
-  Ended() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(add138467f0c0cfd, 2, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Report {
-  Report() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ed5aab28cb5fbdaf, 2, 4)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Answer {
-  Answer() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(867204df7fa01bcf, 3, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Carrier {
-  Carrier() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct OpenParams;
-  struct OpenResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(a3e71f03f7a42d6a)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct Carrier::OpenParams {
-  OpenParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(adda9ed6a0617be7, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Carrier::OpenResults {
-  OpenResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca0115b9cf7a2c4a, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Session {
-  Session() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct CarryParams;
-  struct CarryResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(c64f5cae7dba12bc)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct Session::CarryParams {
-  CarryParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(99cdbe1174290923, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Session::CarryResults {
-  CarryResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ee98b033e48ce37b, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct AnswerSink {
-  AnswerSink() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct TellParams;
-  struct TellResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(89980e2db4810202)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct AnswerSink::TellParams {
-  TellParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5842c75c8623949, 0, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct AnswerSink::TellResults {
-  TellResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a0e16c6c5c206f4b, 0, 0)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-// =======================================================================================
-
-class Run::Reader {
-public:
-  typedef Run Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasJob() const;
-  inline  ::capnp::Text::Reader getJob() const;
-
-  inline  ::int64_t getOccurrence() const;
-
-  inline  ::int32_t getStep() const;
-
-  inline  ::int32_t getIndex() const;
-
-  inline  ::int64_t getRun() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Run::Builder {
-public:
-  typedef Run Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasJob();
-  inline  ::capnp::Text::Builder getJob();
-  inline void setJob( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initJob(unsigned int size);
-  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownJob();
-
-  inline  ::int64_t getOccurrence();
-  inline void setOccurrence( ::int64_t value);
-
-  inline  ::int32_t getStep();
-  inline void setStep( ::int32_t value);
-
-  inline  ::int32_t getIndex();
-  inline void setIndex( ::int32_t value);
-
-  inline  ::int64_t getRun();
-  inline void setRun( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Run::Pipeline {
-public:
-  typedef Run Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Worker::Reader {
-public:
-  typedef Worker Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline  ::int64_t getBorn() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Worker::Builder {
-public:
-  typedef Worker Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline  ::int64_t getBorn();
-  inline void setBorn( ::int64_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Worker::Pipeline {
-public:
-  typedef Worker Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Details::Reader {
-public:
-  typedef Details Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRun() const;
-  inline  ::rattan::delivery::wire::Run::Reader getRun() const;
-
-  inline bool hasCheckpoint() const;
-  inline  ::capnp::Text::Reader getCheckpoint() const;
-
-  inline bool hasTicket() const;
-  inline  ::capnp::Text::Reader getTicket() const;
-
-  inline bool hasDomain() const;
-  inline  ::capnp::Text::Reader getDomain() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Details::Builder {
-public:
-  typedef Details Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRun();
-  inline  ::rattan::delivery::wire::Run::Builder getRun();
-  inline void setRun( ::rattan::delivery::wire::Run::Reader value);
-  inline  ::rattan::delivery::wire::Run::Builder initRun();
-  inline void adoptRun(::capnp::Orphan< ::rattan::delivery::wire::Run>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::Run> disownRun();
-
-  inline bool hasCheckpoint();
-  inline  ::capnp::Text::Builder getCheckpoint();
-  inline void setCheckpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
-  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
-
-  inline bool hasTicket();
-  inline  ::capnp::Text::Builder getTicket();
-  inline void setTicket( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initTicket(unsigned int size);
-  inline void adoptTicket(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownTicket();
-
-  inline bool hasDomain();
-  inline  ::capnp::Text::Builder getDomain();
-  inline void setDomain( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDomain(unsigned int size);
-  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Details::Pipeline {
-public:
-  typedef Details Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::rattan::delivery::wire::Run::Pipeline getRun();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Order::Reader {
-public:
-  typedef Order Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getId() const;
-
-  inline  ::rattan::delivery::wire::Order::Kind getKind() const;
-
-  inline  ::uint16_t getWait() const;
-
-  inline  ::uint32_t getAcknowledged() const;
-
-  inline  ::uint32_t getWorker() const;
-
-  inline  ::int64_t getLeaseEnd() const;
-
-  inline bool getHasLeaseEnd() const;
-
-  inline bool hasIntroduces() const;
-  inline  ::rattan::delivery::wire::Worker::Reader getIntroduces() const;
-
-  inline bool hasDetails() const;
-  inline  ::rattan::delivery::wire::Details::Reader getDetails() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Order::Builder {
-public:
-  typedef Order Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getId();
-  inline void setId( ::uint32_t value);
-
-  inline  ::rattan::delivery::wire::Order::Kind getKind();
-  inline void setKind( ::rattan::delivery::wire::Order::Kind value);
-
-  inline  ::uint16_t getWait();
-  inline void setWait( ::uint16_t value);
-
-  inline  ::uint32_t getAcknowledged();
-  inline void setAcknowledged( ::uint32_t value);
-
-  inline  ::uint32_t getWorker();
-  inline void setWorker( ::uint32_t value);
-
-  inline  ::int64_t getLeaseEnd();
-  inline void setLeaseEnd( ::int64_t value);
+    namespace wire {
+
+        struct Run {
+            Run() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(88d3087eb4b116d7, 3, 1)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Worker {
+            Worker() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(a5d874a3bc1c8bce, 1, 2)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Details {
+            Details() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(ec307128c8859841, 0, 4)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Order {
+            Order() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+            typedef ::capnp::schemas::Kind_b29a6dba2c222e36 Kind;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(9bb2f7d6e2e9b584, 4, 2)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Running {
+            Running() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(be2cee3c6c8895a9, 1, 2)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Moved {
+            Moved() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(bbb6ea7f5aaa4f04, 1, 1)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Ended {
+            Ended() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(add138467f0c0cfd, 2, 2)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Report {
+            Report() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(ed5aab28cb5fbdaf, 2, 4)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Answer {
+            Answer() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(867204df7fa01bcf, 3, 1)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct Carrier {
+            Carrier() = delete;
+
+#if !CAPNP_LITE
+            class Client;
+            class Server;
+#endif // !CAPNP_LITE
+
+            struct OpenParams;
+            struct OpenResults;
+
+#if !CAPNP_LITE
+            struct _capnpPrivate {
+                CAPNP_DECLARE_INTERFACE_HEADER(a3e71f03f7a42d6a)
+                static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+            };
+#endif // !CAPNP_LITE
+        };
+
+        struct Carrier::OpenParams {
+            OpenParams() = delete;
 
-  inline bool getHasLeaseEnd();
-  inline void setHasLeaseEnd(bool value);
-
-  inline bool hasIntroduces();
-  inline  ::rattan::delivery::wire::Worker::Builder getIntroduces();
-  inline void setIntroduces( ::rattan::delivery::wire::Worker::Reader value);
-  inline  ::rattan::delivery::wire::Worker::Builder initIntroduces();
-  inline void adoptIntroduces(::capnp::Orphan< ::rattan::delivery::wire::Worker>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::Worker> disownIntroduces();
-
-  inline bool hasDetails();
-  inline  ::rattan::delivery::wire::Details::Builder getDetails();
-  inline void setDetails( ::rattan::delivery::wire::Details::Reader value);
-  inline  ::rattan::delivery::wire::Details::Builder initDetails();
-  inline void adoptDetails(::capnp::Orphan< ::rattan::delivery::wire::Details>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::Details> disownDetails();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Order::Pipeline {
-public:
-  typedef Order Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::rattan::delivery::wire::Worker::Pipeline getIntroduces();
-  inline  ::rattan::delivery::wire::Details::Pipeline getDetails();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Running::Reader {
-public:
-  typedef Running Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRun() const;
-  inline  ::rattan::delivery::wire::Run::Reader getRun() const;
-
-  inline bool hasCheckpoint() const;
-  inline  ::capnp::Text::Reader getCheckpoint() const;
-
-  inline  ::int16_t getPercent() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Running::Builder {
-public:
-  typedef Running Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasRun();
-  inline  ::rattan::delivery::wire::Run::Builder getRun();
-  inline void setRun( ::rattan::delivery::wire::Run::Reader value);
-  inline  ::rattan::delivery::wire::Run::Builder initRun();
-  inline void adoptRun(::capnp::Orphan< ::rattan::delivery::wire::Run>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::Run> disownRun();
-
-  inline bool hasCheckpoint();
-  inline  ::capnp::Text::Builder getCheckpoint();
-  inline void setCheckpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
-  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
-
-  inline  ::int16_t getPercent();
-  inline void setPercent( ::int16_t value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Running::Pipeline {
-public:
-  typedef Running Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::rattan::delivery::wire::Run::Pipeline getRun();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Moved::Reader {
-public:
-  typedef Moved Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getPlace() const;
-
-  inline  ::int16_t getPercent() const;
-
-  inline bool getKeepsCheckpoint() const;
-
-  inline bool hasCheckpoint() const;
-  inline  ::capnp::Text::Reader getCheckpoint() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Moved::Builder {
-public:
-  typedef Moved Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint16_t getPlace();
-  inline void setPlace( ::uint16_t value);
-
-  inline  ::int16_t getPercent();
-  inline void setPercent( ::int16_t value);
-
-  inline bool getKeepsCheckpoint();
-  inline void setKeepsCheckpoint(bool value);
-
-  inline bool hasCheckpoint();
-  inline  ::capnp::Text::Builder getCheckpoint();
-  inline void setCheckpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
-  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Moved::Pipeline {
-public:
-  typedef Moved Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Ended::Reader {
-public:
-  typedef Ended Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getNumber() const;
-
-  inline bool hasRun() const;
-  inline  ::rattan::delivery::wire::Run::Reader getRun() const;
-
-  inline  ::uint16_t getEnd() const;
-
-  inline bool hasCheckpoint() const;
-  inline  ::capnp::Text::Reader getCheckpoint() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Ended::Builder {
-public:
-  typedef Ended Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getNumber();
-  inline void setNumber( ::int64_t value);
-
-  inline bool hasRun();
-  inline  ::rattan::delivery::wire::Run::Builder getRun();
-  inline void setRun( ::rattan::delivery::wire::Run::Reader value);
-  inline  ::rattan::delivery::wire::Run::Builder initRun();
-  inline void adoptRun(::capnp::Orphan< ::rattan::delivery::wire::Run>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::Run> disownRun();
-
-  inline  ::uint16_t getEnd();
-  inline void setEnd( ::uint16_t value);
-
-  inline bool hasCheckpoint();
-  inline  ::capnp::Text::Builder getCheckpoint();
-  inline void setCheckpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
-  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Ended::Pipeline {
-public:
-  typedef Ended Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::rattan::delivery::wire::Run::Pipeline getRun();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Report::Reader {
-public:
-  typedef Report Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getBorn() const;
-
-  inline bool getWhole() const;
-
-  inline bool hasMoved() const;
-  inline  ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Reader getMoved() const;
-
-  inline bool hasRemoved() const;
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getRemoved() const;
-
-  inline bool hasAdded() const;
-  inline  ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Reader getAdded() const;
-
-  inline bool hasEnded() const;
-  inline  ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Reader getEnded() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Report::Builder {
-public:
-  typedef Report Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getBorn();
-  inline void setBorn( ::int64_t value);
-
-  inline bool getWhole();
-  inline void setWhole(bool value);
-
-  inline bool hasMoved();
-  inline  ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Builder getMoved();
-  inline void setMoved( ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Builder initMoved(unsigned int size);
-  inline void adoptMoved(::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>> disownMoved();
-
-  inline bool hasRemoved();
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getRemoved();
-  inline void setRemoved( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setRemoved(::kj::ArrayPtr<const  ::uint16_t> value);
-  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initRemoved(unsigned int size);
-  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownRemoved();
-
-  inline bool hasAdded();
-  inline  ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Builder getAdded();
-  inline void setAdded( ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Builder initAdded(unsigned int size);
-  inline void adoptAdded(::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>> disownAdded();
-
-  inline bool hasEnded();
-  inline  ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Builder getEnded();
-  inline void setEnded( ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Builder initEnded(unsigned int size);
-  inline void adoptEnded(::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>> disownEnded();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+            class Reader;
+            class Builder;
+            class Pipeline;
 
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(adda9ed6a0617be7, 1, 1)
 #if !CAPNP_LITE
-class Report::Pipeline {
-public:
-  typedef Report Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
 
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
+        struct Carrier::OpenResults {
+            OpenResults() = delete;
 
-class Answer::Reader {
-public:
-  typedef Answer Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getId() const;
+            class Reader;
+            class Builder;
+            class Pipeline;
 
-  inline  ::rattan::delivery::wire::Order::Kind getKind() const;
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(ca0115b9cf7a2c4a, 0, 1)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
 
-  inline  ::uint16_t getStatus() const;
+        struct Session {
+            Session() = delete;
 
-  inline  ::int64_t getClock() const;
-
-  inline bool getHasClock() const;
+#if !CAPNP_LITE
+            class Client;
+            class Server;
+#endif // !CAPNP_LITE
 
-  inline bool getDeposed() const;
+            struct CarryParams;
+            struct CarryResults;
 
-  inline bool getTaken() const;
+#if !CAPNP_LITE
+            struct _capnpPrivate {
+                CAPNP_DECLARE_INTERFACE_HEADER(c64f5cae7dba12bc)
+                static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+            };
+#endif // !CAPNP_LITE
+        };
 
-  inline  ::uint16_t getOutcome() const;
+        struct Session::CarryParams {
+            CarryParams() = delete;
 
-  inline bool hasReport() const;
-  inline  ::rattan::delivery::wire::Report::Reader getReport() const;
+            class Reader;
+            class Builder;
+            class Pipeline;
 
-  inline  ::uint32_t getWorker() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Answer::Builder {
-public:
-  typedef Answer Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::uint32_t getId();
-  inline void setId( ::uint32_t value);
-
-  inline  ::rattan::delivery::wire::Order::Kind getKind();
-  inline void setKind( ::rattan::delivery::wire::Order::Kind value);
-
-  inline  ::uint16_t getStatus();
-  inline void setStatus( ::uint16_t value);
-
-  inline  ::int64_t getClock();
-  inline void setClock( ::int64_t value);
-
-  inline bool getHasClock();
-  inline void setHasClock(bool value);
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(99cdbe1174290923, 1, 1)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
 
-  inline bool getDeposed();
-  inline void setDeposed(bool value);
+        struct Session::CarryResults {
+            CarryResults() = delete;
 
-  inline bool getTaken();
-  inline void setTaken(bool value);
+            class Reader;
+            class Builder;
+            class Pipeline;
 
-  inline  ::uint16_t getOutcome();
-  inline void setOutcome( ::uint16_t value);
-
-  inline bool hasReport();
-  inline  ::rattan::delivery::wire::Report::Builder getReport();
-  inline void setReport( ::rattan::delivery::wire::Report::Reader value);
-  inline  ::rattan::delivery::wire::Report::Builder initReport();
-  inline void adoptReport(::capnp::Orphan< ::rattan::delivery::wire::Report>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::Report> disownReport();
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(ee98b033e48ce37b, 0, 0)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
 
-  inline  ::uint32_t getWorker();
-  inline void setWorker( ::uint32_t value);
+        struct AnswerSink {
+            AnswerSink() = delete;
+
+#if !CAPNP_LITE
+            class Client;
+            class Server;
+#endif // !CAPNP_LITE
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+            struct TellParams;
+            struct TellResults;
+
+#if !CAPNP_LITE
+            struct _capnpPrivate {
+                CAPNP_DECLARE_INTERFACE_HEADER(89980e2db4810202)
+                static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+            };
+#endif // !CAPNP_LITE
+        };
+
+        struct AnswerSink::TellParams {
+            TellParams() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
+
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(c5842c75c8623949, 0, 1)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        struct AnswerSink::TellResults {
+            TellResults() = delete;
+
+            class Reader;
+            class Builder;
+            class Pipeline;
 
-#if !CAPNP_LITE
-class Answer::Pipeline {
-public:
-  typedef Answer Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::rattan::delivery::wire::Report::Pipeline getReport();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-class Carrier::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Carrier Calls;
-  typedef Carrier Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::rattan::delivery::wire::Carrier::OpenParams,  ::rattan::delivery::wire::Carrier::OpenResults> openRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Carrier::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Carrier Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::rattan::delivery::wire::Carrier::OpenParams OpenParams;
-  typedef  ::rattan::delivery::wire::Carrier::OpenResults OpenResults;
-  typedef ::capnp::CallContext<OpenParams, OpenResults> OpenContext;
-  virtual ::kj::Promise<void> open(OpenContext context);
-
-  inline  ::rattan::delivery::wire::Carrier::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::rattan::delivery::wire::Carrier>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Carrier::OpenParams::Reader {
-public:
-  typedef OpenParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getTerm() const;
-
-  inline bool hasAnswers() const;
-#if !CAPNP_LITE
-  inline  ::rattan::delivery::wire::AnswerSink::Client getAnswers() const;
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Carrier::OpenParams::Builder {
-public:
-  typedef OpenParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getTerm();
-  inline void setTerm( ::int64_t value);
-
-  inline bool hasAnswers();
-#if !CAPNP_LITE
-  inline  ::rattan::delivery::wire::AnswerSink::Client getAnswers();
-  inline void setAnswers( ::rattan::delivery::wire::AnswerSink::Client&& value);
-  inline void setAnswers( ::rattan::delivery::wire::AnswerSink::Client& value);
-  inline void adoptAnswers(::capnp::Orphan< ::rattan::delivery::wire::AnswerSink>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::AnswerSink> disownAnswers();
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Carrier::OpenParams::Pipeline {
-public:
-  typedef OpenParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::rattan::delivery::wire::AnswerSink::Client getAnswers();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Carrier::OpenResults::Reader {
-public:
-  typedef OpenResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSession() const;
-#if !CAPNP_LITE
-  inline  ::rattan::delivery::wire::Session::Client getSession() const;
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Carrier::OpenResults::Builder {
-public:
-  typedef OpenResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSession();
-#if !CAPNP_LITE
-  inline  ::rattan::delivery::wire::Session::Client getSession();
-  inline void setSession( ::rattan::delivery::wire::Session::Client&& value);
-  inline void setSession( ::rattan::delivery::wire::Session::Client& value);
-  inline void adoptSession(::capnp::Orphan< ::rattan::delivery::wire::Session>&& value);
-  inline ::capnp::Orphan< ::rattan::delivery::wire::Session> disownSession();
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Carrier::OpenResults::Pipeline {
-public:
-  typedef OpenResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::rattan::delivery::wire::Session::Client getSession();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-class Session::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Session Calls;
-  typedef Session Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::rattan::delivery::wire::Session::CarryParams,  ::rattan::delivery::wire::Session::CarryResults> carryRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Session::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Session Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::rattan::delivery::wire::Session::CarryParams CarryParams;
-  typedef  ::rattan::delivery::wire::Session::CarryResults CarryResults;
-  typedef ::capnp::CallContext<CarryParams, CarryResults> CarryContext;
-  virtual ::kj::Promise<void> carry(CarryContext context);
-
-  inline  ::rattan::delivery::wire::Session::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::rattan::delivery::wire::Session>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Session::CarryParams::Reader {
-public:
-  typedef CarryParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getSentAt() const;
-
-  inline bool hasOrders() const;
-  inline  ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Reader getOrders() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Session::CarryParams::Builder {
-public:
-  typedef CarryParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline  ::int64_t getSentAt();
-  inline void setSentAt( ::int64_t value);
-
-  inline bool hasOrders();
-  inline  ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Builder getOrders();
-  inline void setOrders( ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Builder initOrders(unsigned int size);
-  inline void adoptOrders(::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>> disownOrders();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Session::CarryParams::Pipeline {
-public:
-  typedef CarryParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class Session::CarryResults::Reader {
-public:
-  typedef CarryResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class Session::CarryResults::Builder {
-public:
-  typedef CarryResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class Session::CarryResults::Pipeline {
-public:
-  typedef CarryResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-class AnswerSink::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef AnswerSink Calls;
-  typedef AnswerSink Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::rattan::delivery::wire::AnswerSink::TellParams,  ::rattan::delivery::wire::AnswerSink::TellResults> tellRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class AnswerSink::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef AnswerSink Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::rattan::delivery::wire::AnswerSink::TellParams TellParams;
-  typedef  ::rattan::delivery::wire::AnswerSink::TellResults TellResults;
-  typedef ::capnp::CallContext<TellParams, TellResults> TellContext;
-  virtual ::kj::Promise<void> tell(TellContext context);
-
-  inline  ::rattan::delivery::wire::AnswerSink::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::rattan::delivery::wire::AnswerSink>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class AnswerSink::TellParams::Reader {
-public:
-  typedef TellParams Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAnswers() const;
-  inline  ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Reader getAnswers() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class AnswerSink::TellParams::Builder {
-public:
-  typedef TellParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasAnswers();
-  inline  ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Builder getAnswers();
-  inline void setAnswers( ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
-  inline void adoptAnswers(::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>> disownAnswers();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class AnswerSink::TellParams::Pipeline {
-public:
-  typedef TellParams Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class AnswerSink::TellResults::Reader {
-public:
-  typedef TellResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class AnswerSink::TellResults::Builder {
-public:
-  typedef TellResults Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class AnswerSink::TellResults::Pipeline {
-public:
-  typedef TellResults Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-// =======================================================================================
-
-inline bool Run::Reader::hasJob() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Run::Builder::hasJob() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Run::Reader::getJob() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Run::Builder::getJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Run::Builder::setJob( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Run::Builder::initJob(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Run::Builder::adoptJob(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Run::Builder::disownJob() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t Run::Reader::getOccurrence() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Run::Builder::getOccurrence() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Run::Builder::setOccurrence( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int32_t Run::Reader::getStep() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int32_t Run::Builder::getStep() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Run::Builder::setStep( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int32_t Run::Reader::getIndex() const {
-  return _reader.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int32_t Run::Builder::getIndex() {
-  return _builder.getDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Run::Builder::setIndex( ::int32_t value) {
-  _builder.setDataField< ::int32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Run::Reader::getRun() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Run::Builder::getRun() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Run::Builder::setRun( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Worker::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Worker::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Worker::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Worker::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Worker::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Worker::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Worker::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Worker::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Worker::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Worker::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Worker::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Worker::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Worker::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Worker::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Worker::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Worker::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t Worker::Reader::getBorn() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Worker::Builder::getBorn() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Worker::Builder::setBorn( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Details::Reader::hasRun() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Details::Builder::hasRun() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattan::delivery::wire::Run::Reader Details::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Run::Builder Details::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::Run::Pipeline Details::Pipeline::getRun() {
-  return  ::rattan::delivery::wire::Run::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Details::Builder::setRun( ::rattan::delivery::wire::Run::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::rattan::delivery::wire::Run::Builder Details::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Details::Builder::adoptRun(
-    ::capnp::Orphan< ::rattan::delivery::wire::Run>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::Run> Details::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Details::Reader::hasCheckpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Details::Builder::hasCheckpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Details::Reader::getCheckpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Details::Builder::getCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Details::Builder::setCheckpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Details::Builder::initCheckpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Details::Builder::adoptCheckpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Details::Builder::disownCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Details::Reader::hasTicket() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Details::Builder::hasTicket() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Details::Reader::getTicket() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Details::Builder::getTicket() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Details::Builder::setTicket( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Details::Builder::initTicket(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Details::Builder::adoptTicket(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Details::Builder::disownTicket() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Details::Reader::hasDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Details::Builder::hasDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Details::Reader::getDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Details::Builder::getDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Details::Builder::setDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Details::Builder::initDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Details::Builder::adoptDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Details::Builder::disownDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t Order::Reader::getId() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Order::Builder::getId() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Order::Builder::setId( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::rattan::delivery::wire::Order::Kind Order::Reader::getKind() const {
-  return _reader.getDataField< ::rattan::delivery::wire::Order::Kind>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::rattan::delivery::wire::Order::Kind Order::Builder::getKind() {
-  return _builder.getDataField< ::rattan::delivery::wire::Order::Kind>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Order::Builder::setKind( ::rattan::delivery::wire::Order::Kind value) {
-  _builder.setDataField< ::rattan::delivery::wire::Order::Kind>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t Order::Reader::getWait() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Order::Builder::getWait() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Order::Builder::setWait( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Order::Reader::getAcknowledged() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Order::Builder::getAcknowledged() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Order::Builder::setAcknowledged( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Order::Reader::getWorker() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Order::Builder::getWorker() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Order::Builder::setWorker( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Order::Reader::getLeaseEnd() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Order::Builder::getLeaseEnd() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Order::Builder::setLeaseEnd( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Order::Reader::getHasLeaseEnd() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-
-inline bool Order::Builder::getHasLeaseEnd() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
-}
-inline void Order::Builder::setHasLeaseEnd(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Order::Reader::hasIntroduces() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Order::Builder::hasIntroduces() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattan::delivery::wire::Worker::Reader Order::Reader::getIntroduces() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Worker>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Worker::Builder Order::Builder::getIntroduces() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Worker>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::Worker::Pipeline Order::Pipeline::getIntroduces() {
-  return  ::rattan::delivery::wire::Worker::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Order::Builder::setIntroduces( ::rattan::delivery::wire::Worker::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Worker>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::rattan::delivery::wire::Worker::Builder Order::Builder::initIntroduces() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Worker>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Order::Builder::adoptIntroduces(
-    ::capnp::Orphan< ::rattan::delivery::wire::Worker>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Worker>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::Worker> Order::Builder::disownIntroduces() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Worker>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Order::Reader::hasDetails() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Order::Builder::hasDetails() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattan::delivery::wire::Details::Reader Order::Reader::getDetails() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Details>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Details::Builder Order::Builder::getDetails() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Details>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::Details::Pipeline Order::Pipeline::getDetails() {
-  return  ::rattan::delivery::wire::Details::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void Order::Builder::setDetails( ::rattan::delivery::wire::Details::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Details>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::rattan::delivery::wire::Details::Builder Order::Builder::initDetails() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Details>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Order::Builder::adoptDetails(
-    ::capnp::Orphan< ::rattan::delivery::wire::Details>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Details>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::Details> Order::Builder::disownDetails() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Details>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Running::Reader::hasRun() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Running::Builder::hasRun() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattan::delivery::wire::Run::Reader Running::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Run::Builder Running::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::Run::Pipeline Running::Pipeline::getRun() {
-  return  ::rattan::delivery::wire::Run::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Running::Builder::setRun( ::rattan::delivery::wire::Run::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::rattan::delivery::wire::Run::Builder Running::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Running::Builder::adoptRun(
-    ::capnp::Orphan< ::rattan::delivery::wire::Run>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::Run> Running::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Running::Reader::hasCheckpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Running::Builder::hasCheckpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Running::Reader::getCheckpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Running::Builder::getCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Running::Builder::setCheckpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Running::Builder::initCheckpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Running::Builder::adoptCheckpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Running::Builder::disownCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int16_t Running::Reader::getPercent() const {
-  return _reader.getDataField< ::int16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int16_t Running::Builder::getPercent() {
-  return _builder.getDataField< ::int16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Running::Builder::setPercent( ::int16_t value) {
-  _builder.setDataField< ::int16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t Moved::Reader::getPlace() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Moved::Builder::getPlace() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Moved::Builder::setPlace( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int16_t Moved::Reader::getPercent() const {
-  return _reader.getDataField< ::int16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int16_t Moved::Builder::getPercent() {
-  return _builder.getDataField< ::int16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Moved::Builder::setPercent( ::int16_t value) {
-  _builder.setDataField< ::int16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Moved::Reader::getKeepsCheckpoint() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool Moved::Builder::getKeepsCheckpoint() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void Moved::Builder::setKeepsCheckpoint(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Moved::Reader::hasCheckpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Moved::Builder::hasCheckpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Moved::Reader::getCheckpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Moved::Builder::getCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Moved::Builder::setCheckpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Moved::Builder::initCheckpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Moved::Builder::adoptCheckpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Moved::Builder::disownCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t Ended::Reader::getNumber() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Ended::Builder::getNumber() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Ended::Builder::setNumber( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Ended::Reader::hasRun() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Ended::Builder::hasRun() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattan::delivery::wire::Run::Reader Ended::Reader::getRun() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Run::Builder Ended::Builder::getRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::Run::Pipeline Ended::Pipeline::getRun() {
-  return  ::rattan::delivery::wire::Run::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Ended::Builder::setRun( ::rattan::delivery::wire::Run::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::rattan::delivery::wire::Run::Builder Ended::Builder::initRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Ended::Builder::adoptRun(
-    ::capnp::Orphan< ::rattan::delivery::wire::Run>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::Run> Ended::Builder::disownRun() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Run>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint16_t Ended::Reader::getEnd() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Ended::Builder::getEnd() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
-}
-inline void Ended::Builder::setEnd( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Ended::Reader::hasCheckpoint() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Ended::Builder::hasCheckpoint() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Ended::Reader::getCheckpoint() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Ended::Builder::getCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Ended::Builder::setCheckpoint( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Ended::Builder::initCheckpoint(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Ended::Builder::adoptCheckpoint(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Ended::Builder::disownCheckpoint() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::int64_t Report::Reader::getBorn() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Report::Builder::getBorn() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setBorn( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Report::Reader::getWhole() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool Report::Builder::getWhole() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void Report::Builder::setWhole(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Report::Reader::hasMoved() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasMoved() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getMoved() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getMoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setMoved( ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initMoved(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptMoved(
-    ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>> Report::Builder::disownMoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Moved,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Report::Reader::hasRemoved() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasRemoved() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader Report::Reader::getRemoved() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::getRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setRemoved( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Report::Builder::setRemoved(::kj::ArrayPtr<const  ::uint16_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::initRemoved(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptRemoved(
-    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> Report::Builder::disownRemoved() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool Report::Reader::hasAdded() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasAdded() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getAdded() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getAdded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setAdded( ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initAdded(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptAdded(
-    ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>> Report::Builder::disownAdded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Running,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool Report::Reader::hasEnded() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool Report::Builder::hasEnded() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getEnded() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getEnded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void Report::Builder::setEnded( ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initEnded(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
-}
-inline void Report::Builder::adoptEnded(
-    ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>> Report::Builder::disownEnded() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Ended,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t Answer::Reader::getId() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Answer::Builder::getId() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setId( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::rattan::delivery::wire::Order::Kind Answer::Reader::getKind() const {
-  return _reader.getDataField< ::rattan::delivery::wire::Order::Kind>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::rattan::delivery::wire::Order::Kind Answer::Builder::getKind() {
-  return _builder.getDataField< ::rattan::delivery::wire::Order::Kind>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setKind( ::rattan::delivery::wire::Order::Kind value) {
-  _builder.setDataField< ::rattan::delivery::wire::Order::Kind>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t Answer::Reader::getStatus() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Answer::Builder::getStatus() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setStatus( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::int64_t Answer::Reader::getClock() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Answer::Builder::getClock() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setClock( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Answer::Reader::getHasClock() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-
-inline bool Answer::Builder::getHasClock() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setHasClock(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Answer::Reader::getDeposed() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-
-inline bool Answer::Builder::getDeposed() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setDeposed(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Answer::Reader::getTaken() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
-}
-
-inline bool Answer::Builder::getTaken() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setTaken(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t Answer::Reader::getOutcome() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Answer::Builder::getOutcome() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setOutcome( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Answer::Reader::hasReport() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Answer::Builder::hasReport() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::rattan::delivery::wire::Report::Reader Answer::Reader::getReport() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Report>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Report::Builder Answer::Builder::getReport() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Report>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::Report::Pipeline Answer::Pipeline::getReport() {
-  return  ::rattan::delivery::wire::Report::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Answer::Builder::setReport( ::rattan::delivery::wire::Report::Reader value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Report>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::rattan::delivery::wire::Report::Builder Answer::Builder::initReport() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Report>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Answer::Builder::adoptReport(
-    ::capnp::Orphan< ::rattan::delivery::wire::Report>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Report>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::Report> Answer::Builder::disownReport() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Report>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t Answer::Reader::getWorker() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Answer::Builder::getWorker() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void Answer::Builder::setWorker( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-#if !CAPNP_LITE
-inline Carrier::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Carrier::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Carrier::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Carrier::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Carrier::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::rattan::delivery::wire::Carrier::Client& Carrier::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::rattan::delivery::wire::Carrier::Client& Carrier::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline  ::int64_t Carrier::OpenParams::Reader::getTerm() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Carrier::OpenParams::Builder::getTerm() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Carrier::OpenParams::Builder::setTerm( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Carrier::OpenParams::Reader::hasAnswers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Carrier::OpenParams::Builder::hasAnswers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::AnswerSink::Client Carrier::OpenParams::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::AnswerSink>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::AnswerSink::Client Carrier::OpenParams::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::AnswerSink>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::AnswerSink::Client Carrier::OpenParams::Pipeline::getAnswers() {
-  return  ::rattan::delivery::wire::AnswerSink::Client(_typeless.getPointerField(0).asCap());
-}
-inline void Carrier::OpenParams::Builder::setAnswers( ::rattan::delivery::wire::AnswerSink::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::AnswerSink>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void Carrier::OpenParams::Builder::setAnswers( ::rattan::delivery::wire::AnswerSink::Client& cap) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::AnswerSink>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
-}
-inline void Carrier::OpenParams::Builder::adoptAnswers(
-    ::capnp::Orphan< ::rattan::delivery::wire::AnswerSink>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::AnswerSink>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::AnswerSink> Carrier::OpenParams::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::AnswerSink>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#endif  // !CAPNP_LITE
-
-inline bool Carrier::OpenResults::Reader::hasSession() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Carrier::OpenResults::Builder::hasSession() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-#if !CAPNP_LITE
-inline  ::rattan::delivery::wire::Session::Client Carrier::OpenResults::Reader::getSession() const {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Session>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Session::Client Carrier::OpenResults::Builder::getSession() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Session>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::rattan::delivery::wire::Session::Client Carrier::OpenResults::Pipeline::getSession() {
-  return  ::rattan::delivery::wire::Session::Client(_typeless.getPointerField(0).asCap());
-}
-inline void Carrier::OpenResults::Builder::setSession( ::rattan::delivery::wire::Session::Client&& cap) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Session>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(cap));
-}
-inline void Carrier::OpenResults::Builder::setSession( ::rattan::delivery::wire::Session::Client& cap) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Session>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), cap);
-}
-inline void Carrier::OpenResults::Builder::adoptSession(
-    ::capnp::Orphan< ::rattan::delivery::wire::Session>&& value) {
-  ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Session>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::rattan::delivery::wire::Session> Carrier::OpenResults::Builder::disownSession() {
-  return ::capnp::_::PointerHelpers< ::rattan::delivery::wire::Session>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#endif  // !CAPNP_LITE
-
-#if !CAPNP_LITE
-inline Session::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Session::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Session::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Session::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Session::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::rattan::delivery::wire::Session::Client& Session::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::rattan::delivery::wire::Session::Client& Session::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline  ::int64_t Session::CarryParams::Reader::getSentAt() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Session::CarryParams::Builder::getSentAt() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Session::CarryParams::Builder::setSentAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Session::CarryParams::Reader::hasOrders() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Session::CarryParams::Builder::hasOrders() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Reader Session::CarryParams::Reader::getOrders() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Builder Session::CarryParams::Builder::getOrders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Session::CarryParams::Builder::setOrders( ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>::Builder Session::CarryParams::Builder::initOrders(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Session::CarryParams::Builder::adoptOrders(
-    ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>> Session::CarryParams::Builder::disownOrders() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Order,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-#if !CAPNP_LITE
-inline AnswerSink::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline AnswerSink::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline AnswerSink::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline AnswerSink::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline AnswerSink::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::rattan::delivery::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::rattan::delivery::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool AnswerSink::TellParams::Reader::hasAnswers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AnswerSink::TellParams::Builder::hasAnswers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Reader AnswerSink::TellParams::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Builder AnswerSink::TellParams::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AnswerSink::TellParams::Builder::setAnswers( ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>::Builder AnswerSink::TellParams::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void AnswerSink::TellParams::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>> AnswerSink::TellParams::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::rattan::delivery::wire::Answer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-}  // namespace
-}  // namespace
-}  // namespace
+            struct _capnpPrivate {
+                CAPNP_DECLARE_STRUCT_HEADER(a0e16c6c5c206f4b, 0, 0)
+#if !CAPNP_LITE
+                static constexpr ::capnp::_::RawBrandedSchema const* brand()
+                {
+                    return &schema->defaultBrand;
+                }
+#endif // !CAPNP_LITE
+            };
+        };
+
+        // =======================================================================================
+
+        class Run::Reader {
+        public:
+            typedef Run Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasJob() const;
+            inline ::capnp::Text::Reader getJob() const;
+
+            inline ::int64_t getOccurrence() const;
+
+            inline ::int32_t getStep() const;
+
+            inline ::int32_t getIndex() const;
+
+            inline ::int64_t getRun() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Run::Builder {
+        public:
+            typedef Run Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasJob();
+            inline ::capnp::Text::Builder getJob();
+            inline void setJob(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initJob(unsigned int size);
+            inline void adoptJob(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownJob();
+
+            inline ::int64_t getOccurrence();
+            inline void setOccurrence(::int64_t value);
+
+            inline ::int32_t getStep();
+            inline void setStep(::int32_t value);
+
+            inline ::int32_t getIndex();
+            inline void setIndex(::int32_t value);
+
+            inline ::int64_t getRun();
+            inline void setRun(::int64_t value);
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Run::Pipeline {
+        public:
+            typedef Run Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Worker::Reader {
+        public:
+            typedef Worker Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasId() const;
+            inline ::capnp::Text::Reader getId() const;
+
+            inline bool hasAddress() const;
+            inline ::capnp::Text::Reader getAddress() const;
+
+            inline ::int64_t getBorn() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Worker::Builder {
+        public:
+            typedef Worker Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasId();
+            inline ::capnp::Text::Builder getId();
+            inline void setId(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initId(unsigned int size);
+            inline void adoptId(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownId();
+
+            inline bool hasAddress();
+            inline ::capnp::Text::Builder getAddress();
+            inline void setAddress(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initAddress(unsigned int size);
+            inline void adoptAddress(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownAddress();
+
+            inline ::int64_t getBorn();
+            inline void setBorn(::int64_t value);
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Worker::Pipeline {
+        public:
+            typedef Worker Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Details::Reader {
+        public:
+            typedef Details Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasRun() const;
+            inline ::rattan::delivery::wire::Run::Reader getRun() const;
+
+            inline bool hasCheckpoint() const;
+            inline ::capnp::Text::Reader getCheckpoint() const;
+
+            inline bool hasTicket() const;
+            inline ::capnp::Text::Reader getTicket() const;
+
+            inline bool hasDomain() const;
+            inline ::capnp::Text::Reader getDomain() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Details::Builder {
+        public:
+            typedef Details Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasRun();
+            inline ::rattan::delivery::wire::Run::Builder getRun();
+            inline void setRun(::rattan::delivery::wire::Run::Reader value);
+            inline ::rattan::delivery::wire::Run::Builder initRun();
+            inline void adoptRun(::capnp::Orphan<::rattan::delivery::wire::Run>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::Run> disownRun();
+
+            inline bool hasCheckpoint();
+            inline ::capnp::Text::Builder getCheckpoint();
+            inline void setCheckpoint(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initCheckpoint(unsigned int size);
+            inline void adoptCheckpoint(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownCheckpoint();
+
+            inline bool hasTicket();
+            inline ::capnp::Text::Builder getTicket();
+            inline void setTicket(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initTicket(unsigned int size);
+            inline void adoptTicket(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownTicket();
+
+            inline bool hasDomain();
+            inline ::capnp::Text::Builder getDomain();
+            inline void setDomain(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initDomain(unsigned int size);
+            inline void adoptDomain(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownDomain();
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Details::Pipeline {
+        public:
+            typedef Details Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+            inline ::rattan::delivery::wire::Run::Pipeline getRun();
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Order::Reader {
+        public:
+            typedef Order Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline ::uint32_t getId() const;
+
+            inline ::rattan::delivery::wire::Order::Kind getKind() const;
+
+            inline ::uint16_t getWait() const;
+
+            inline ::uint32_t getAcknowledged() const;
+
+            inline ::uint32_t getWorker() const;
+
+            inline ::int64_t getLeaseEnd() const;
+
+            inline bool getHasLeaseEnd() const;
+
+            inline bool hasIntroduces() const;
+            inline ::rattan::delivery::wire::Worker::Reader getIntroduces() const;
+
+            inline bool hasDetails() const;
+            inline ::rattan::delivery::wire::Details::Reader getDetails() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Order::Builder {
+        public:
+            typedef Order Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline ::uint32_t getId();
+            inline void setId(::uint32_t value);
+
+            inline ::rattan::delivery::wire::Order::Kind getKind();
+            inline void setKind(::rattan::delivery::wire::Order::Kind value);
+
+            inline ::uint16_t getWait();
+            inline void setWait(::uint16_t value);
+
+            inline ::uint32_t getAcknowledged();
+            inline void setAcknowledged(::uint32_t value);
+
+            inline ::uint32_t getWorker();
+            inline void setWorker(::uint32_t value);
+
+            inline ::int64_t getLeaseEnd();
+            inline void setLeaseEnd(::int64_t value);
+
+            inline bool getHasLeaseEnd();
+            inline void setHasLeaseEnd(bool value);
+
+            inline bool hasIntroduces();
+            inline ::rattan::delivery::wire::Worker::Builder getIntroduces();
+            inline void setIntroduces(::rattan::delivery::wire::Worker::Reader value);
+            inline ::rattan::delivery::wire::Worker::Builder initIntroduces();
+            inline void adoptIntroduces(::capnp::Orphan<::rattan::delivery::wire::Worker>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::Worker> disownIntroduces();
+
+            inline bool hasDetails();
+            inline ::rattan::delivery::wire::Details::Builder getDetails();
+            inline void setDetails(::rattan::delivery::wire::Details::Reader value);
+            inline ::rattan::delivery::wire::Details::Builder initDetails();
+            inline void adoptDetails(::capnp::Orphan<::rattan::delivery::wire::Details>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::Details> disownDetails();
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Order::Pipeline {
+        public:
+            typedef Order Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+            inline ::rattan::delivery::wire::Worker::Pipeline getIntroduces();
+            inline ::rattan::delivery::wire::Details::Pipeline getDetails();
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Running::Reader {
+        public:
+            typedef Running Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasRun() const;
+            inline ::rattan::delivery::wire::Run::Reader getRun() const;
+
+            inline bool hasCheckpoint() const;
+            inline ::capnp::Text::Reader getCheckpoint() const;
+
+            inline ::int16_t getPercent() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Running::Builder {
+        public:
+            typedef Running Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasRun();
+            inline ::rattan::delivery::wire::Run::Builder getRun();
+            inline void setRun(::rattan::delivery::wire::Run::Reader value);
+            inline ::rattan::delivery::wire::Run::Builder initRun();
+            inline void adoptRun(::capnp::Orphan<::rattan::delivery::wire::Run>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::Run> disownRun();
+
+            inline bool hasCheckpoint();
+            inline ::capnp::Text::Builder getCheckpoint();
+            inline void setCheckpoint(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initCheckpoint(unsigned int size);
+            inline void adoptCheckpoint(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownCheckpoint();
+
+            inline ::int16_t getPercent();
+            inline void setPercent(::int16_t value);
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Running::Pipeline {
+        public:
+            typedef Running Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+            inline ::rattan::delivery::wire::Run::Pipeline getRun();
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Moved::Reader {
+        public:
+            typedef Moved Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline ::uint16_t getPlace() const;
+
+            inline ::int16_t getPercent() const;
+
+            inline bool getKeepsCheckpoint() const;
+
+            inline bool hasCheckpoint() const;
+            inline ::capnp::Text::Reader getCheckpoint() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Moved::Builder {
+        public:
+            typedef Moved Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline ::uint16_t getPlace();
+            inline void setPlace(::uint16_t value);
+
+            inline ::int16_t getPercent();
+            inline void setPercent(::int16_t value);
+
+            inline bool getKeepsCheckpoint();
+            inline void setKeepsCheckpoint(bool value);
+
+            inline bool hasCheckpoint();
+            inline ::capnp::Text::Builder getCheckpoint();
+            inline void setCheckpoint(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initCheckpoint(unsigned int size);
+            inline void adoptCheckpoint(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownCheckpoint();
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Moved::Pipeline {
+        public:
+            typedef Moved Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Ended::Reader {
+        public:
+            typedef Ended Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getNumber() const;
+
+            inline bool hasRun() const;
+            inline ::rattan::delivery::wire::Run::Reader getRun() const;
+
+            inline ::uint16_t getEnd() const;
+
+            inline bool hasCheckpoint() const;
+            inline ::capnp::Text::Reader getCheckpoint() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Ended::Builder {
+        public:
+            typedef Ended Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getNumber();
+            inline void setNumber(::int64_t value);
+
+            inline bool hasRun();
+            inline ::rattan::delivery::wire::Run::Builder getRun();
+            inline void setRun(::rattan::delivery::wire::Run::Reader value);
+            inline ::rattan::delivery::wire::Run::Builder initRun();
+            inline void adoptRun(::capnp::Orphan<::rattan::delivery::wire::Run>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::Run> disownRun();
+
+            inline ::uint16_t getEnd();
+            inline void setEnd(::uint16_t value);
+
+            inline bool hasCheckpoint();
+            inline ::capnp::Text::Builder getCheckpoint();
+            inline void setCheckpoint(::capnp::Text::Reader value);
+            inline ::capnp::Text::Builder initCheckpoint(unsigned int size);
+            inline void adoptCheckpoint(::capnp::Orphan<::capnp::Text>&& value);
+            inline ::capnp::Orphan<::capnp::Text> disownCheckpoint();
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Ended::Pipeline {
+        public:
+            typedef Ended Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+            inline ::rattan::delivery::wire::Run::Pipeline getRun();
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Report::Reader {
+        public:
+            typedef Report Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getBorn() const;
+
+            inline bool getWhole() const;
+
+            inline bool hasMoved() const;
+            inline ::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Reader getMoved() const;
+
+            inline bool hasRemoved() const;
+            inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader getRemoved() const;
+
+            inline bool hasAdded() const;
+            inline ::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Reader getAdded() const;
+
+            inline bool hasEnded() const;
+            inline ::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Reader getEnded() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Report::Builder {
+        public:
+            typedef Report Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getBorn();
+            inline void setBorn(::int64_t value);
+
+            inline bool getWhole();
+            inline void setWhole(bool value);
+
+            inline bool hasMoved();
+            inline ::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Builder getMoved();
+            inline void setMoved(::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Reader value);
+            inline ::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Builder initMoved(unsigned int size);
+            inline void adoptMoved(::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>&& value);
+            inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>> disownMoved();
+
+            inline bool hasRemoved();
+            inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder getRemoved();
+            inline void setRemoved(::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader value);
+            inline void setRemoved(::kj::ArrayPtr<const ::uint16_t> value);
+            inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder initRemoved(unsigned int size);
+            inline void adoptRemoved(::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>&& value);
+            inline ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>> disownRemoved();
+
+            inline bool hasAdded();
+            inline ::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Builder getAdded();
+            inline void setAdded(::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Reader value);
+            inline ::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Builder initAdded(unsigned int size);
+            inline void adoptAdded(::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>&& value);
+            inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>> disownAdded();
+
+            inline bool hasEnded();
+            inline ::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Builder getEnded();
+            inline void setEnded(::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Reader value);
+            inline ::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Builder initEnded(unsigned int size);
+            inline void adoptEnded(::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>&& value);
+            inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>> disownEnded();
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Report::Pipeline {
+        public:
+            typedef Report Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Answer::Reader {
+        public:
+            typedef Answer Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline ::uint32_t getId() const;
+
+            inline ::rattan::delivery::wire::Order::Kind getKind() const;
+
+            inline ::uint16_t getStatus() const;
+
+            inline ::int64_t getClock() const;
+
+            inline bool getHasClock() const;
+
+            inline bool getDeposed() const;
+
+            inline bool getTaken() const;
+
+            inline ::uint16_t getOutcome() const;
+
+            inline bool hasReport() const;
+            inline ::rattan::delivery::wire::Report::Reader getReport() const;
+
+            inline ::uint32_t getWorker() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Answer::Builder {
+        public:
+            typedef Answer Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline ::uint32_t getId();
+            inline void setId(::uint32_t value);
+
+            inline ::rattan::delivery::wire::Order::Kind getKind();
+            inline void setKind(::rattan::delivery::wire::Order::Kind value);
+
+            inline ::uint16_t getStatus();
+            inline void setStatus(::uint16_t value);
+
+            inline ::int64_t getClock();
+            inline void setClock(::int64_t value);
+
+            inline bool getHasClock();
+            inline void setHasClock(bool value);
+
+            inline bool getDeposed();
+            inline void setDeposed(bool value);
+
+            inline bool getTaken();
+            inline void setTaken(bool value);
+
+            inline ::uint16_t getOutcome();
+            inline void setOutcome(::uint16_t value);
+
+            inline bool hasReport();
+            inline ::rattan::delivery::wire::Report::Builder getReport();
+            inline void setReport(::rattan::delivery::wire::Report::Reader value);
+            inline ::rattan::delivery::wire::Report::Builder initReport();
+            inline void adoptReport(::capnp::Orphan<::rattan::delivery::wire::Report>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::Report> disownReport();
+
+            inline ::uint32_t getWorker();
+            inline void setWorker(::uint32_t value);
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Answer::Pipeline {
+        public:
+            typedef Answer Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+            inline ::rattan::delivery::wire::Report::Pipeline getReport();
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+#if !CAPNP_LITE
+        class Carrier::Client
+            : public virtual ::capnp::Capability::Client {
+        public:
+            typedef Carrier Calls;
+            typedef Carrier Reads;
+
+            Client(decltype(nullptr));
+            explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
+            template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+            Client(::kj::Own<_t>&& server);
+            template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+            Client(::kj::Promise<_t>&& promise);
+            Client(::kj::Exception&& exception);
+            Client(Client&) = default;
+            Client(Client&&) = default;
+            Client& operator=(Client& other);
+            Client& operator=(Client&& other);
+
+            ::capnp::Request<::rattan::delivery::wire::Carrier::OpenParams, ::rattan::delivery::wire::Carrier::OpenResults> openRequest(
+                ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+
+        protected:
+            Client() = default;
+        };
+
+        class Carrier::Server
+            : public virtual ::capnp::Capability::Server {
+        public:
+            typedef Carrier Serves;
+
+            ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+                uint64_t interfaceId, uint16_t methodId,
+                ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+                override;
+
+        protected:
+            typedef ::rattan::delivery::wire::Carrier::OpenParams OpenParams;
+            typedef ::rattan::delivery::wire::Carrier::OpenResults OpenResults;
+            typedef ::capnp::CallContext<OpenParams, OpenResults> OpenContext;
+            virtual ::kj::Promise<void> open(OpenContext context);
+
+            inline ::rattan::delivery::wire::Carrier::Client thisCap()
+            {
+                return ::capnp::Capability::Server::thisCap()
+                    .template castAs<::rattan::delivery::wire::Carrier>();
+            }
+
+            ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+                uint16_t methodId,
+                ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+        };
+#endif // !CAPNP_LITE
+
+        class Carrier::OpenParams::Reader {
+        public:
+            typedef OpenParams Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getTerm() const;
+
+            inline bool hasAnswers() const;
+#if !CAPNP_LITE
+            inline ::rattan::delivery::wire::AnswerSink::Client getAnswers() const;
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Carrier::OpenParams::Builder {
+        public:
+            typedef OpenParams Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getTerm();
+            inline void setTerm(::int64_t value);
+
+            inline bool hasAnswers();
+#if !CAPNP_LITE
+            inline ::rattan::delivery::wire::AnswerSink::Client getAnswers();
+            inline void setAnswers(::rattan::delivery::wire::AnswerSink::Client&& value);
+            inline void setAnswers(::rattan::delivery::wire::AnswerSink::Client& value);
+            inline void adoptAnswers(::capnp::Orphan<::rattan::delivery::wire::AnswerSink>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::AnswerSink> disownAnswers();
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Carrier::OpenParams::Pipeline {
+        public:
+            typedef OpenParams Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+            inline ::rattan::delivery::wire::AnswerSink::Client getAnswers();
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Carrier::OpenResults::Reader {
+        public:
+            typedef OpenResults Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasSession() const;
+#if !CAPNP_LITE
+            inline ::rattan::delivery::wire::Session::Client getSession() const;
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Carrier::OpenResults::Builder {
+        public:
+            typedef OpenResults Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasSession();
+#if !CAPNP_LITE
+            inline ::rattan::delivery::wire::Session::Client getSession();
+            inline void setSession(::rattan::delivery::wire::Session::Client&& value);
+            inline void setSession(::rattan::delivery::wire::Session::Client& value);
+            inline void adoptSession(::capnp::Orphan<::rattan::delivery::wire::Session>&& value);
+            inline ::capnp::Orphan<::rattan::delivery::wire::Session> disownSession();
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Carrier::OpenResults::Pipeline {
+        public:
+            typedef OpenResults Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+            inline ::rattan::delivery::wire::Session::Client getSession();
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+#if !CAPNP_LITE
+        class Session::Client
+            : public virtual ::capnp::Capability::Client {
+        public:
+            typedef Session Calls;
+            typedef Session Reads;
+
+            Client(decltype(nullptr));
+            explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
+            template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+            Client(::kj::Own<_t>&& server);
+            template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+            Client(::kj::Promise<_t>&& promise);
+            Client(::kj::Exception&& exception);
+            Client(Client&) = default;
+            Client(Client&&) = default;
+            Client& operator=(Client& other);
+            Client& operator=(Client&& other);
+
+            ::capnp::Request<::rattan::delivery::wire::Session::CarryParams, ::rattan::delivery::wire::Session::CarryResults> carryRequest(
+                ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+
+        protected:
+            Client() = default;
+        };
+
+        class Session::Server
+            : public virtual ::capnp::Capability::Server {
+        public:
+            typedef Session Serves;
+
+            ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+                uint64_t interfaceId, uint16_t methodId,
+                ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+                override;
+
+        protected:
+            typedef ::rattan::delivery::wire::Session::CarryParams CarryParams;
+            typedef ::rattan::delivery::wire::Session::CarryResults CarryResults;
+            typedef ::capnp::CallContext<CarryParams, CarryResults> CarryContext;
+            virtual ::kj::Promise<void> carry(CarryContext context);
+
+            inline ::rattan::delivery::wire::Session::Client thisCap()
+            {
+                return ::capnp::Capability::Server::thisCap()
+                    .template castAs<::rattan::delivery::wire::Session>();
+            }
+
+            ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+                uint16_t methodId,
+                ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+        };
+#endif // !CAPNP_LITE
+
+        class Session::CarryParams::Reader {
+        public:
+            typedef CarryParams Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getSentAt() const;
+
+            inline bool hasOrders() const;
+            inline ::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Reader getOrders() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Session::CarryParams::Builder {
+        public:
+            typedef CarryParams Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline ::int64_t getSentAt();
+            inline void setSentAt(::int64_t value);
+
+            inline bool hasOrders();
+            inline ::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Builder getOrders();
+            inline void setOrders(::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Reader value);
+            inline ::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Builder initOrders(unsigned int size);
+            inline void adoptOrders(::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>&& value);
+            inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>> disownOrders();
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Session::CarryParams::Pipeline {
+        public:
+            typedef CarryParams Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class Session::CarryResults::Reader {
+        public:
+            typedef CarryResults Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class Session::CarryResults::Builder {
+        public:
+            typedef CarryResults Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class Session::CarryResults::Pipeline {
+        public:
+            typedef CarryResults Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+#if !CAPNP_LITE
+        class AnswerSink::Client
+            : public virtual ::capnp::Capability::Client {
+        public:
+            typedef AnswerSink Calls;
+            typedef AnswerSink Reads;
+
+            Client(decltype(nullptr));
+            explicit Client(::kj::Own<::capnp::ClientHook>&& hook);
+            template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Server*>()>>
+            Client(::kj::Own<_t>&& server);
+            template <typename _t, typename = ::kj::EnableIf<::kj::canConvert<_t*, Client*>()>>
+            Client(::kj::Promise<_t>&& promise);
+            Client(::kj::Exception&& exception);
+            Client(Client&) = default;
+            Client(Client&&) = default;
+            Client& operator=(Client& other);
+            Client& operator=(Client&& other);
+
+            ::capnp::Request<::rattan::delivery::wire::AnswerSink::TellParams, ::rattan::delivery::wire::AnswerSink::TellResults> tellRequest(
+                ::kj::Maybe<::capnp::MessageSize> sizeHint = nullptr);
+
+        protected:
+            Client() = default;
+        };
+
+        class AnswerSink::Server
+            : public virtual ::capnp::Capability::Server {
+        public:
+            typedef AnswerSink Serves;
+
+            ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+                uint64_t interfaceId, uint16_t methodId,
+                ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context)
+                override;
+
+        protected:
+            typedef ::rattan::delivery::wire::AnswerSink::TellParams TellParams;
+            typedef ::rattan::delivery::wire::AnswerSink::TellResults TellResults;
+            typedef ::capnp::CallContext<TellParams, TellResults> TellContext;
+            virtual ::kj::Promise<void> tell(TellContext context);
+
+            inline ::rattan::delivery::wire::AnswerSink::Client thisCap()
+            {
+                return ::capnp::Capability::Server::thisCap()
+                    .template castAs<::rattan::delivery::wire::AnswerSink>();
+            }
+
+            ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+                uint16_t methodId,
+                ::capnp::CallContext<::capnp::AnyPointer, ::capnp::AnyPointer> context);
+        };
+#endif // !CAPNP_LITE
+
+        class AnswerSink::TellParams::Reader {
+        public:
+            typedef TellParams Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
