+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasAnswers() const;
+            inline ::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Reader getAnswers() const;
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class AnswerSink::TellParams::Builder {
+        public:
+            typedef TellParams Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+            inline bool hasAnswers();
+            inline ::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Builder getAnswers();
+            inline void setAnswers(::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Reader value);
+            inline ::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Builder initAnswers(unsigned int size);
+            inline void adoptAnswers(::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>&& value);
+            inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>> disownAnswers();
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class AnswerSink::TellParams::Pipeline {
+        public:
+            typedef TellParams Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        class AnswerSink::TellResults::Reader {
+        public:
+            typedef TellResults Reads;
+
+            Reader() = default;
+            inline explicit Reader(::capnp::_::StructReader base)
+                : _reader(base)
+            {
+            }
+
+            inline ::capnp::MessageSize totalSize() const
+            {
+                return _reader.totalSize().asPublic();
+            }
+
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+            }
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructReader _reader;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::List;
+            friend class ::capnp::MessageBuilder;
+            friend class ::capnp::Orphanage;
+        };
+
+        class AnswerSink::TellResults::Builder {
+        public:
+            typedef TellResults Builds;
+
+            Builder() = delete; // Deleted to discourage incorrect usage.
+                                // You can explicitly initialize to nullptr instead.
+            inline Builder(decltype(nullptr)) { }
+            inline explicit Builder(::capnp::_::StructBuilder base)
+                : _builder(base)
+            {
+            }
+            inline operator Reader() const { return Reader(_builder.asReader()); }
+            inline Reader asReader() const { return *this; }
+
+            inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+            inline ::kj::StringTree toString() const
+            {
+                return asReader().toString();
+            }
+#endif // !CAPNP_LITE
+
+        private:
+            ::capnp::_::StructBuilder _builder;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+            friend class ::capnp::Orphanage;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::_::PointerHelpers;
+        };
+
+#if !CAPNP_LITE
+        class AnswerSink::TellResults::Pipeline {
+        public:
+            typedef TellResults Pipelines;
+
+            inline Pipeline(decltype(nullptr))
+                : _typeless(nullptr)
+            {
+            }
+            inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+                : _typeless(kj::mv(typeless))
+            {
+            }
+
+        private:
+            ::capnp::AnyPointer::Pipeline _typeless;
+            friend class ::capnp::PipelineHook;
+            template <typename, ::capnp::Kind>
+            friend struct ::capnp::ToDynamic_;
+        };
+#endif // !CAPNP_LITE
+
+        // =======================================================================================
+
+        inline bool Run::Reader::hasJob() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Run::Builder::hasJob()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Run::Reader::getJob() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Run::Builder::getJob()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Run::Builder::setJob(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Run::Builder::initJob(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Run::Builder::adoptJob(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Run::Builder::disownJob()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline ::int64_t Run::Reader::getOccurrence() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Run::Builder::getOccurrence()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Run::Builder::setOccurrence(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::int32_t Run::Reader::getStep() const
+        {
+            return _reader.getDataField<::int32_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int32_t Run::Builder::getStep()
+        {
+            return _builder.getDataField<::int32_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+        inline void Run::Builder::setStep(::int32_t value)
+        {
+            _builder.setDataField<::int32_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::int32_t Run::Reader::getIndex() const
+        {
+            return _reader.getDataField<::int32_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int32_t Run::Builder::getIndex()
+        {
+            return _builder.getDataField<::int32_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+        inline void Run::Builder::setIndex(::int32_t value)
+        {
+            _builder.setDataField<::int32_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::int64_t Run::Reader::getRun() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Run::Builder::getRun()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+        inline void Run::Builder::setRun(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Worker::Reader::hasId() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Worker::Builder::hasId()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Worker::Reader::getId() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Worker::Builder::getId()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Worker::Builder::setId(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Worker::Builder::initId(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Worker::Builder::adoptId(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Worker::Builder::disownId()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline bool Worker::Reader::hasAddress() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Worker::Builder::hasAddress()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Worker::Reader::getAddress() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Worker::Builder::getAddress()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline void Worker::Builder::setAddress(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<1>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Worker::Builder::initAddress(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<1>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Worker::Builder::adoptAddress(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<1>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Worker::Builder::disownAddress()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+
+        inline ::int64_t Worker::Reader::getBorn() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Worker::Builder::getBorn()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Worker::Builder::setBorn(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Details::Reader::hasRun() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Details::Builder::hasRun()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::rattan::delivery::wire::Run::Reader Details::Reader::getRun() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Run::Builder Details::Builder::getRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::Run::Pipeline Details::Pipeline::getRun()
+        {
+            return ::rattan::delivery::wire::Run::Pipeline(_typeless.getPointerField(0));
+        }
+#endif // !CAPNP_LITE
+        inline void Details::Builder::setRun(::rattan::delivery::wire::Run::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::set(_builder.getPointerField(
+                                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::rattan::delivery::wire::Run::Builder Details::Builder::initRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::init(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Details::Builder::adoptRun(
+            ::capnp::Orphan<::rattan::delivery::wire::Run>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::adopt(_builder.getPointerField(
+                                                                                 ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::Run> Details::Builder::disownRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline bool Details::Reader::hasCheckpoint() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Details::Builder::hasCheckpoint()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Details::Reader::getCheckpoint() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Details::Builder::getCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline void Details::Builder::setCheckpoint(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<1>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Details::Builder::initCheckpoint(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<1>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Details::Builder::adoptCheckpoint(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<1>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Details::Builder::disownCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+
+        inline bool Details::Reader::hasTicket() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<2>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Details::Builder::hasTicket()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<2>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Details::Reader::getTicket() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<2>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Details::Builder::getTicket()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<2>() * ::capnp::POINTERS));
+        }
+        inline void Details::Builder::setTicket(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<2>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Details::Builder::initTicket(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<2>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Details::Builder::adoptTicket(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<2>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Details::Builder::disownTicket()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<2>() * ::capnp::POINTERS));
+        }
+
+        inline bool Details::Reader::hasDomain() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<3>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Details::Builder::hasDomain()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<3>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Details::Reader::getDomain() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<3>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Details::Builder::getDomain()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<3>() * ::capnp::POINTERS));
+        }
+        inline void Details::Builder::setDomain(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<3>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Details::Builder::initDomain(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<3>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Details::Builder::adoptDomain(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<3>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Details::Builder::disownDomain()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<3>() * ::capnp::POINTERS));
+        }
+
+        inline ::uint32_t Order::Reader::getId() const
+        {
+            return _reader.getDataField<::uint32_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint32_t Order::Builder::getId()
+        {
+            return _builder.getDataField<::uint32_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Order::Builder::setId(::uint32_t value)
+        {
+            _builder.setDataField<::uint32_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::rattan::delivery::wire::Order::Kind Order::Reader::getKind() const
+        {
+            return _reader.getDataField<::rattan::delivery::wire::Order::Kind>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::rattan::delivery::wire::Order::Kind Order::Builder::getKind()
+        {
+            return _builder.getDataField<::rattan::delivery::wire::Order::Kind>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+        inline void Order::Builder::setKind(::rattan::delivery::wire::Order::Kind value)
+        {
+            _builder.setDataField<::rattan::delivery::wire::Order::Kind>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::uint16_t Order::Reader::getWait() const
+        {
+            return _reader.getDataField<::uint16_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint16_t Order::Builder::getWait()
+        {
+            return _builder.getDataField<::uint16_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+        inline void Order::Builder::setWait(::uint16_t value)
+        {
+            _builder.setDataField<::uint16_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::uint32_t Order::Reader::getAcknowledged() const
+        {
+            return _reader.getDataField<::uint32_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint32_t Order::Builder::getAcknowledged()
+        {
+            return _builder.getDataField<::uint32_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+        inline void Order::Builder::setAcknowledged(::uint32_t value)
+        {
+            _builder.setDataField<::uint32_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::uint32_t Order::Reader::getWorker() const
+        {
+            return _reader.getDataField<::uint32_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint32_t Order::Builder::getWorker()
+        {
+            return _builder.getDataField<::uint32_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+        inline void Order::Builder::setWorker(::uint32_t value)
+        {
+            _builder.setDataField<::uint32_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::int64_t Order::Reader::getLeaseEnd() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Order::Builder::getLeaseEnd()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+        inline void Order::Builder::setLeaseEnd(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Order::Reader::getHasLeaseEnd() const
+        {
+            return _reader.getDataField<bool>(
+                ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+        }
+
+        inline bool Order::Builder::getHasLeaseEnd()
+        {
+            return _builder.getDataField<bool>(
+                ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+        }
+        inline void Order::Builder::setHasLeaseEnd(bool value)
+        {
+            _builder.setDataField<bool>(
+                ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Order::Reader::hasIntroduces() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Order::Builder::hasIntroduces()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::rattan::delivery::wire::Worker::Reader Order::Reader::getIntroduces() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Worker>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Worker::Builder Order::Builder::getIntroduces()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Worker>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::Worker::Pipeline Order::Pipeline::getIntroduces()
+        {
+            return ::rattan::delivery::wire::Worker::Pipeline(_typeless.getPointerField(0));
+        }
+#endif // !CAPNP_LITE
+        inline void Order::Builder::setIntroduces(::rattan::delivery::wire::Worker::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Worker>::set(_builder.getPointerField(
+                                                                                  ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::rattan::delivery::wire::Worker::Builder Order::Builder::initIntroduces()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Worker>::init(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Order::Builder::adoptIntroduces(
+            ::capnp::Orphan<::rattan::delivery::wire::Worker>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Worker>::adopt(_builder.getPointerField(
+                                                                                    ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::Worker> Order::Builder::disownIntroduces()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Worker>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline bool Order::Reader::hasDetails() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Order::Builder::hasDetails()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::rattan::delivery::wire::Details::Reader Order::Reader::getDetails() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Details>::get(_reader.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Details::Builder Order::Builder::getDetails()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Details>::get(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::Details::Pipeline Order::Pipeline::getDetails()
+        {
+            return ::rattan::delivery::wire::Details::Pipeline(_typeless.getPointerField(1));
+        }
+#endif // !CAPNP_LITE
+        inline void Order::Builder::setDetails(::rattan::delivery::wire::Details::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Details>::set(_builder.getPointerField(
+                                                                                   ::capnp::bounded<1>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::rattan::delivery::wire::Details::Builder Order::Builder::initDetails()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Details>::init(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline void Order::Builder::adoptDetails(
+            ::capnp::Orphan<::rattan::delivery::wire::Details>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Details>::adopt(_builder.getPointerField(
+                                                                                     ::capnp::bounded<1>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::Details> Order::Builder::disownDetails()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Details>::disown(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+
+        inline bool Running::Reader::hasRun() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Running::Builder::hasRun()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::rattan::delivery::wire::Run::Reader Running::Reader::getRun() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Run::Builder Running::Builder::getRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::Run::Pipeline Running::Pipeline::getRun()
+        {
+            return ::rattan::delivery::wire::Run::Pipeline(_typeless.getPointerField(0));
+        }
+#endif // !CAPNP_LITE
+        inline void Running::Builder::setRun(::rattan::delivery::wire::Run::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::set(_builder.getPointerField(
+                                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::rattan::delivery::wire::Run::Builder Running::Builder::initRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::init(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Running::Builder::adoptRun(
+            ::capnp::Orphan<::rattan::delivery::wire::Run>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::adopt(_builder.getPointerField(
+                                                                                 ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::Run> Running::Builder::disownRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline bool Running::Reader::hasCheckpoint() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Running::Builder::hasCheckpoint()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Running::Reader::getCheckpoint() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Running::Builder::getCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline void Running::Builder::setCheckpoint(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<1>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Running::Builder::initCheckpoint(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<1>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Running::Builder::adoptCheckpoint(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<1>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Running::Builder::disownCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+
+        inline ::int16_t Running::Reader::getPercent() const
+        {
+            return _reader.getDataField<::int16_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int16_t Running::Builder::getPercent()
+        {
+            return _builder.getDataField<::int16_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Running::Builder::setPercent(::int16_t value)
+        {
+            _builder.setDataField<::int16_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::uint16_t Moved::Reader::getPlace() const
+        {
+            return _reader.getDataField<::uint16_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint16_t Moved::Builder::getPlace()
+        {
+            return _builder.getDataField<::uint16_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Moved::Builder::setPlace(::uint16_t value)
+        {
+            _builder.setDataField<::uint16_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::int16_t Moved::Reader::getPercent() const
+        {
+            return _reader.getDataField<::int16_t>(
+                ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int16_t Moved::Builder::getPercent()
+        {
+            return _builder.getDataField<::int16_t>(
+                ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+        }
+        inline void Moved::Builder::setPercent(::int16_t value)
+        {
+            _builder.setDataField<::int16_t>(
+                ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Moved::Reader::getKeepsCheckpoint() const
+        {
+            return _reader.getDataField<bool>(
+                ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+        }
+
+        inline bool Moved::Builder::getKeepsCheckpoint()
+        {
+            return _builder.getDataField<bool>(
+                ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+        }
+        inline void Moved::Builder::setKeepsCheckpoint(bool value)
+        {
+            _builder.setDataField<bool>(
+                ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Moved::Reader::hasCheckpoint() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Moved::Builder::hasCheckpoint()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Moved::Reader::getCheckpoint() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Moved::Builder::getCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Moved::Builder::setCheckpoint(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Moved::Builder::initCheckpoint(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Moved::Builder::adoptCheckpoint(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Moved::Builder::disownCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline ::int64_t Ended::Reader::getNumber() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Ended::Builder::getNumber()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Ended::Builder::setNumber(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Ended::Reader::hasRun() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Ended::Builder::hasRun()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::rattan::delivery::wire::Run::Reader Ended::Reader::getRun() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Run::Builder Ended::Builder::getRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::Run::Pipeline Ended::Pipeline::getRun()
+        {
+            return ::rattan::delivery::wire::Run::Pipeline(_typeless.getPointerField(0));
+        }
+#endif // !CAPNP_LITE
+        inline void Ended::Builder::setRun(::rattan::delivery::wire::Run::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::set(_builder.getPointerField(
+                                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::rattan::delivery::wire::Run::Builder Ended::Builder::initRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::init(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Ended::Builder::adoptRun(
+            ::capnp::Orphan<::rattan::delivery::wire::Run>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::adopt(_builder.getPointerField(
+                                                                                 ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::Run> Ended::Builder::disownRun()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Run>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline ::uint16_t Ended::Reader::getEnd() const
+        {
+            return _reader.getDataField<::uint16_t>(
+                ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint16_t Ended::Builder::getEnd()
+        {
+            return _builder.getDataField<::uint16_t>(
+                ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+        }
+        inline void Ended::Builder::setEnd(::uint16_t value)
+        {
+            _builder.setDataField<::uint16_t>(
+                ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Ended::Reader::hasCheckpoint() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Ended::Builder::hasCheckpoint()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::Text::Reader Ended::Reader::getCheckpoint() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::Text::Builder Ended::Builder::getCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline void Ended::Builder::setCheckpoint(::capnp::Text::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
+                                                               ::capnp::bounded<1>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::Text::Builder Ended::Builder::initCheckpoint(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
+                                                                       ::capnp::bounded<1>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Ended::Builder::adoptCheckpoint(
+            ::capnp::Orphan<::capnp::Text>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
+                                                                 ::capnp::bounded<1>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::Text> Ended::Builder::disownCheckpoint()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+
+        inline ::int64_t Report::Reader::getBorn() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Report::Builder::getBorn()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Report::Builder::setBorn(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Report::Reader::getWhole() const
+        {
+            return _reader.getDataField<bool>(
+                ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+        }
+
+        inline bool Report::Builder::getWhole()
+        {
+            return _builder.getDataField<bool>(
+                ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+        }
+        inline void Report::Builder::setWhole(bool value)
+        {
+            _builder.setDataField<bool>(
+                ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Report::Reader::hasMoved() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Report::Builder::hasMoved()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Reader Report::Reader::getMoved() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Builder Report::Builder::getMoved()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Report::Builder::setMoved(::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+                                                                                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>::Builder Report::Builder::initMoved(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+                                                                                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Report::Builder::adoptMoved(
+            ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+                                                                                                                         ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>> Report::Builder::disownMoved()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Moved, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline bool Report::Reader::hasRemoved() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Report::Builder::hasRemoved()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<1>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader Report::Reader::getRemoved() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::getRemoved()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+        inline void Report::Builder::setRemoved(::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+                                                                                                     ::capnp::bounded<1>() * ::capnp::POINTERS),
+                value);
+        }
+        inline void Report::Builder::setRemoved(::kj::ArrayPtr<const ::uint16_t> value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+                                                                                                     ::capnp::bounded<1>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>::Builder Report::Builder::initRemoved(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+                                                                                                             ::capnp::bounded<1>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Report::Builder::adoptRemoved(
+            ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+                                                                                                       ::capnp::bounded<1>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>> Report::Builder::disownRemoved()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::uint16_t, ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+                ::capnp::bounded<1>() * ::capnp::POINTERS));
+        }
+
+        inline bool Report::Reader::hasAdded() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<2>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Report::Builder::hasAdded()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<2>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Reader Report::Reader::getAdded() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+                ::capnp::bounded<2>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Builder Report::Builder::getAdded()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+                ::capnp::bounded<2>() * ::capnp::POINTERS));
+        }
+        inline void Report::Builder::setAdded(::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+                                                                                                                         ::capnp::bounded<2>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>::Builder Report::Builder::initAdded(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+                                                                                                                                 ::capnp::bounded<2>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Report::Builder::adoptAdded(
+            ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+                                                                                                                           ::capnp::bounded<2>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>> Report::Builder::disownAdded()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Running, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+                ::capnp::bounded<2>() * ::capnp::POINTERS));
+        }
+
+        inline bool Report::Reader::hasEnded() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<3>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Report::Builder::hasEnded()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<3>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Reader Report::Reader::getEnded() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+                ::capnp::bounded<3>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Builder Report::Builder::getEnded()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+                ::capnp::bounded<3>() * ::capnp::POINTERS));
+        }
+        inline void Report::Builder::setEnded(::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+                                                                                                                       ::capnp::bounded<3>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Builder Report::Builder::initEnded(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+                                                                                                                               ::capnp::bounded<3>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Report::Builder::adoptEnded(
+            ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+                                                                                                                         ::capnp::bounded<3>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>> Report::Builder::disownEnded()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+                ::capnp::bounded<3>() * ::capnp::POINTERS));
+        }
+
+        inline ::uint32_t Answer::Reader::getId() const
+        {
+            return _reader.getDataField<::uint32_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint32_t Answer::Builder::getId()
+        {
+            return _builder.getDataField<::uint32_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setId(::uint32_t value)
+        {
+            _builder.setDataField<::uint32_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::rattan::delivery::wire::Order::Kind Answer::Reader::getKind() const
+        {
+            return _reader.getDataField<::rattan::delivery::wire::Order::Kind>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::rattan::delivery::wire::Order::Kind Answer::Builder::getKind()
+        {
+            return _builder.getDataField<::rattan::delivery::wire::Order::Kind>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setKind(::rattan::delivery::wire::Order::Kind value)
+        {
+            _builder.setDataField<::rattan::delivery::wire::Order::Kind>(
+                ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::uint16_t Answer::Reader::getStatus() const
+        {
+            return _reader.getDataField<::uint16_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint16_t Answer::Builder::getStatus()
+        {
+            return _builder.getDataField<::uint16_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setStatus(::uint16_t value)
+        {
+            _builder.setDataField<::uint16_t>(
+                ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::int64_t Answer::Reader::getClock() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Answer::Builder::getClock()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setClock(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Answer::Reader::getHasClock() const
+        {
+            return _reader.getDataField<bool>(
+                ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+        }
+
+        inline bool Answer::Builder::getHasClock()
+        {
+            return _builder.getDataField<bool>(
+                ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setHasClock(bool value)
+        {
+            _builder.setDataField<bool>(
+                ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Answer::Reader::getDeposed() const
+        {
+            return _reader.getDataField<bool>(
+                ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+        }
+
+        inline bool Answer::Builder::getDeposed()
+        {
+            return _builder.getDataField<bool>(
+                ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setDeposed(bool value)
+        {
+            _builder.setDataField<bool>(
+                ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Answer::Reader::getTaken() const
+        {
+            return _reader.getDataField<bool>(
+                ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+        }
+
+        inline bool Answer::Builder::getTaken()
+        {
+            return _builder.getDataField<bool>(
+                ::capnp::bounded<130>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setTaken(bool value)
+        {
+            _builder.setDataField<bool>(
+                ::capnp::bounded<130>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline ::uint16_t Answer::Reader::getOutcome() const
+        {
+            return _reader.getDataField<::uint16_t>(
+                ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint16_t Answer::Builder::getOutcome()
+        {
+            return _builder.getDataField<::uint16_t>(
+                ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setOutcome(::uint16_t value)
+        {
+            _builder.setDataField<::uint16_t>(
+                ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Answer::Reader::hasReport() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Answer::Builder::hasReport()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::rattan::delivery::wire::Report::Reader Answer::Reader::getReport() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Report>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Report::Builder Answer::Builder::getReport()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Report>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::Report::Pipeline Answer::Pipeline::getReport()
+        {
+            return ::rattan::delivery::wire::Report::Pipeline(_typeless.getPointerField(0));
+        }
+#endif // !CAPNP_LITE
+        inline void Answer::Builder::setReport(::rattan::delivery::wire::Report::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Report>::set(_builder.getPointerField(
+                                                                                  ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::rattan::delivery::wire::Report::Builder Answer::Builder::initReport()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Report>::init(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Answer::Builder::adoptReport(
+            ::capnp::Orphan<::rattan::delivery::wire::Report>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Report>::adopt(_builder.getPointerField(
+                                                                                    ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::Report> Answer::Builder::disownReport()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Report>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+        inline ::uint32_t Answer::Reader::getWorker() const
+        {
+            return _reader.getDataField<::uint32_t>(
+                ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::uint32_t Answer::Builder::getWorker()
+        {
+            return _builder.getDataField<::uint32_t>(
+                ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+        }
+        inline void Answer::Builder::setWorker(::uint32_t value)
+        {
+            _builder.setDataField<::uint32_t>(
+                ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+        }
+
+#if !CAPNP_LITE
+        inline Carrier::Client::Client(decltype(nullptr))
+            : ::capnp::Capability::Client(nullptr)
+        {
+        }
+        inline Carrier::Client::Client(
+            ::kj::Own<::capnp::ClientHook>&& hook)
+            : ::capnp::Capability::Client(::kj::mv(hook))
+        {
+        }
+        template <typename _t, typename>
+        inline Carrier::Client::Client(::kj::Own<_t>&& server)
+            : ::capnp::Capability::Client(::kj::mv(server))
+        {
+        }
+        template <typename _t, typename>
+        inline Carrier::Client::Client(::kj::Promise<_t>&& promise)
+            : ::capnp::Capability::Client(::kj::mv(promise))
+        {
+        }
+        inline Carrier::Client::Client(::kj::Exception&& exception)
+            : ::capnp::Capability::Client(::kj::mv(exception))
+        {
+        }
+        inline ::rattan::delivery::wire::Carrier::Client& Carrier::Client::operator=(Client& other)
+        {
+            ::capnp::Capability::Client::operator=(other);
+            return *this;
+        }
+        inline ::rattan::delivery::wire::Carrier::Client& Carrier::Client::operator=(Client&& other)
+        {
+            ::capnp::Capability::Client::operator=(kj::mv(other));
+            return *this;
+        }
+
+#endif // !CAPNP_LITE
+        inline ::int64_t Carrier::OpenParams::Reader::getTerm() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Carrier::OpenParams::Builder::getTerm()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Carrier::OpenParams::Builder::setTerm(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Carrier::OpenParams::Reader::hasAnswers() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Carrier::OpenParams::Builder::hasAnswers()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::AnswerSink::Client Carrier::OpenParams::Reader::getAnswers() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::AnswerSink>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::AnswerSink::Client Carrier::OpenParams::Builder::getAnswers()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::AnswerSink>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::AnswerSink::Client Carrier::OpenParams::Pipeline::getAnswers()
+        {
+            return ::rattan::delivery::wire::AnswerSink::Client(_typeless.getPointerField(0).asCap());
+        }
+        inline void Carrier::OpenParams::Builder::setAnswers(::rattan::delivery::wire::AnswerSink::Client&& cap)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::AnswerSink>::set(_builder.getPointerField(
+                                                                                      ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(cap));
+        }
+        inline void Carrier::OpenParams::Builder::setAnswers(::rattan::delivery::wire::AnswerSink::Client& cap)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::AnswerSink>::set(_builder.getPointerField(
+                                                                                      ::capnp::bounded<0>() * ::capnp::POINTERS),
+                cap);
+        }
+        inline void Carrier::OpenParams::Builder::adoptAnswers(
+            ::capnp::Orphan<::rattan::delivery::wire::AnswerSink>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::AnswerSink>::adopt(_builder.getPointerField(
+                                                                                        ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::AnswerSink> Carrier::OpenParams::Builder::disownAnswers()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::AnswerSink>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+#endif // !CAPNP_LITE
+
+        inline bool Carrier::OpenResults::Reader::hasSession() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Carrier::OpenResults::Builder::hasSession()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+#if !CAPNP_LITE
+        inline ::rattan::delivery::wire::Session::Client Carrier::OpenResults::Reader::getSession() const
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Session>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Session::Client Carrier::OpenResults::Builder::getSession()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Session>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::rattan::delivery::wire::Session::Client Carrier::OpenResults::Pipeline::getSession()
+        {
+            return ::rattan::delivery::wire::Session::Client(_typeless.getPointerField(0).asCap());
+        }
+        inline void Carrier::OpenResults::Builder::setSession(::rattan::delivery::wire::Session::Client&& cap)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Session>::set(_builder.getPointerField(
+                                                                                   ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(cap));
+        }
+        inline void Carrier::OpenResults::Builder::setSession(::rattan::delivery::wire::Session::Client& cap)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Session>::set(_builder.getPointerField(
+                                                                                   ::capnp::bounded<0>() * ::capnp::POINTERS),
+                cap);
+        }
+        inline void Carrier::OpenResults::Builder::adoptSession(
+            ::capnp::Orphan<::rattan::delivery::wire::Session>&& value)
+        {
+            ::capnp::_::PointerHelpers<::rattan::delivery::wire::Session>::adopt(_builder.getPointerField(
+                                                                                     ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::rattan::delivery::wire::Session> Carrier::OpenResults::Builder::disownSession()
+        {
+            return ::capnp::_::PointerHelpers<::rattan::delivery::wire::Session>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+#endif // !CAPNP_LITE
+
+#if !CAPNP_LITE
+        inline Session::Client::Client(decltype(nullptr))
+            : ::capnp::Capability::Client(nullptr)
+        {
+        }
+        inline Session::Client::Client(
+            ::kj::Own<::capnp::ClientHook>&& hook)
+            : ::capnp::Capability::Client(::kj::mv(hook))
+        {
+        }
+        template <typename _t, typename>
+        inline Session::Client::Client(::kj::Own<_t>&& server)
+            : ::capnp::Capability::Client(::kj::mv(server))
+        {
+        }
+        template <typename _t, typename>
+        inline Session::Client::Client(::kj::Promise<_t>&& promise)
+            : ::capnp::Capability::Client(::kj::mv(promise))
+        {
+        }
+        inline Session::Client::Client(::kj::Exception&& exception)
+            : ::capnp::Capability::Client(::kj::mv(exception))
+        {
+        }
+        inline ::rattan::delivery::wire::Session::Client& Session::Client::operator=(Client& other)
+        {
+            ::capnp::Capability::Client::operator=(other);
+            return *this;
+        }
+        inline ::rattan::delivery::wire::Session::Client& Session::Client::operator=(Client&& other)
+        {
+            ::capnp::Capability::Client::operator=(kj::mv(other));
+            return *this;
+        }
+
+#endif // !CAPNP_LITE
+        inline ::int64_t Session::CarryParams::Reader::getSentAt() const
+        {
+            return _reader.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+
+        inline ::int64_t Session::CarryParams::Builder::getSentAt()
+        {
+            return _builder.getDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+        }
+        inline void Session::CarryParams::Builder::setSentAt(::int64_t value)
+        {
+            _builder.setDataField<::int64_t>(
+                ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+        }
+
+        inline bool Session::CarryParams::Reader::hasOrders() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool Session::CarryParams::Builder::hasOrders()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Reader Session::CarryParams::Reader::getOrders() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Builder Session::CarryParams::Builder::getOrders()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void Session::CarryParams::Builder::setOrders(::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+                                                                                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>::Builder Session::CarryParams::Builder::initOrders(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+                                                                                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void Session::CarryParams::Builder::adoptOrders(
+            ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+                                                                                                                         ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>> Session::CarryParams::Builder::disownOrders()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Order, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+#if !CAPNP_LITE
+        inline AnswerSink::Client::Client(decltype(nullptr))
+            : ::capnp::Capability::Client(nullptr)
+        {
+        }
+        inline AnswerSink::Client::Client(
+            ::kj::Own<::capnp::ClientHook>&& hook)
+            : ::capnp::Capability::Client(::kj::mv(hook))
+        {
+        }
+        template <typename _t, typename>
+        inline AnswerSink::Client::Client(::kj::Own<_t>&& server)
+            : ::capnp::Capability::Client(::kj::mv(server))
+        {
+        }
+        template <typename _t, typename>
+        inline AnswerSink::Client::Client(::kj::Promise<_t>&& promise)
+            : ::capnp::Capability::Client(::kj::mv(promise))
+        {
+        }
+        inline AnswerSink::Client::Client(::kj::Exception&& exception)
+            : ::capnp::Capability::Client(::kj::mv(exception))
+        {
+        }
+        inline ::rattan::delivery::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client& other)
+        {
+            ::capnp::Capability::Client::operator=(other);
+            return *this;
+        }
+        inline ::rattan::delivery::wire::AnswerSink::Client& AnswerSink::Client::operator=(Client&& other)
+        {
+            ::capnp::Capability::Client::operator=(kj::mv(other));
+            return *this;
+        }
+
+#endif // !CAPNP_LITE
+        inline bool AnswerSink::TellParams::Reader::hasAnswers() const
+        {
+            return !_reader.getPointerField(
+                               ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline bool AnswerSink::TellParams::Builder::hasAnswers()
+        {
+            return !_builder.getPointerField(
+                                ::capnp::bounded<0>() * ::capnp::POINTERS)
+                        .isNull();
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Reader AnswerSink::TellParams::Reader::getAnswers() const
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Builder AnswerSink::TellParams::Builder::getAnswers()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+        inline void AnswerSink::TellParams::Builder::setAnswers(::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Reader value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+                                                                                                                        ::capnp::bounded<0>() * ::capnp::POINTERS),
+                value);
+        }
+        inline ::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>::Builder AnswerSink::TellParams::Builder::initAnswers(unsigned int size)
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+                                                                                                                                ::capnp::bounded<0>() * ::capnp::POINTERS),
+                size);
+        }
+        inline void AnswerSink::TellParams::Builder::adoptAnswers(
+            ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>&& value)
+        {
+            ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+                                                                                                                          ::capnp::bounded<0>() * ::capnp::POINTERS),
+                kj::mv(value));
+        }
+        inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>> AnswerSink::TellParams::Builder::disownAnswers()
+        {
+            return ::capnp::_::PointerHelpers<::capnp::List<::rattan::delivery::wire::Answer, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+                ::capnp::bounded<0>() * ::capnp::POINTERS));
+        }
+
+    } // namespace
+} // namespace
+} // namespace
 
 CAPNP_END_HEADER
-
--- a/src/delivery/relayed_channel.cc
+++ b/src/delivery/relayed_channel.cc
@@ -64,7 +64,7 @@
     if (this->deadlines.empty() || now < std::max(this->deadlines.begin()->first, this->nextArrivalCheckAt))
         return;
     this->nextArrivalCheckAt = now + arrivalCheckInterval;
-    if (!this->port.checkArrivals({ this->term, now }))
+    if (++this->unansweredChecks > maxUnansweredChecks || !this->port.checkArrivals({ this->term, now }))
         this->endOverdueOrders(now, now);
 }
 
@@ -73,6 +73,7 @@
     if (check.term != this->term)
         return;
     this->nextArrivalCheckAt = 0;
+    this->unansweredChecks = 0;
     this->endOverdueOrders(check.requestedAt, now);
 }
 
--- a/src/delivery/relayed_channel.h
+++ b/src/delivery/relayed_channel.h
@@ -33,9 +33,10 @@
     // A poll waits up to this long, to be sent in one message with other orders.
     static constexpr Millis maxPollDelay = 20;
 
-    // A check of the port without a result is requested again after this time, and orders end
-    // without one if the port accepts no request any more.
+    // A check of the port without a result is requested again after this time. Orders end without
+    // one if the port accepts no request any more, or after this many requests without a result.
     static constexpr Millis arrivalCheckInterval = 500;
+    static constexpr int maxUnansweredChecks = 4;
 
     RelayedChannel(std::int64_t term, RelaySelector&, WorkerChannel& direct, DeliveryPort&, const Clock&);
 
@@ -74,7 +75,8 @@
     std::map<std::uint32_t, Pending> pending;
     std::set<std::pair<Millis, std::uint32_t>> deadlines; // The time at which each pending order completes without an answer.
     std::map<std::string, OutgoingBatch> outgoing; // By peer.
-    Millis nextArrivalCheckAt { 0 }; // Later than now while a check is in progress.
+    Millis nextArrivalCheckAt { 0 }; // When another check may be requested, or 0 if none is in progress.
+    int unansweredChecks { 0 }; // Requests since the last result.
     std::uint32_t lastId { 0 };
 };
 
--- a/src/delivery/testing/relayed_channel_test.cc
+++ b/src/delivery/testing/relayed_channel_test.cc
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(answersThatHaveArrivedAreNotOverdue);
     CPPUNIT_TEST(overdueOrdersEndAfterACheck);
     CPPUNIT_TEST(overdueOrdersEndIfThePortFailsDuringACheck);
+    CPPUNIT_TEST(overdueOrdersEndIfChecksHaveNoResult);
     CPPUNIT_TEST(answersOfAnotherTermAreIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -204,6 +205,22 @@
         CPPUNIT_ASSERT(this->startAnswer("w1") == tasks::StartAnswer::Started);
     }
 
+    // Guards against orders that wait forever because the port accepts checks and never reports a result.
+    void overdueOrdersEndIfChecksHaveNoResult()
+    {
+        this->port.acceptsChecks = true;
+        this->sendTo("w1", startOf("w1", "job"));
+        this->channel->step(this->clock.now());
+        this->clock.advance(1600);
+        for (int i = 0; i < RelayedChannel::maxUnansweredChecks; ++i) {
+            this->channel->step(this->clock.now());
+            CPPUNIT_ASSERT(this->answers.empty());
+            this->clock.advance(RelayedChannel::arrivalCheckInterval);
+        }
+        this->channel->step(this->clock.now());
+        CPPUNIT_ASSERT(this->startAnswer("w1") == tasks::StartAnswer::NoAnswer);
+    }
+
     // Guards against orders that wait forever for a relay that stays connected and does not answer.
     void overdueOrdersEndAfterACheck()
     {
