--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -12,6 +12,10 @@
 // what is committed to units that wait for them to end. A unit starts only in resources
 // that both amounts include, so it can't take what was freed for a more urgent unit.
 //
+// Free resources may be reserved in two ways: whole workers for urgent units, and what a unit needs
+// that waits for runs to end. Others use them only if they end before, or if their request
+// says so (usesReserved).
+//
 // The design targets many small tasks and few large ones on workers with eight
 // accelerators each, with four fifths of all resources in use. Small tasks are placed
 // by best fit, where the fewest resources remain, so that whole workers stay free for
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,7 +1,8 @@
 // The life cycle of jobs and their units: takeover from records, begin, completion, failure and
 // cancellation. The other subjects are in task_planner_workers.cc (reports of workers and
 // leases), _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
-// _polls.cc, _rounds.cc (placement), _evictions.cc, _advice.cc, _orders.cc, _reports.cc and
+// _polls.cc, _rounds.cc (placement), _evictions.cc, _reserved.cc (use of reserved resources by
+// others), _idle.cc (jobs of which nothing runs), _advice.cc, _orders.cc, _reports.cc and
 // _violations.cc.
 
 #include "tasks/task_planner.h"
--- a/src/tasks/task_planner_reserved.cc
+++ b/src/tasks/task_planner_reserved.cc
@@ -10,8 +10,8 @@
 using namespace detail;
 
 // Places one unit of a job that has had nothing running for long while the unit fits twice in
-// unused resources. The job's other units respect the reservations. What is committed to units that wait for stops is not taken, since the stops take
-// a short time.
+// unused resources. The job's other units respect the reservations. What is committed to units
+// that wait for stops is not taken, since the stops take a short time.
 bool TaskPlanner::tryPlaceInReserved(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     const Unit& unit = *candidate.unit;
