--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,11 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p out
-for source in standin/*.cc; do
-    g++ -std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread -o "out/$(basename "$source" .cc)" "$source" &
+builds=()
+for source in standin/*.cpp; do
+    g++ -std=c++20 -O2 -Wall -Wextra -Wno-missing-field-initializers -pthread -o "out/$(basename "$source" .cpp)" "$source" &
+    builds+=($!)
+done
+for build in "${builds[@]}"; do
+    wait "$build"
 done
-wait
--- a/review/standin/ends.cc
+++ b/review/standin/ends.cpp
@@ -1,6 +1,6 @@
 // Many small tasks end on one executor while the store is down.
 
-#include "site.h"
+#include "site.hpp"
 
 using namespace review;
 
--- a/review/standin/executor.h
+++ b/review/standin/executor.hpp
@@ -3,7 +3,7 @@
 // A stand-in for an executor: runs under a lease, fencing tokens, and ends that are listed, 500 at
 // a time, until they are acknowledged. It starts whatever it is told to start.
 
-#include "store.h"
+#include "store.hpp"
 
 #include <algorithm>
 
@@ -257,7 +257,9 @@
                     ++i;
                     continue;
                 }
-                const std::string how = lapsed ? "lapsed" : stopped ? "stopped" : run.fails ? "failed" : "done";
+                const std::string how = lapsed ? "lapsed" : stopped ? "stopped"
+                    : run.fails                                     ? "failed"
+                                                                    : "done";
                 this->runs.erase(this->runs.begin() + static_cast<std::ptrdiff_t>(i));
                 this->highest[run.task] = std::max(this->highest[run.task], run.number);
                 this->ends.push_back({ ++this->lastEnd, run.task, run.number, how });
--- a/review/standin/frozen.cc
+++ b/review/standin/frozen.cpp
@@ -1,6 +1,6 @@
 // An instance freezes; a client leaves it without an answer and cancels its job at another one.
 
-#include "site.h"
+#include "site.hpp"
 
 using namespace review;
 
--- a/review/standin/lasting.cc
+++ b/review/standin/lasting.cpp
@@ -1,6 +1,6 @@
 // One of two tasks that last ends by itself.
 
-#include "site.h"
+#include "site.hpp"
 
 using namespace review;
 
--- a/review/standin/reborn.cc
+++ b/review/standin/reborn.cpp
@@ -1,6 +1,6 @@
 // The executor that runs a job is cut off, crashes behind the cut and starts again, a few times.
 
-#include "site.h"
+#include "site.hpp"
 
 using namespace review;
 
--- a/review/standin/site.h
+++ b/review/standin/site.hpp
@@ -3,7 +3,7 @@
 // A small deployment on loopback addresses: a store, executors, and instances of the program of the
 // deploy file as separate processes, with a client.
 
-#include "executor.h"
+#include "executor.hpp"
 
 #include <atomic>
 #include <csignal>
@@ -199,7 +199,8 @@
     {
         Json routes = Json::array();
         for (int i = 0; i < 3; ++i) {
-            const std::string name = i == 0 ? "urgent" : i == 1 ? "usual" : "patient";
+            const std::string name = i == 0 ? "urgent" : i == 1 ? "usual"
+                                                                : "patient";
             routes.push_back({ { "name", name }, { "host", "review.example" }, { "path_prefix", "/" + name + "/" }, { "service", "s" }, { "priority", i }, { "max_attempts", this->options.maxAttempts }, { "stretch", 3.0 }, { "target_latency_ms", 1000 }, { "timeout_ms", 3000 } });
         }
         const Json tenant { { "name", "t" }, { "api_keys", { "review-key" } }, { "guaranteed_gpus", 8 } };
--- a/review/standin/starved.cc
+++ b/review/standin/starved.cpp
@@ -1,7 +1,7 @@
 // A task fails once on an executor that fails all that it starts for a while. The others have no
 // room for it beside tasks that last.
 
-#include "site.h"
+#include "site.hpp"
 
 using namespace review;
 
--- a/review/standin/store.h
+++ b/review/standin/store.hpp
@@ -3,7 +3,7 @@
 // A stand-in for the platform's store: keyed topics with one partition, conditional appends,
 // producers with epochs and numbers, waiting reads, and pages of the newest records.
 
-#include "http.h"
+#include "http.hpp"
 
 #include <atomic>
 #include <chrono>
