--- a/review/standin/executor.hpp
+++ b/review/standin/executor.hpp
@@ -122,6 +122,7 @@
     }
 
     std::atomic<bool> isCut { false };
+    std::atomic<bool> isUnhealthy { false }; // Starts are refused with 503, and nothing is done.
     std::atomic<bool> failsRuns { false }; // What is started meanwhile soon ends `failed`.
     const std::string id;
 
@@ -188,6 +189,10 @@
     {
         const std::string task = order["task"];
         const std::int64_t number = order["run"];
+        if (this->isUnhealthy) {
+            this->observer.add({ steadyNow(), "refused with 503", this->id, task, number });
+            return this->answer(503);
+        }
         if (order["until_ms"].get<Millis>() <= this->clockNow())
             return this->answer(409, "late");
         this->renew(order);
