Log each job that stands still beside resources, and what withholds them

Callers saw accepted jobs with nothing running for 3 s beside capacity for two of their kind. The log could not tell why: job_idle named one job a second, and counted a job as standing beside unused resources only if it fitted them under all constraints that the planner itself puts on it.

job_passed_over names each idle job that fits twice by all that it needs, and which preference (or which state of the workers) withholds the resources; job_held names each job that a run keeps from being placed. The counts are in rattan_passed_over_jobs. No decision changes.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -329,6 +329,8 @@
     const tasks::IdleJobCounts idleJobs = known ? *known : tasks::IdleJobCounts {};
     for (std::size_t i = 0; i < tasks::idleCauseNames.size(); ++i)
         this->metrics.set("rattan_idle_jobs", { { "cause", std::string(tasks::idleCauseNames.at(i)) } }, static_cast<double>(idleJobs.byCause.at(i)));
+    for (std::size_t i = 0; i < tasks::withholdingNames.size(); ++i)
+        this->metrics.set("rattan_passed_over_jobs", { { "withheld_by", std::string(tasks::withholdingNames.at(i)) } }, static_cast<double>(idleJobs.passedOver.at(i)));
     this->metrics.set("rattan_idle_jobs_beside_unused_resources", {}, static_cast<double>(idleJobs.besideUnusedResources));
     this->metrics.set("rattan_longest_idle_seconds", {}, static_cast<double>(idleJobs.longest) / millisPerSecond);
     if (this->leadership)
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -69,8 +69,8 @@
 
     std::string_view nameOf(PlanEventKind kind)
     {
-        constexpr std::array<std::string_view, 17> names { "unit_placed", "tasks_placed", "unit_evicted", "units_done", "unit_retried", "unit_stalled",
-            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits", "guarantee_waits", "work_waits", "job_idle", "run_lost" };
+        constexpr std::array<std::string_view, 19> names { "unit_placed", "tasks_placed", "unit_evicted", "units_done", "unit_retried", "unit_stalled",
+            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits", "guarantee_waits", "work_waits", "job_idle", "job_passed_over", "job_held", "run_lost" };
         return names.at(static_cast<std::size_t>(kind));
     }
 
--- a/src/tasks/idle_jobs.h
+++ b/src/tasks/idle_jobs.h
@@ -28,11 +28,26 @@
 
 inline constexpr std::string_view nameOf(IdleCause cause) { return idleCauseNames.at(static_cast<std::size_t>(cause)); }
 
+// What keeps a job from unused resources in which a unit of it fits twice by all that it needs.
+enum class Withholding {
+    Committed, // They are committed to units that wait for stops, or are kept by a worker that tests one run at a time.
+    Reserved, // They are reserved for other units.
+    Isolation, // The unit is suspected of crashing workers, and other work runs on all of these.
+    FailedThere, // A run of the unit failed on their workers.
+    Rack, // They are in other racks than that of its data, or not in one rack.
+    UnavailableWorker, // Their workers answer but take no work at present.
+};
+
+inline constexpr std::array<std::string_view, 6> withholdingNames { "committed", "reserved", "isolation", "failed_there", "rack", "unavailable_worker" };
+
+inline constexpr std::string_view nameOf(Withholding withholding) { return withholdingNames.at(static_cast<std::size_t>(withholding)); }
+
 // The jobs that have been idle for at least `minIdleTime`.
 struct IdleJobCounts {
     static constexpr Millis minIdleTime = 1500;
 
     std::array<std::int64_t, idleCauseNames.size()> byCause {}; // Indexed by IdleCause.
+    std::array<std::int64_t, withholdingNames.size()> passedOver {}; // Jobs of which a unit has fitted twice for that long; indexed by Withholding.
     std::int64_t besideUnusedResources { 0 }; // Of these, jobs of which a unit fits twice in resources that no run uses.
     Millis longest { 0 }; // How long the job has been idle that has been so for longest, in milliseconds.
 };
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -77,6 +77,8 @@
     GuaranteeWaits, // A unit within its workspace's guarantee waits, and for what.
     WorkWaits, // The unit that has waited longest, why it waits, and the state of the workers and polls.
     JobIdle, // The job of which nothing has run for longest although a task is ready, and what it waits for.
+    JobPassedOver, // A job of which nothing runs although a unit of it fits twice in unused resources, and which preference keeps it from starting.
+    JobHeld, // A job of which nothing runs because of a run that may still be alive.
     RunLost, // No end was reported: the run's worker is gone or has not answered for a whole lease.
 };
 
--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -56,6 +56,14 @@
         return found == counts.end() ? 0 : found->second;
     }
 
+    std::int64_t countWholeUnits(const std::map<std::string_view, std::int64_t>& membersByRack, std::int64_t members)
+    {
+        std::int64_t units = 0;
+        for (const auto& [rack, count] : membersByRack)
+            units += count / members;
+        return units;
+    }
+
     enum class SpeedClass {
         Slow,
         Usual,
@@ -311,10 +319,10 @@
     return sum;
 }
 
-std::int64_t Snapshot::countUnusedFits(const PlacementRequest& request, std::int64_t limit) const
+// Returns true as soon as the unit fits `limit` times in a rack.
+bool Snapshot::addUnusedMembers(const std::vector<SnapshotWorker>& candidates, const PlacementRequest& request, std::int64_t limit, UnusedMembers& membersByRack) const
 {
-    std::map<std::string_view, std::int64_t> membersByRack; // One entry unless all members must be in one rack.
-    for (const SnapshotWorker& worker : this->workers) {
+    for (const SnapshotWorker& worker : candidates) {
         if (!this->isEligible(worker, request) || (!request.rack.empty() && worker.rack != request.rack))
             continue;
         std::int64_t count = std::min(fittingCount(worker.free, request.perMember), request.members * limit);
@@ -323,12 +331,41 @@
         std::int64_t& members = membersByRack[request.sameRack ? std::string_view(worker.rack) : std::string_view()];
         members += count;
         if (members >= request.members * limit)
-            return limit;
+            return true;
+    }
+    return false;
+}
+
+std::int64_t Snapshot::countUnusedFits(const PlacementRequest& request, std::int64_t limit) const
+{
+    UnusedMembers membersByRack;
+    if (this->addUnusedMembers(this->workers, request, limit, membersByRack))
+        return limit;
+    return std::min(countWholeUnits(membersByRack, request.members), limit);
+}
+
+std::int64_t Snapshot::countUnusedFitsAnywhere(const PlacementRequest& request, std::int64_t limit) const
+{
+    UnusedMembers membersByRack;
+    if (this->addUnusedMembers(this->workers, request, limit, membersByRack) || this->addUnusedMembers(this->unavailable, request, limit, membersByRack))
+        return limit;
+    return std::min(countWholeUnits(membersByRack, request.members), limit);
+}
+
+PlacementRequest withoutPreferences(PlacementRequest request, Preference last)
+{
+    request.usesReserved = true;
+    if (last >= Preference::Isolation) {
+        request.isolatedJob.clear();
+        request.isolatedWorkers = nullptr;
+    }
+    if (last >= Preference::OtherWorkers)
+        request.excludedWorkers = nullptr;
+    if (last >= Preference::Rack) {
+        request.rack.clear();
+        request.sameRack = false;
     }
-    std::int64_t fits = 0;
-    for (const auto& [rack, count] : membersByRack)
-        fits += count / request.members;
-    return std::min(fits, limit);
+    return request;
 }
 
 bool Snapshot::fitsOnUnpolledWorkers(const PlacementRequest& request) const
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -27,9 +27,13 @@
 #include "tasks/progress.h"
 #include "tasks/speed_choice.h"
 
+#include <array>
+#include <cstddef>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -95,6 +99,19 @@
     SpeedTierRange speedTiers; // Workers of other tiers are skipped.
 };
 
+// What a unit prefers but can run without, in the order in which it is given up.
+enum class Preference {
+    Unreserved, // Resources that are not reserved for other units.
+    Isolation, // For a suspect unit, workers on which nothing else runs.
+    OtherWorkers, // Workers on which it has not failed.
+    Rack, // The rack of its data, or one rack for all members.
+};
+
+inline constexpr std::array<Preference, 4> preferences { Preference::Unreserved, Preference::Isolation, Preference::OtherWorkers, Preference::Rack };
+
+// The request without this preference and those before it.
+PlacementRequest withoutPreferences(PlacementRequest, Preference last);
+
 // The worker of each member, in the order of the members, as an index into Snapshot::workers.
 using Placement = std::vector<std::size_t>;
 
@@ -116,6 +133,9 @@
     // Workers that have not answered this planner yet and on which no run is known.
     // Nothing can be placed there yet, but very likely soon.
     std::vector<SnapshotWorker> unpolled;
+
+    // Workers that answer but take no work at present. Nothing is placed there.
+    std::vector<SnapshotWorker> unavailable;
     Millis now { 0 };
     bool heterogeneous { false }; // Speeds differ by much more than 20%; see speed_choice.h.
 
@@ -170,6 +190,9 @@
     // are reserved for.
     std::int64_t countUnusedFits(const PlacementRequest&, std::int64_t limit) const;
 
+    // As countUnusedFits(), with workers that take no work at present.
+    std::int64_t countUnusedFitsAnywhere(const PlacementRequest&, std::int64_t limit) const;
+
     // True if the unit could be placed on the unpolled workers alone, if they were empty.
     bool fitsOnUnpolledWorkers(const PlacementRequest&) const;
 
@@ -186,6 +209,10 @@
     bool respectsIsolation(const SnapshotWorker&, const PlacementRequest&) const;
 
 private:
+    using UnusedMembers = std::map<std::string_view, std::int64_t>; // By rack, or one count if members may be in any.
+
+    bool addUnusedMembers(const std::vector<SnapshotWorker>&, const PlacementRequest&, std::int64_t limit, UnusedMembers&) const;
+
     enum class View {
         Free,
         Unreserved, // Free, including what is reserved for units that wait for runs to end.
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -4,6 +4,7 @@
 
 #include "tasks/crash_history.h"
 #include "tasks/forecast_coverage.h"
+#include "tasks/idle_jobs.h"
 #include "tasks/job_value.h"
 #include "tasks/placement.h"
 #include "tasks/progress.h"
@@ -83,6 +84,9 @@
     Millis notBefore { 0 };
     WaitReason waitReason { WaitReason::NotConsidered };
     Millis fitsTwiceSince { 0 }; // Since when it waits, of an idle job, although it fits twice in resources that no run uses, or 0.
+    Millis passedOverSince { 0 }; // As fitsTwiceSince, by what the unit needs, without its preferences.
+    Withholding withheldBy { Withholding::Committed }; // What kept it from these resources when that was last examined.
+    Millis passedOverReportedAt { 0 }; // When that was last logged.
     Millis fitsCheckedAt { 0 }; // When that was last examined.
     EvictionRefusal reportedRefusal { EvictionRefusal::None }; // The last one logged, so that it isn't logged again in each round.
     Millis waitReportedAt { 0 }; // When the reason for waiting was last logged.
@@ -125,6 +129,7 @@
     std::set<std::int64_t> doneOutOfOrder;
     bool guaranteed { false }; // The job is within its workspace's guarantee.
     Millis idleSince { 0 }; // Since when nothing of it runs although a task is ready, or 0.
+    Millis heldReportedAt { 0 }; // When the run that keeps it idle was last logged.
     JobPaths paths; // By the forecasts of `pathsAt`.
     Millis pathsAt { 0 }; // 0 if not computed yet.
 };
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -323,6 +323,10 @@
     std::unordered_map<std::string_view, BlockingRun> findBlockingRuns() const;
     void updateIdleJobs(Millis now);
     void reportUnplacedJob(const ActiveJob&, Millis now);
+    void reportHeldJob(ActiveJob&, const BlockingRun&, Millis now);
+    void updatePassedOver(Unit&, const Snapshot&, const PlacementRequest&, Millis now);
+    const Unit* findPassedOverUnit(const ActiveJob&, Millis now) const;
+    std::string blockingRunText(const BlockingRun&, Millis now) const;
     void reportBlockedJob(const ActiveJob&, const BlockingRun&, Millis now);
     Millis fitsTwiceSince(const ActiveJob&) const;
     void updateUnusedResources(Unit&, const Snapshot&, const PlacementRequest&, Millis now);
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -32,7 +32,32 @@
         return placedRun.phase == RunPhase::Running && !placedRun.stopRequested && !worker.silent;
     }
 
-    std::string textOf(const IdleJobCounts& counts)
+    Withholding withholdingOf(Preference preference)
+    {
+        switch (preference) {
+        case Preference::Unreserved:
+            return Withholding::Reserved;
+        case Preference::Isolation:
+            return Withholding::Isolation;
+        case Preference::OtherWorkers:
+            return Withholding::FailedThere;
+        case Preference::Rack:
+            break;
+        }
+        return Withholding::Rack;
+    }
+
+    // The preference that must be given up, with those before it, for the unit to start now.
+    Withholding findWithholding(const Snapshot& snapshot, const PlacementRequest& request)
+    {
+        for (const Preference last : preferences) {
+            if (snapshot.findFree(withoutPreferences(request, last)))
+                return withholdingOf(last);
+        }
+        return Withholding::Committed;
+    }
+
+    std::string countsText(const IdleJobCounts& counts)
     {
         std::string text;
         for (std::size_t i = 0; i < idleCauseNames.size(); ++i) {
@@ -86,6 +111,10 @@
             continue;
         const IdleCause cause = blocking == blockingRuns.end() ? IdleCause::NotPlaced : causeOf(*blocking->second.worker, *blocking->second.placedRun);
         ++this->idleCounts.byCause[static_cast<std::size_t>(cause)];
+        if (blocking != blockingRuns.end())
+            this->reportHeldJob(active, blocking->second, now);
+        if (const Unit* passedOver = this->findPassedOverUnit(active, now))
+            ++this->idleCounts.passedOver[static_cast<std::size_t>(passedOver->withheldBy)];
         this->idleCounts.besideUnusedResources += this->fitsTwiceSince(active) > 0 ? 1 : 0;
         if (!longestIdle || active.idleSince < longestIdle->idleSince)
             longestIdle = &active;
@@ -108,18 +137,33 @@
     const Unit& unit = this->units.lower_bound({ active.job->id, 0, 0, wholeGang })->second;
     const Millis fitsSince = this->fitsTwiceSince(active);
     const std::string unused = fitsSince > 0 ? fmt::format("fits twice in unused resources for {} ms", now - fitsSince) : "does not fit twice in unused resources";
-    this->emit(PlanEventKind::JobIdle, unit.key, unit.run, "", fmt::format("for {} ms, {}, {}, {}; idle jobs: {}", now - active.idleSince, nameOf(IdleCause::NotPlaced), nameOf(unit.waitReason), unused, textOf(this->idleCounts)));
+    this->emit(PlanEventKind::JobIdle, unit.key, unit.run, "", fmt::format("for {} ms, {}, {}, {}; idle jobs: {}", now - active.idleSince, nameOf(IdleCause::NotPlaced), nameOf(unit.waitReason), unused, countsText(this->idleCounts)));
 }
 
-void TaskPlanner::reportBlockedJob(const ActiveJob& active, const BlockingRun& blocking, Millis now)
+std::string TaskPlanner::blockingRunText(const BlockingRun& blocking, Millis now) const
 {
     const Worker& worker = *blocking.worker;
     const PlacedRun& placedRun = *blocking.placedRun;
     const std::string poll = worker.pollInFlight ? fmt::format("poll in flight for {} ms", now - worker.pollSentAt) : fmt::format("next poll in {} ms", worker.nextPollAt - now);
     const std::string stop = placedRun.stopRequested ? fmt::format("stop requested {} ms ago", now - placedRun.stopRequestedAt) : "no stop requested";
-    this->emit(PlanEventKind::JobIdle, placedRun.unit, placedRun.run.run, worker.description.incarnation.id,
-        fmt::format("for {} ms, {}, worker {}, last answer {} ms ago, lease ends in {} ms, {}, {}; idle jobs: {}", now - active.idleSince, nameOf(causeOf(worker, placedRun)), worker.silent ? "silent" : "not silent",
-            now - std::max(worker.lastAnswerAt, this->termStartedAt), worker.leaseEndsBy - now, poll, stop, textOf(this->idleCounts)));
+    return fmt::format("{}, worker {}, last answer {} ms ago, lease ends in {} ms, {}, {}", nameOf(causeOf(worker, placedRun)), worker.silent ? "silent" : "not silent",
+        now - std::max(worker.lastAnswerAt, this->termStartedAt), worker.leaseEndsBy - now, poll, stop);
+}
+
+void TaskPlanner::reportBlockedJob(const ActiveJob& active, const BlockingRun& blocking, Millis now)
+{
+    const PlacedRun& placedRun = *blocking.placedRun;
+    this->emit(PlanEventKind::JobIdle, placedRun.unit, placedRun.run.run, blocking.worker->description.incarnation.id,
+        fmt::format("for {} ms, {}; idle jobs: {}", now - active.idleSince, this->blockingRunText(blocking, now), countsText(this->idleCounts)));
+}
+
+void TaskPlanner::reportHeldJob(ActiveJob& active, const BlockingRun& blocking, Millis now)
+{
+    if (now < active.heldReportedAt + waitReportInterval)
+        return;
+    active.heldReportedAt = now;
+    const PlacedRun& placedRun = *blocking.placedRun;
+    this->emit(PlanEventKind::JobHeld, placedRun.unit, placedRun.run.run, blocking.worker->description.incarnation.id, fmt::format("for {} ms, {}", now - active.idleSince, this->blockingRunText(blocking, now)));
 }
 
 // Since when a unit of an idle job has fitted twice in unused resources, or 0 if none does.
@@ -140,10 +184,11 @@
 {
     const ActiveJob& active = this->jobs.at(unit.key.job);
     if (active.idleSince == 0)
-        unit.fitsTwiceSince = 0;
+        unit.fitsTwiceSince = unit.passedOverSince = 0;
     if (active.idleSince == 0 || now < unit.fitsCheckedAt + unusedCheckInterval)
         return;
     unit.fitsCheckedAt = now;
+    this->updatePassedOver(unit, snapshot, request, now);
     constexpr std::int64_t twice = 2;
     if (snapshot.countUnusedFits(request, twice) < twice) {
         unit.fitsTwiceSince = 0;
@@ -153,4 +198,41 @@
     }
 }
 
+// Examines the same by what the unit needs, without what it only prefers, and with the workers that
+// take no work at present.
+void TaskPlanner::updatePassedOver(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
+{
+    const ActiveJob& active = this->jobs.at(unit.key.job);
+    constexpr std::int64_t twice = 2;
+    const PlacementRequest needs = withoutPreferences(request, preferences.back());
+    if (snapshot.countUnusedFitsAnywhere(needs, twice) < twice) {
+        unit.passedOverSince = 0;
+        return;
+    }
+    if (unit.passedOverSince < active.idleSince)
+        unit.passedOverSince = now;
+    const bool fitsOnAvailableWorkers = snapshot.countUnusedFits(needs, 1) > 0;
+    unit.withheldBy = fitsOnAvailableWorkers ? findWithholding(snapshot, request) : Withholding::UnavailableWorker;
+    if (now < unit.passedOverSince + IdleJobCounts::minIdleTime || now < unit.passedOverReportedAt + waitReportInterval)
+        return;
+    unit.passedOverReportedAt = now;
+    const Step& step = unit.step();
+    this->emit(PlanEventKind::JobPassedOver, unit.key, unit.run, "",
+        fmt::format("for {} ms, idle for {} ms, withheld by {}, {} members with {} accelerators, priority {}{}{}", now - unit.passedOverSince, now - active.idleSince, nameOf(unit.withheldBy), unit.members(),
+            step.perTask.accelerators, unit.job->terms.priority, step.sameRack ? ", same rack" : "", step.dataRack.empty() ? "" : ", data in rack " + step.dataRack));
+}
+
+// The unit of an idle job that has been passed over for longest, at least for the minimum time, or null.
+const TaskPlanner::Unit* TaskPlanner::findPassedOverUnit(const ActiveJob& active, Millis now) const
+{
+    const Unit* found = nullptr;
+    for (auto next = this->units.lower_bound({ active.job->id, 0, 0, wholeGang }); next != this->units.end() && next->first.job == active.job->id; ++next) {
+        const Unit& unit = next->second;
+        const bool isPassedOver = unit.state == UnitState::Waiting && unit.passedOverSince >= active.idleSince && now - unit.passedOverSince >= IdleJobCounts::minIdleTime;
+        if (isPassedOver && (!found || unit.passedOverSince < found->passedOverSince))
+            found = &unit;
+    }
+    return found;
+}
+
 } // namespace rattan::tasks
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -290,7 +290,8 @@
     snapshot.heterogeneous = this->workerSpeeds.areHeterogeneous();
     for (const auto& [id, worker] : this->workers) {
         const WorkerAvailability availability = worker.description.service == service ? this->availabilityOf(worker, now) : WorkerAvailability::Unlisted;
-        if (availability != WorkerAvailability::Available && availability != WorkerAvailability::NotPolled)
+        const bool answers = availability == WorkerAvailability::Resting || availability == WorkerAvailability::Doubted || availability == WorkerAvailability::Quarantined;
+        if (availability != WorkerAvailability::Available && availability != WorkerAvailability::NotPolled && !answers)
             continue;
         SnapshotWorker snapshotWorker { .id = id, .rack = worker.description.rack, .labels = &worker.description.labels, .capacity = worker.description.capacity };
         if (availability == WorkerAvailability::NotPolled) {
@@ -298,11 +299,15 @@
                 snapshot.unpolled.push_back(std::move(snapshotWorker));
             continue;
         }
+        snapshotWorker.free = worker.description.capacity;
+        snapshotWorker.free -= worker.used;
+        if (answers) {
+            snapshot.unavailable.push_back(std::move(snapshotWorker));
+            continue;
+        }
         const WorkerSpeed speed = this->workerSpeeds.estimateOf(id);
         snapshotWorker.speed = speed.median;
         snapshotWorker.speedDeviation = speed.deviation;
-        snapshotWorker.free = worker.description.capacity;
-        snapshotWorker.free -= worker.used;
         snapshotWorker.freeAfterStops = snapshotWorker.free;
         snapshotWorker.isProbing = worker.health.isProbing();
         for (const auto& [run, placedRun] : worker.placedRuns) {
--- a/src/tasks/testing/idle_jobs_test.cc
+++ b/src/tasks/testing/idle_jobs_test.cc
@@ -24,12 +24,21 @@
     return result;
 }
 
-// The last report of an idle job, or empty.
-std::string lastReport(const VirtualSite& site, const std::string& job)
+// Tasks that each occupy a worker of the rack.
+Job createLongTasks(const std::string& rack, std::int64_t count)
+{
+    Job result = createGang(fmt::format("long-{}", rack), 1, 60000, 1);
+    result.steps.front().count = count;
+    result.steps.front().label = rack;
+    return result;
+}
+
+// The last report of this kind on a job, or empty.
+std::string lastReport(const VirtualSite& site, const std::string& job, PlanEventKind kind = PlanEventKind::JobIdle)
 {
     std::string detail;
     for (const PlanEvent& event : site.planEvents) {
-        if (event.kind == PlanEventKind::JobIdle && event.job == job)
+        if (event.kind == kind && event.job == job)
             detail = event.detail;
     }
     return detail;
@@ -45,6 +54,9 @@
     CPPUNIT_TEST(workerThatDoesNotAnswerANewPlannerIsNamedAsTheCause);
     CPPUNIT_TEST(lackOfResourcesIsNamedAsTheCause);
     CPPUNIT_TEST(runningJobsAreNotReported);
+    CPPUNIT_TEST(eachHeldJobIsReported);
+    CPPUNIT_TEST(rackIsNamedAsWhatWithholdsResources);
+    CPPUNIT_TEST(unavailableWorkersAreNamedAsWhatWithholdsResources);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -123,6 +135,53 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), lastReport(site, "gang"));
         CPPUNIT_ASSERT_EQUAL(Millis { 0 }, site.planner->idleJobs().longest);
     }
+
+    // Guards against a log that names only one of several jobs that stand still.
+    void eachHeldJobIsReported()
+    {
+        VirtualSite site({ .seed = 87, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.submit(createGang("one", 1, 20000, 1));
+        site.submit(createGang("two", 1, 20000, 1));
+        site.run(3000);
+        site.setPartitioned(site.hostOf("one", 0), true);
+        site.setPartitioned(site.hostOf("two", 0), true);
+        site.run(8500);
+        assertContains(lastReport(site, "one", PlanEventKind::JobHeld), "worker_silent, worker silent");
+        assertContains(lastReport(site, "two", PlanEventKind::JobHeld), "worker_silent, worker silent");
+    }
+
+    // Guards against a log that does not tell a wait for a rack from a lack of resources.
+    void rackIsNamedAsWhatWithholdsResources()
+    {
+        VirtualSite site({ .seed = 88, .workers = 16, .failures = 0, .racks = 4 });
+        site.newPlanner();
+        for (const char* rack : { "r0", "r1", "r2", "r3" })
+            site.submit(createLongTasks(rack, 2));
+        site.run(2000);
+        Job gang = createGang("gang", 3, 20000, 1);
+        gang.steps.front().sameRack = true;
+        site.submit(gang);
+        site.run(4400);
+        assertContains(lastReport(site, "gang", PlanEventKind::JobPassedOver), "withheld by rack");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.planner->idleJobs().passedOver.at(static_cast<std::size_t>(Withholding::Rack)));
+    }
+
+    // Guards against a log that does not tell workers that take no work from a lack of resources.
+    void unavailableWorkersAreNamedAsWhatWithholdsResources()
+    {
+        VirtualSite site({ .seed = 89, .workers = 2, .failures = 0 });
+        site.newPlanner();
+        site.failAll("w00", true);
+        site.failAll("w01", true);
+        site.submit(createGang("bad", 1, 400, 1));
+        site.submit(createGang("worse", 1, 400, 1));
+        while (site.countEnds(RunEnd::Failed) < 4 && site.now < 10000)
+            site.run(site.now + 5);
+        site.submit(createGang("one", 1, 400, 1));
+        site.run(site.now + 2800);
+        assertContains(lastReport(site, "one", PlanEventKind::JobPassedOver), "withheld by unavailable_worker");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(IdleJobsTest);
