Let a job whose runs are all in doubt use reserved resources

Any unit with a run kept the others from resources that they only prefer not to use, also a run that is in doubt for a lease.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -238,7 +238,7 @@
     bool isPassedOver(const Unit&, Millis duration, Millis now) const;
     bool tryPlaceWithoutPreferences(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void placeCandidate(const Candidate&, Snapshot&, const PlacementRequest&, const Placement&, Millis now);
-    bool hasPlacedUnits(const ActiveJob&) const;
+    bool hasStartingUnits(const ActiveJob&, Millis now) const;
     bool canEvict(const Candidate&, Millis now);
     bool mustStopOthers(const Candidate&, const std::optional<Snapshot::Reservation>&, Millis now);
     void updatePaths(ActiveJob&, Millis now) const;
--- a/src/tasks/task_planner_preferences.cc
+++ b/src/tasks/task_planner_preferences.cc
@@ -33,7 +33,7 @@
     const Unit& unit = *candidate.unit;
     if (!this->isPassedOver(unit, maxIdleBesideReserved, now))
         return false;
-    if (!unit.step().longRunning && this->hasPlacedUnits(this->jobs.at(unit.key.job)))
+    if (!unit.step().longRunning && this->hasStartingUnits(this->jobs.at(unit.key.job), now))
         return false;
     for (const Preference last : preferences) {
         if (last != Preference::Unreserved && !this->isPassedOver(unit, maxIdleBesideUnused, now))
@@ -49,10 +49,12 @@
     return false;
 }
 
-bool TaskPlanner::hasPlacedUnits(const ActiveJob& active) const
+// Whether a unit of the idle job was placed a short time ago and probably starts soon. Runs that were
+// placed before may be in doubt for as long as a lease.
+bool TaskPlanner::hasStartingUnits(const ActiveJob& active, Millis now) const
 {
     for (auto next = this->units.lower_bound({ active.job->id, 0, 0, wholeGang }); next != this->units.end() && next->first.job == active.job->id; ++next) {
-        if (next->second.state == UnitState::Running)
+        if (next->second.state == UnitState::Running && now < next->second.placedAt + maxIdleBesideReserved)
             return true;
     }
     return false;
--- a/src/tasks/testing/passed_over_jobs_test.cc
+++ b/src/tasks/testing/passed_over_jobs_test.cc
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(taskIsNotPassedOverBesideTheWorkerOnWhichItFailed);
     CPPUNIT_TEST(stoppedSuspectIsNotIsolatedAnew);
     CPPUNIT_TEST(longRunningTaskIsNotPassedOverBesideItsSiblings);
+    CPPUNIT_TEST(taskIsNotPassedOverBesideASiblingInDoubt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +129,22 @@
         site.run(2000 + maxIdleTime);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("serving"));
     }
+
+    // Guards against a job that stands still for a lease because the worker of one of its tasks is gone.
+    void taskIsNotPassedOverBesideASiblingInDoubt()
+    {
+        constexpr Millis calmAfterFault = 4000;
+        VirtualSite site({ .seed = 100, .workers = 16, .lease = 10000, .failures = 0, .racks = 4, .longPolls = true });
+        site.newPlanner();
+        site.submit(createLongTasks("r0", 3, wholeWorker));
+        site.run(2000);
+        site.submit(createJob("tasks", { .count = 2, .perTask = wholeWorker, .estimate = 60000, .dataRack = "r0" }));
+        site.run(4000);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.runsOf("tasks"));
+        site.removeForGood(site.hostOf("tasks", 0));
+        site.run(4000 + calmAfterFault + maxIdleTime);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("tasks"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedOverJobsTest);
