Bound the time until preferences are given up on slow machines too

The clock began when a check noticed that a job was idle (every 500 ms) and that it fits twice (every 250 ms), the round at the second bound was not requested, and rounds of a slow planner are three times their duration apart.

The clock now begins at the previous check, both bounds request a round, and the bounds are brought forward by the pause between full rounds, by half at most. Members that fit are counted once for each shape and round instead of for each idle unit, since the preferences no longer matter there. WithheldResourcesTest::detectionAddsUpOnAQuietSite and detectionAddsUpWithSlowRounds failed before and pass.

--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -56,14 +56,6 @@
         return found == counts.end() ? 0 : found->second;
     }
 
-    std::int64_t countWholeUnits(const std::map<std::string_view, std::int64_t>& membersByRack, std::int64_t members)
-    {
-        std::int64_t units = 0;
-        for (const auto& [rack, count] : membersByRack)
-            units += count / members;
-        return units;
-    }
-
     enum class SpeedClass {
         Slow,
         Usual,
@@ -319,37 +311,31 @@
     return sum;
 }
 
-// Returns true as soon as the unit fits `limit` times in a rack.
-bool Snapshot::addUnusedMembers(const std::vector<SnapshotWorker>& candidates, const PlacementRequest& request, std::int64_t limit, UnusedMembers& membersByRack) const
+std::int64_t Snapshot::countUnusedMembers(const std::vector<SnapshotWorker>& candidates, const PlacementRequest& needs) const
 {
+    constexpr std::int64_t maxCounted = 1'000'000; // Members that need no resources fit without a limit.
+    std::int64_t members = 0;
     for (const SnapshotWorker& worker : candidates) {
-        if (!this->isEligible(worker, request) || (!request.rack.empty() && worker.rack != request.rack))
+        if (!this->isEligible(worker, needs))
             continue;
-        std::int64_t count = std::min(fittingCount(worker.free, request.perMember), request.members * limit);
-        if (request.maxPerWorker > 0)
-            count = std::min(count, request.maxPerWorker);
-        std::int64_t& members = membersByRack[request.sameRack ? std::string_view(worker.rack) : std::string_view()];
-        members += count;
-        if (members >= request.members * limit)
-            return true;
+        const std::int64_t count = std::min(fittingCount(worker.free, needs.perMember), maxCounted);
+        members += needs.maxPerWorker > 0 ? std::min(count, needs.maxPerWorker) : count;
     }
-    return false;
+    return members;
 }
 
-std::int64_t Snapshot::countUnusedFits(const PlacementRequest& request, std::int64_t limit) const
+UnusedMembers Snapshot::countUnusedMembers(const PlacementRequest& request) const
 {
-    UnusedMembers membersByRack;
-    if (this->addUnusedMembers(this->workers, request, limit, membersByRack))
-        return limit;
-    return std::min(countWholeUnits(membersByRack, request.members), limit);
-}
-
-std::int64_t Snapshot::countUnusedFitsAnywhere(const PlacementRequest& request, std::int64_t limit) const
-{
-    UnusedMembers membersByRack;
-    if (this->addUnusedMembers(this->workers, request, limit, membersByRack) || this->addUnusedMembers(this->unavailable, request, limit, membersByRack))
-        return limit;
-    return std::min(countWholeUnits(membersByRack, request.members), limit);
+    const PlacementRequest needs = withoutPreferences(request, preferences.back());
+    const bool isShared = !needs.allowedWorkers;
+    for (const detail::KnownUnusedMembers& known : this->knownUnusedMembers) {
+        if (isShared && known.perMember == needs.perMember && known.maxPerWorker == needs.maxPerWorker && known.label == needs.label)
+            return known.members;
+    }
+    const UnusedMembers members { this->countUnusedMembers(this->workers, needs), this->countUnusedMembers(this->unavailable, needs) };
+    if (isShared)
+        this->knownUnusedMembers.push_back({ needs.perMember, needs.maxPerWorker, needs.label, members });
+    return members;
 }
 
 PlacementRequest withoutPreferences(PlacementRequest request, Preference last)
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -29,7 +29,6 @@
 
 #include <array>
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -126,6 +125,23 @@
     std::vector<PlacementRequest> requests;
 };
 
+// How many members fit in unused resources.
+struct UnusedMembers {
+    std::int64_t available { 0 };
+    std::int64_t unavailable { 0 }; // On workers that answer but take no work at present.
+};
+
+namespace detail {
+
+    struct KnownUnusedMembers {
+        Resources perMember;
+        std::int64_t maxPerWorker { 0 };
+        std::string label;
+        UnusedMembers members;
+    };
+
+} // namespace detail
+
 class Snapshot {
 public:
     std::vector<SnapshotWorker> workers; // In ascending order of their ids.
@@ -138,6 +154,7 @@
     std::vector<SnapshotWorker> unavailable;
     Millis now { 0 };
     bool heterogeneous { false }; // Speeds differ by much more than 20%; see speed_choice.h.
+    mutable std::vector<detail::KnownUnusedMembers> knownUnusedMembers; // Results of countUnusedMembers().
 
     // Finds a placement in resources that are free now.
     std::optional<Placement> findFree(const PlacementRequest&) const;
@@ -186,12 +203,10 @@
     };
     AvailableMembers countAvailableMembers(const PlacementRequest&) const;
 
-    // How many times the whole unit fits in resources that no run uses, up to `limit`, whatever these
-    // are reserved for.
-    std::int64_t countUnusedFits(const PlacementRequest&, std::int64_t limit) const;
-
-    // As countUnusedFits(), with workers that take no work at present.
-    std::int64_t countUnusedFitsAnywhere(const PlacementRequest&, std::int64_t limit) const;
+    // How many members fit in resources that no run uses, whatever these are reserved for, by all that
+    // they need: resources, the label, the limit a worker and the allowed workers.
+    // Requests for members of one shape share a count: it is not made again when units are placed.
+    UnusedMembers countUnusedMembers(const PlacementRequest&) const;
 
     // True if the unit could be placed on the unpolled workers alone, if they were empty.
     bool fitsOnUnpolledWorkers(const PlacementRequest&) const;
@@ -209,9 +224,7 @@
     bool respectsIsolation(const SnapshotWorker&, const PlacementRequest&) const;
 
 private:
-    using UnusedMembers = std::map<std::string_view, std::int64_t>; // By rack, or one count if members may be in any.
-
-    bool addUnusedMembers(const std::vector<SnapshotWorker>&, const PlacementRequest&, std::int64_t limit, UnusedMembers&) const;
+    std::int64_t countUnusedMembers(const std::vector<SnapshotWorker>&, const PlacementRequest&) const;
 
     enum class View {
         Free,
--- a/src/tasks/round_pacer.cc
+++ b/src/tasks/round_pacer.cc
@@ -58,6 +58,8 @@
 
 void RoundPacer::roundFinished(RoundKind kind, Millis duration, Millis now)
 {
+    if (kind == RoundKind::Full)
+        this->lastFullPause = duration < minMeasuredDuration ? 0 : duration * fullPauseFactor;
     if (kind == RoundKind::None || duration < minMeasuredDuration)
         return;
     this->nextUrgentRoundAt = now + duration * urgentPauseFactor;
--- a/src/tasks/round_pacer.h
+++ b/src/tasks/round_pacer.h
@@ -45,6 +45,9 @@
     // Reports the duration of a round, so that each kind takes a bounded share of the time.
     void roundFinished(RoundKind, Millis duration, Millis now);
 
+    // How long the next full round waits after the last one, at least.
+    Millis fullPause() const { return this->lastFullPause; }
+
     // When next() must be called again even without a change; not before `now`.
     Millis nextWake(Millis now, bool urgentWaits) const;
 
@@ -56,6 +59,7 @@
     bool changedSinceRound { true };
     Millis notBefore { 0 };
     Millis nextFullRoundAt { 0 };
+    Millis lastFullPause { 0 };
     Millis nextUrgentRoundAt { 0 };
     Millis dueAt { 0 }; // 0 if no time is scheduled.
 };
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -235,7 +235,7 @@
     PlacementRequest requestOf(const Unit&) const;
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     Millis idleSinceOf(const Unit&) const;
-    bool isPassedOver(const Unit&, Millis duration, Millis now) const;
+    bool isPassedOver(const Unit&, Millis duration, Millis now);
     bool tryPlaceWithoutPreferences(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void placeCandidate(const Candidate&, Snapshot&, const PlacementRequest&, const Placement&, Millis now);
     bool hasStartingUnits(const ActiveJob&, Millis now) const;
@@ -326,7 +326,7 @@
     void updateIdleJobs(Millis now);
     void reportUnplacedJob(const ActiveJob&, Millis now);
     void reportHeldJob(ActiveJob&, const BlockingRun&, Millis now);
-    void updatePassedOver(Unit&, const Snapshot&, const PlacementRequest&, Millis now);
+    void reportPassedOver(Unit&, const Snapshot&, const PlacementRequest&, const UnusedMembers&, Millis now);
     const Unit* findPassedOverUnit(const ActiveJob&, Millis now) const;
     std::string blockingRunText(const BlockingRun&, Millis now) const;
     void reportBlockedJob(const ActiveJob&, const BlockingRun&, Millis now);
@@ -362,7 +362,7 @@
     WorkerSpeeds workerSpeeds;
     Millis movesCheckedAt { 0 }; // When late runs were last searched for.
     Millis lastWaitReportAt { 0 }; // When the wait of the oldest unit was last reported.
-    Millis nextIdleCheckAt { 0 }; // When idle jobs are searched for again.
+    Millis idleCheckedAt { 0 }; // When idle jobs were last searched for.
     Millis nextIdleReportAt { 0 }; // When the job that has been idle for longest may be reported again.
     IdleJobCounts idleCounts;
     Millis lastLearnedRecordAt { 0 }; // When run times and worker speeds were last recorded.
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace rattan::tasks {
 
@@ -91,9 +92,9 @@
 
 void TaskPlanner::updateIdleJobs(Millis now)
 {
-    if (now < this->nextIdleCheckAt)
+    if (now < this->idleCheckedAt + idleCheckInterval)
         return;
-    this->nextIdleCheckAt = now + idleCheckInterval;
+    const Millis previousCheckAt = std::exchange(this->idleCheckedAt, now);
     const std::unordered_map<std::string_view, BlockingRun> blockingRuns = this->findBlockingRuns();
     this->idleCounts = {};
     const ActiveJob* longestIdle = nullptr;
@@ -105,8 +106,8 @@
             active.idleSince = 0;
             continue;
         }
-        if (active.idleSince == 0)
-            active.idleSince = now;
+        if (active.idleSince == 0) // It may have become idle just after the previous check.
+            active.idleSince = std::clamp(unit->second.waitingSince, previousCheckAt, now);
         if (now - active.idleSince < IdleJobCounts::minIdleTime)
             continue;
         const IdleCause cause = blocking == blockingRuns.end() ? IdleCause::NotPlaced : causeOf(*blocking->second.worker, *blocking->second.placedRun);
@@ -187,38 +188,30 @@
         unit.fitsTwiceSince = unit.passedOverSince = 0;
     if (idleSince == 0 || now < unit.fitsCheckedAt + unusedCheckInterval)
         return;
-    unit.fitsCheckedAt = now;
-    this->updatePassedOver(unit, snapshot, request, now);
-    constexpr std::int64_t twice = 2;
-    if (snapshot.countUnusedFits(withoutPreferences(request, preferences.back()), twice) < twice) {
-        unit.fitsTwiceSince = 0;
-    } else if (unit.fitsTwiceSince < idleSince) {
-        unit.fitsTwiceSince = now;
-        this->pacer.scheduleBy(now + maxIdleBesideReserved);
-        this->pacer.scheduleBy(now + maxIdleBesideUnused);
-    }
+    const Millis earliest = std::max(idleSince, std::exchange(unit.fitsCheckedAt, now));
+    const auto update = [&](Millis& since, std::int64_t members) {
+        constexpr std::int64_t twice = 2;
+        if (members < twice * request.members)
+            since = 0;
+        else if (since < idleSince || since == 0)
+            since = earliest; // Resources may have become free just after the previous check.
+    };
+    const UnusedMembers unused = snapshot.countUnusedMembers(request);
+    update(unit.fitsTwiceSince, unused.available);
+    update(unit.passedOverSince, unused.available + unused.unavailable);
+    if (unit.passedOverSince > 0)
+        this->reportPassedOver(unit, snapshot, request, unused, now);
 }
 
-// Examines the same with the workers that take no work at present, for the log.
-void TaskPlanner::updatePassedOver(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
+void TaskPlanner::reportPassedOver(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, const UnusedMembers& unused, Millis now)
 {
-    const Millis idleSince = this->idleSinceOf(unit);
-    constexpr std::int64_t twice = 2;
-    const PlacementRequest needs = withoutPreferences(request, preferences.back());
-    if (snapshot.countUnusedFitsAnywhere(needs, twice) < twice) {
-        unit.passedOverSince = 0;
-        return;
-    }
-    if (unit.passedOverSince < idleSince)
-        unit.passedOverSince = now;
-    const bool fitsOnAvailableWorkers = snapshot.countUnusedFits(needs, 1) > 0;
-    unit.withheldBy = fitsOnAvailableWorkers ? findWithholding(snapshot, request) : Withholding::UnavailableWorker;
     if (now < unit.passedOverSince + IdleJobCounts::minIdleTime || now < unit.passedOverReportedAt + waitReportInterval)
         return;
     unit.passedOverReportedAt = now;
+    unit.withheldBy = unused.available >= request.members ? findWithholding(snapshot, request) : Withholding::UnavailableWorker;
     const Step& step = unit.step();
     this->emit(PlanEventKind::JobPassedOver, unit.key, unit.run, "",
-        fmt::format("for {} ms, idle for {} ms, withheld by {}, {} members with {} accelerators, priority {}{}{}", now - unit.passedOverSince, now - idleSince, nameOf(unit.withheldBy), unit.members(),
+        fmt::format("for {} ms, idle for {} ms, withheld by {}, {} members with {} accelerators, priority {}{}{}", now - unit.passedOverSince, now - this->idleSinceOf(unit), nameOf(unit.withheldBy), unit.members(),
             step.perTask.accelerators, unit.job->terms.priority, step.sameRack ? ", same rack" : "", step.dataRack.empty() ? "" : ", data in rack " + step.dataRack));
 }
 
--- a/src/tasks/task_planner_preferences.cc
+++ b/src/tasks/task_planner_preferences.cc
@@ -1,6 +1,6 @@
-// Use of resources that a unit needs but prefers not to use, or that are reserved for units which
-// cannot start yet. A unit of a job that has had nothing running for long takes them; when nothing but
-// borrowed resources is missing for the unit that holds a reservation, it takes them back.
+// Units of idle jobs give up their preferences (see Preference): a unit of a job that has had nothing
+// running for long is placed by what it needs alone. If it borrows resources that are reserved for
+// another unit, that unit takes them back when nothing else is missing for it.
 //
 // All preferences share one clock, which runs while the job has nothing running beside resources for
 // two such units. Bounds of their own would add up, or begin anew with each run that is stopped.
@@ -19,10 +19,18 @@
     return unit.step().longRunning ? unit.waitingSince : this->jobs.at(unit.key.job).idleSince;
 }
 
-bool TaskPlanner::isPassedOver(const Unit& unit, Millis duration, Millis now) const
+// Whether the unit has been idle for this long beside resources for two of it. If not, requests a round
+// at that time; on a slow machine rounds are rare, so that the last one before counts.
+bool TaskPlanner::isPassedOver(const Unit& unit, Millis duration, Millis now)
 {
     const Millis idleSince = this->idleSinceOf(unit);
-    return idleSince > 0 && unit.fitsTwiceSince >= idleSince && now >= unit.fitsTwiceSince + duration;
+    if (idleSince == 0 || unit.fitsTwiceSince < idleSince)
+        return false;
+    const Millis at = unit.fitsTwiceSince + duration - std::min(this->pacer.fullPause(), duration / 2);
+    if (now >= at)
+        return true;
+    this->pacer.scheduleBy(at);
+    return false;
 }
 
 // Places one unit of a job that has been passed over, giving up as few preferences as possible. The
