Keep the clock of a long-running task whose start is refused

Its wait for preferences counted from its last requeue, so that a start that was refused or not sent began it anew: the task stood 4,285 ms. It counts from when the task was added or a run of it that had started ended. longRunningTaskKeepsItsClockWhenItsStartIsRefused failed before and passes.

--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -81,6 +81,7 @@
     std::int64_t evictionCount { 0 }; // How often a run was evicted.
     std::int64_t rankedPriority { 0 }; // The priority at which its current run was placed; it may have been raised.
     Millis waitingSince { 0 };
+    Millis idleSince { 0 }; // Since when it waits without a run that has started.
     Millis notBefore { 0 };
     WaitReason waitReason { WaitReason::NotConsidered };
     Millis fitsTwiceSince { 0 }; // Since when it has been idle although it fits twice, by all that it needs, in resources that no run uses; or 0.
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,7 +1,7 @@
 // The life cycle of jobs and their units: takeover from records, begin, completion, failure and
 // cancellation. The other subjects are in task_planner_workers.cc (reports of workers and
 // leases), _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
-// _polls.cc, _rounds.cc (placement), _evictions.cc, _reserved.cc (use of reserved resources by
+// _polls.cc, _rounds.cc (placement), _evictions.cc, _preferences.cc (what is given up by
 // others), _idle.cc (jobs of which nothing runs), _advice.cc, _orders.cc, _reports.cc and
 // _violations.cc.
 
@@ -217,6 +217,7 @@
     unit.key = key;
     unit.job = active.job;
     unit.waitingSince = now;
+    unit.idleSince = now;
     this->enqueue(unit);
     this->pacer.markChanged();
 }
@@ -324,6 +325,8 @@
 {
     const bool failed = unit.memberFailed;
     this->learnUnfinishedRun(unit);
+    if (unit.startedAt > 0)
+        unit.idleSince = now;
     unit.state = UnitState::Waiting;
     unit.workers.clear();
     unit.memberFailed = false;
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -221,7 +221,7 @@
     const Unit* found = nullptr;
     for (auto next = this->units.lower_bound({ active.job->id, 0, 0, wholeGang }); next != this->units.end() && next->first.job == active.job->id; ++next) {
         const Unit& unit = next->second;
-        const bool isPassedOver = unit.state == UnitState::Waiting && unit.passedOverSince >= active.idleSince && now - unit.passedOverSince >= IdleJobCounts::minIdleTime;
+        const bool isPassedOver = unit.state == UnitState::Waiting && unit.passedOverSince >= this->idleSinceOf(unit) && now - unit.passedOverSince >= IdleJobCounts::minIdleTime;
         if (isPassedOver && (!found || unit.passedOverSince < found->passedOverSince))
             found = &unit;
     }
--- a/src/tasks/task_planner_preferences.cc
+++ b/src/tasks/task_planner_preferences.cc
@@ -16,7 +16,7 @@
 // task that runs until its job is cancelled, whose callers depend on that task.
 Millis TaskPlanner::idleSinceOf(const Unit& unit) const
 {
-    return unit.step().longRunning ? unit.waitingSince : this->jobs.at(unit.key.job).idleSince;
+    return unit.step().longRunning ? unit.idleSince : this->jobs.at(unit.key.job).idleSince;
 }
 
 // Whether the unit has been idle for this long beside resources for two of it. If not, requests a round
