Count preferences anew after a failure or a crash

Once a unit had been passed over for 2 s, all its preferences were given up for good: a task spent its attempts 230 ms apart on the worker on which it failed, and a task that crashes workers was placed beside other runs at once after each crash.

A run that failed, and a crash, begin the clock anew: the run did run, and the crash is a new reason for isolation. The last attempt is not spent on a worker where the unit failed and no run has succeeded since; the job waits for another worker instead.

--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -327,6 +327,8 @@
     this->learnUnfinishedRun(unit);
     if (unit.startedAt > 0)
         unit.idleSince = now;
+    if (failed)
+        restartPreferences(unit, now);
     unit.state = UnitState::Waiting;
     unit.workers.clear();
     unit.memberFailed = false;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -207,8 +207,8 @@
 
     // Runs that were lost with their workers, and tasks suspected of crashing workers.
     void loseRun(Worker&, const RunRef&, RunLoss, Millis now);
-    void countCrash(const Worker&, const PlacedRun&, RunLoss);
-    void addCrash(const PlacedRun&, CrashEvidence);
+    void countCrash(const Worker&, const PlacedRun&, RunLoss, Millis now);
+    void addCrash(const PlacedRun&, CrashEvidence, Millis now);
     bool hasSurvivedStart(const Unit&);
     void clearSuspicion(Unit&);
     void failExhaustedJobs(Millis now);
@@ -236,6 +236,8 @@
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     Millis idleSinceOf(const Unit&) const;
     bool isPassedOver(const Unit&, Millis duration, Millis now);
+    std::vector<std::string> failingWorkersOf(const Unit&) const;
+    static void restartPreferences(Unit&, Millis now);
     bool tryPlaceWithoutPreferences(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void placeCandidate(const Candidate&, Snapshot&, const PlacementRequest&, const Placement&, Millis now);
     bool hasStartingUnits(const ActiveJob&, Millis now) const;
--- a/src/tasks/task_planner_crashes.cc
+++ b/src/tasks/task_planner_crashes.cc
@@ -34,7 +34,7 @@
     const PlacedRun placedRun = found->second;
     const std::string confirmed = placedRun.confirmedAt > 0 ? fmt::format("confirmed {} ms ago", now - placedRun.confirmedAt) : "never confirmed";
     this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.description.incarnation.id, fmt::format("{}, {}, {} runs on its worker", nameOf(loss), confirmed, worker.placedRuns.size()));
-    this->countCrash(worker, placedRun, loss);
+    this->countCrash(worker, placedRun, loss, now);
     this->removeMember(worker, run, loss == RunLoss::LeaseOver ? std::optional(RunEnd::LeaseExpired) : std::nullopt, "", now);
 }
 
@@ -42,7 +42,7 @@
 // whose lease has expired may be cut off; it may have crashed only if it is not listed any more.
 // A run whose stop was answered may have been stopped without its end being read, so the
 // evidence is unproven.
-void TaskPlanner::countCrash(const Worker& worker, const PlacedRun& placedRun, RunLoss loss)
+void TaskPlanner::countCrash(const Worker& worker, const PlacedRun& placedRun, RunLoss loss, Millis now)
 {
     if (worker.description.leaving || placedRun.phase == RunPhase::Recording || (loss == RunLoss::LeaseOver && worker.listed))
         return;
@@ -55,15 +55,16 @@
         evidence = CrashEvidence::Late;
     else if (unit && !unit->inherited && unit->run == placedRun.run.run && this->isolatedUnits.contains(placedRun.unit))
         evidence = CrashEvidence::Alone;
-    this->addCrash(placedRun, evidence);
+    this->addCrash(placedRun, evidence, now);
 }
 
-void TaskPlanner::addCrash(const PlacedRun& placedRun, CrashEvidence evidence)
+void TaskPlanner::addCrash(const PlacedRun& placedRun, CrashEvidence evidence, Millis now)
 {
     Unit* unit = this->find(placedRun.unit);
     if (!unit || !unit->crashes.add({ placedRun.run.run, placedRun.run.task.index, evidence }))
         return;
     this->markDirty(unit->key.job);
+    restartPreferences(*unit, now);
     unit->suspect = unit->suspect || evidence != CrashEvidence::Late;
     if (unit->crashes.shouldGiveUp(unit->run))
         this->exhaustedUnits.insert(unit->key);
--- a/src/tasks/task_planner_incarnations.cc
+++ b/src/tasks/task_planner_incarnations.cc
@@ -70,7 +70,7 @@
     // The unconfirmed runs may have started and been lost in a crash. The crash is retracted for a
     // run that is listed later.
     for (const PlacedRun& placedRun : unconfirmed)
-        this->countCrash(worker, placedRun, RunLoss::WorkerRestarted);
+        this->countCrash(worker, placedRun, RunLoss::WorkerRestarted, now);
     for (const RunRef& run : lost)
         this->loseRun(worker, run, RunLoss::WorkerRestarted, now);
     for (auto& [run, placedRun] : worker.placedRuns) {
--- a/src/tasks/task_planner_preferences.cc
+++ b/src/tasks/task_planner_preferences.cc
@@ -3,7 +3,8 @@
 // another unit, that unit takes them back when nothing else is missing for it.
 //
 // All preferences share one clock, which runs while the job has nothing running beside resources for
-// two such units. Bounds of their own would add up, or begin anew with each run that is stopped.
+// two such units. Bounds of their own would add up, or begin anew with each run that is stopped. The
+// clock begins anew after a failure and after a crash: these are new reasons for the preferences.
 
 #include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
@@ -33,6 +34,27 @@
     return false;
 }
 
+// The workers on which the last attempt of the unit would probably fail too: it failed there, and no
+// run has succeeded there since. Empty if the unit has more attempts left.
+std::vector<std::string> TaskPlanner::failingWorkersOf(const Unit& unit) const
+{
+    std::vector<std::string> failing;
+    if (static_cast<std::int64_t>(unit.failedRuns.size()) + 1 < unit.job->terms.maxAttempts)
+        return failing;
+    for (const std::string& id : unit.excludedWorkers) {
+        const auto worker = this->workers.find(id);
+        if (worker != this->workers.end() && worker->second.health.hasFailedLast())
+            failing.push_back(id);
+    }
+    return failing;
+}
+
+void TaskPlanner::restartPreferences(Unit& unit, Millis now)
+{
+    unit.fitsTwiceSince = 0;
+    unit.fitsCheckedAt = now;
+}
+
 // Places one unit of a job that has been passed over, giving up as few preferences as possible. The
 // job's other units keep theirs. What is committed to units that wait for stops is not taken, since
 // the stops take a short time.
@@ -43,10 +65,13 @@
         return false;
     if (!unit.step().longRunning && this->hasStartingUnits(this->jobs.at(unit.key.job), now))
         return false;
+    const std::vector<std::string> failingWorkers = this->failingWorkersOf(unit);
     for (const Preference last : preferences) {
         if (last != Preference::Unreserved && !this->isPassedOver(unit, maxIdleBesideUnused, now))
             return false;
         PlacementRequest relaxed = withoutPreferences(request, last);
+        if (last >= Preference::OtherWorkers)
+            relaxed.excludedWorkers = &failingWorkers;
         for (const bool usesReserved : { false, true }) {
             relaxed.usesReserved = usesReserved;
             ++this->round.searches;
--- a/src/tasks/worker_health.h
+++ b/src/tasks/worker_health.h
@@ -21,6 +21,9 @@
     // if none has started since the quarantine ended.
     bool canTakeRun(Millis now, bool noRun) const;
 
+    // True if no run has succeeded since one failed or stalled.
+    bool hasFailedLast() const { return this->consecutiveFailures > 0; }
+
     // True from the start of a quarantine until a run succeeds.
     bool isProbing() const { return this->consecutiveFailures >= failuresToQuarantine; }
 
