Use workers that are being probed for jobs that stand still

After a quarantine a worker takes one run until one succeeds there. A gang is never that run, so it stood for over 90 s beside the only unused worker; a long probing run kept seven accelerators unused for 58.6 s. A proven worker is one more preference now, the last that is given up. Quarantines themselves are kept. taskIsNotHeldByALongProbe and gangIsNotHeldByAWorkerThatAwaitsAProbe failed before and pass.

--- a/src/tasks/idle_jobs.h
+++ b/src/tasks/idle_jobs.h
@@ -30,15 +30,16 @@
 
 // What keeps a job from unused resources in which a unit of it fits twice by all that it needs.
 enum class Withholding {
-    Committed, // They are committed to units that wait for stops, or are kept by a worker that tests one run at a time.
+    Other, // They are committed to units that wait for stops, or kept for another job's suspect units.
     Reserved, // They are reserved for other units.
     Isolation, // The unit is suspected of crashing workers, and other work runs on all of these.
     FailedThere, // A run of the unit failed on their workers.
     Rack, // They are in other racks than that of its data, or not in one rack.
+    UnprovenWorker, // Their workers are probed by one run after a quarantine.
     UnavailableWorker, // Their workers answer but take no work at present.
 };
 
-inline constexpr std::array<std::string_view, 6> withholdingNames { "committed", "reserved", "isolation", "failed_there", "rack", "unavailable_worker" };
+inline constexpr std::array<std::string_view, 7> withholdingNames { "other", "reserved", "isolation", "failed_there", "rack", "unproven_worker", "unavailable_worker" };
 
 inline constexpr std::string_view nameOf(Withholding withholding) { return withholdingNames.at(static_cast<std::size_t>(withholding)); }
 
--- a/src/tasks/placement.cc
+++ b/src/tasks/placement.cc
@@ -94,6 +94,8 @@
         return false;
     if (request.allowedWorkers && !request.allowedWorkers->contains(worker.id))
         return false;
+    if (worker.hasProbe && !request.usesUnproven)
+        return false;
     return !contains(request.excludedWorkers, worker.id);
 }
 
@@ -154,7 +156,7 @@
             running = countAt(*request.siblingCounts, worker.id);
         count = std::min(count, std::max<std::int64_t>(request.maxPerWorker - running, 0));
     }
-    if (worker.isProbing && view != View::Empty)
+    if (worker.isProbing && view != View::Empty && !request.usesUnproven)
         count = std::min<std::int64_t>(count, 1);
     if ((view == View::Free || view == View::AfterStops) && !request.usesReserved) {
         while (count > 0 && !this->respectsReservation(worker, request, count))
@@ -351,6 +353,7 @@
         request.rack.clear();
         request.sameRack = false;
     }
+    request.usesUnproven = last >= Preference::ProvenWorkers;
     return request;
 }
 
@@ -382,6 +385,8 @@
     std::int64_t free = 0;
     std::vector<SnapshotWorker*> bySpeed;
     for (SnapshotWorker& worker : this->workers) {
+        if (worker.hasProbe)
+            continue;
         total += worker.capacity.accelerators;
         free += worker.free.accelerators;
         bySpeed.push_back(&worker);
--- a/src/tasks/placement.h
+++ b/src/tasks/placement.h
@@ -63,6 +63,7 @@
     Resources freeAfterStops;
     std::string isolatedJob; // The job whose suspect tasks have this worker to themselves, or empty.
     bool isProbing { false }; // Accepts one unit only, to find out whether runs succeed there.
+    bool hasProbe { false }; // That unit is there already.
     bool reservedForUrgent { false }; // Other units are placed here last.
     bool urgentOnly { false }; // Other units aren't placed here, unless their data is in this rack.
     std::vector<Allocation> allocations;
@@ -91,6 +92,7 @@
     Millis expectedRunTime { 0 };
     bool urgent { false }; // Placed on the workers reserved for urgent units first.
     bool usesReserved { false }; // Placed also in resources that are reserved for other units.
+    bool usesUnproven { false }; // Placed also on workers that are probed, as many as fit.
     bool takesBack { false }; // In a reservation, runs that borrow count as ending now.
     double minSpeed { 0 }; // Slower workers are skipped.
     double maxSpeed { 100 }; // Faster workers are skipped.
@@ -104,9 +106,10 @@
     Isolation, // For a suspect unit, workers on which nothing else runs.
     OtherWorkers, // Workers on which it has not failed.
     Rack, // The rack of its data, or one rack for all members.
+    ProvenWorkers, // Workers on which a run has succeeded since their last quarantine.
 };
 
-inline constexpr std::array<Preference, 4> preferences { Preference::Unreserved, Preference::Isolation, Preference::OtherWorkers, Preference::Rack };
+inline constexpr std::array<Preference, 5> preferences { Preference::Unreserved, Preference::Isolation, Preference::OtherWorkers, Preference::Rack, Preference::ProvenWorkers };
 
 // The request without this preference and those before it.
 PlacementRequest withoutPreferences(PlacementRequest, Preference last);
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -86,7 +86,7 @@
     WaitReason waitReason { WaitReason::NotConsidered };
     Millis fitsTwiceSince { 0 }; // Since when it has been idle although it fits twice, by all that it needs, in resources that no run uses; or 0.
     Millis passedOverSince { 0 }; // As fitsTwiceSince, with workers that take no work at present.
-    Withholding withheldBy { Withholding::Committed }; // What kept it from these resources when that was last examined.
+    Withholding withheldBy { Withholding::Other }; // What kept it from these resources when that was last examined.
     Millis passedOverReportedAt { 0 }; // When that was last logged.
     Millis fitsCheckedAt { 0 }; // When that was last examined.
     EvictionRefusal reportedRefusal { EvictionRefusal::None }; // The last one logged, so that it isn't logged again in each round.
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -43,9 +43,11 @@
         case Preference::OtherWorkers:
             return Withholding::FailedThere;
         case Preference::Rack:
+            return Withholding::Rack;
+        case Preference::ProvenWorkers:
             break;
         }
-        return Withholding::Rack;
+        return Withholding::UnprovenWorker;
     }
 
     // The preference that must be given up, with those before it, for the unit to start now.
@@ -55,7 +57,7 @@
             if (snapshot.findFree(withoutPreferences(request, last)))
                 return withholdingOf(last);
         }
-        return Withholding::Committed;
+        return Withholding::Other;
     }
 
     std::string countsText(const IdleJobCounts& counts)
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -290,8 +290,9 @@
     snapshot.heterogeneous = this->workerSpeeds.areHeterogeneous();
     for (const auto& [id, worker] : this->workers) {
         const WorkerAvailability availability = worker.description.service == service ? this->availabilityOf(worker, now) : WorkerAvailability::Unlisted;
-        const bool answers = availability == WorkerAvailability::Resting || availability == WorkerAvailability::Doubted || availability == WorkerAvailability::Quarantined;
-        if (availability != WorkerAvailability::Available && availability != WorkerAvailability::NotPolled && !answers)
+        const bool hasProbe = availability == WorkerAvailability::Quarantined && now >= worker.health.quarantinedUntil();
+        const bool answers = availability == WorkerAvailability::Resting || availability == WorkerAvailability::Doubted || (availability == WorkerAvailability::Quarantined && !hasProbe);
+        if (availability != WorkerAvailability::Available && availability != WorkerAvailability::NotPolled && !answers && !hasProbe)
             continue;
         SnapshotWorker snapshotWorker { .id = id, .rack = worker.description.rack, .labels = &worker.description.labels, .capacity = worker.description.capacity };
         if (availability == WorkerAvailability::NotPolled) {
@@ -310,6 +311,7 @@
         snapshotWorker.speedDeviation = speed.deviation;
         snapshotWorker.freeAfterStops = snapshotWorker.free;
         snapshotWorker.isProbing = worker.health.isProbing();
+        snapshotWorker.hasProbe = hasProbe;
         for (const auto& [run, placedRun] : worker.placedRuns) {
             const bool ending = placedRun.orphaned || placedRun.stopRequested;
             if (ending)
