Give up preferences of a unit whose job stands still beside resources

Callers saw accepted jobs that had nothing running for 3 s or more, beside capacity for two of their kind and without a fault. What a unit only prefers (one rack, the rack of its data, workers on which it did not fail, isolation after a crash, resources that are not reserved) was a requirement until no set of empty workers could satisfy it, or had a bound of its own that began anew with each run. Idle jobs could borrow what was reserved, but whether they fitted twice was counted under the same preferences, so that the count, the log and the checks agreed with the fault.

Now one clock counts how long a job has been idle although a unit of it fits twice by all that it needs. After 1.5 s that unit uses reserved resources, after 2 s it gives up its other preferences, as few as possible. A long-running task has a clock of its own, since the operator counts each. Steps whose queue has an advice policy do the same among allowed workers.

--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -145,9 +145,11 @@
 // How often unused resources are counted for a unit of such a job, which visits every worker.
 inline constexpr Millis unusedCheckInterval = 250;
 
-// How long a job may have nothing running beside unused resources for two of its units that are
-// reserved for others. Jobs must run within three seconds; a record, a start and a round need the rest.
+// How long a job may have nothing running beside unused resources in which a unit of it fits twice by
+// all that it needs: first those that are reserved for others, then those that it prefers not to use.
+// Jobs must run within three seconds; a record, a start and a round need the rest.
 inline constexpr Millis maxIdleBesideReserved = 1500;
+inline constexpr Millis maxIdleBesideUnused = 2000;
 
 // A poll that has been due for at least this long counts as overdue in that report.
 inline constexpr Millis overduePollThreshold = 500;
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -83,8 +83,8 @@
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
     WaitReason waitReason { WaitReason::NotConsidered };
-    Millis fitsTwiceSince { 0 }; // Since when it waits, of an idle job, although it fits twice in resources that no run uses, or 0.
-    Millis passedOverSince { 0 }; // As fitsTwiceSince, by what the unit needs, without its preferences.
+    Millis fitsTwiceSince { 0 }; // Since when it has been idle although it fits twice, by all that it needs, in resources that no run uses; or 0.
+    Millis passedOverSince { 0 }; // As fitsTwiceSince, with workers that take no work at present.
     Withholding withheldBy { Withholding::Committed }; // What kept it from these resources when that was last examined.
     Millis passedOverReportedAt { 0 }; // When that was last logged.
     Millis fitsCheckedAt { 0 }; // When that was last examined.
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -234,7 +234,9 @@
     std::map<std::string_view, Resources> capacityByService() const;
     PlacementRequest requestOf(const Unit&) const;
     bool tryPlace(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
-    bool tryPlaceInReserved(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
+    Millis idleSinceOf(const Unit&) const;
+    bool isPassedOver(const Unit&, Millis duration, Millis now) const;
+    bool tryPlaceWithoutPreferences(Candidate&, Snapshot&, const PlacementRequest&, Millis now);
     void placeCandidate(const Candidate&, Snapshot&, const PlacementRequest&, const Placement&, Millis now);
     bool hasPlacedUnits(const ActiveJob&) const;
     bool canEvict(const Candidate&, Millis now);
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -178,38 +178,38 @@
     return earliest > 0 ? std::max(earliest, active.idleSince) : 0;
 }
 
-// Examines whether the unit's job is idle although the unit fits twice in resources that no run
-// uses, whatever they are reserved for. Done at an interval, since it visits every worker.
+// Examines whether the unit is idle although it fits twice in resources that no run uses, by all that
+// it needs. Done at an interval, since it visits every worker.
 void TaskPlanner::updateUnusedResources(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
-    const ActiveJob& active = this->jobs.at(unit.key.job);
-    if (active.idleSince == 0)
+    const Millis idleSince = this->idleSinceOf(unit);
+    if (idleSince == 0)
         unit.fitsTwiceSince = unit.passedOverSince = 0;
-    if (active.idleSince == 0 || now < unit.fitsCheckedAt + unusedCheckInterval)
+    if (idleSince == 0 || now < unit.fitsCheckedAt + unusedCheckInterval)
         return;
     unit.fitsCheckedAt = now;
     this->updatePassedOver(unit, snapshot, request, now);
     constexpr std::int64_t twice = 2;
-    if (snapshot.countUnusedFits(request, twice) < twice) {
+    if (snapshot.countUnusedFits(withoutPreferences(request, preferences.back()), twice) < twice) {
         unit.fitsTwiceSince = 0;
-    } else if (unit.fitsTwiceSince < active.idleSince) {
+    } else if (unit.fitsTwiceSince < idleSince) {
         unit.fitsTwiceSince = now;
         this->pacer.scheduleBy(now + maxIdleBesideReserved);
+        this->pacer.scheduleBy(now + maxIdleBesideUnused);
     }
 }
 
-// Examines the same by what the unit needs, without what it only prefers, and with the workers that
-// take no work at present.
+// Examines the same with the workers that take no work at present, for the log.
 void TaskPlanner::updatePassedOver(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
-    const ActiveJob& active = this->jobs.at(unit.key.job);
+    const Millis idleSince = this->idleSinceOf(unit);
     constexpr std::int64_t twice = 2;
     const PlacementRequest needs = withoutPreferences(request, preferences.back());
     if (snapshot.countUnusedFitsAnywhere(needs, twice) < twice) {
         unit.passedOverSince = 0;
         return;
     }
-    if (unit.passedOverSince < active.idleSince)
+    if (unit.passedOverSince < idleSince)
         unit.passedOverSince = now;
     const bool fitsOnAvailableWorkers = snapshot.countUnusedFits(needs, 1) > 0;
     unit.withheldBy = fitsOnAvailableWorkers ? findWithholding(snapshot, request) : Withholding::UnavailableWorker;
@@ -218,7 +218,7 @@
     unit.passedOverReportedAt = now;
     const Step& step = unit.step();
     this->emit(PlanEventKind::JobPassedOver, unit.key, unit.run, "",
-        fmt::format("for {} ms, idle for {} ms, withheld by {}, {} members with {} accelerators, priority {}{}{}", now - unit.passedOverSince, now - active.idleSince, nameOf(unit.withheldBy), unit.members(),
+        fmt::format("for {} ms, idle for {} ms, withheld by {}, {} members with {} accelerators, priority {}{}{}", now - unit.passedOverSince, now - idleSince, nameOf(unit.withheldBy), unit.members(),
             step.perTask.accelerators, unit.job->terms.priority, step.sameRack ? ", same rack" : "", step.dataRack.empty() ? "" : ", data in rack " + step.dataRack));
 }
 
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -433,8 +433,7 @@
             request.siblingCounts = &siblings;
         }
         unit.waitReason = WaitReason::NoAdvice;
-        if (hasPolicy && !this->resolveAdvice(unit, snapshot->second, request, now))
-            continue;
+        const bool hasAdvice = !hasPolicy || this->resolveAdvice(unit, snapshot->second, request, now);
         // Rack preferences that no set of workers can satisfy are dropped, not waited for.
         if ((!request.rack.empty() || request.sameRack) && !snapshot->second.fitsWhenEmpty(request)) {
             request.rack.clear();
@@ -449,11 +448,13 @@
         FailedRequests& failed = failedRequests[service];
         const bool knownToFail = failed.covers(request);
         this->updateUnusedResources(unit, snapshot->second, request, now);
-        if (knownToFail ? this->tryPlaceInReserved(candidate, snapshot->second, request, now) : this->tryPlace(candidate, snapshot->second, request, now)) {
+        if (knownToFail || !hasAdvice ? this->tryPlaceWithoutPreferences(candidate, snapshot->second, request, now) : this->tryPlace(candidate, snapshot->second, request, now)) {
             if (request.siblingCounts)
                 count(siblings, unit.workers);
             continue;
         }
+        if (!hasAdvice)
+            continue;
         unit.waitReason = WaitReason::NoWorkerForIsolation;
         // A unit that needs isolation evicts nothing, gets no reservation and does not block its
         // siblings, which may find a place.
@@ -487,8 +488,8 @@
         }
         unit.waitReason = WaitReason::NotEnoughResources;
         this->reportGuaranteeWait(candidate, snapshot->second, request, now);
-        if (unit.excludedWorkers.empty())
-            blockedStep = &unit.key;
+        if (unit.excludedWorkers.empty() && !unit.step().longRunning)
+            blockedStep = &unit.key; // Long-running tasks of a step are passed over each on its own.
         if (isCacheable && !knownToFail)
             failed.add(request);
         if (mayReserve) {
@@ -515,7 +516,7 @@
         this->placeCandidate(candidate, snapshot, request, *places, now);
         return true;
     }
-    if (this->tryPlaceInReserved(candidate, snapshot, request, now))
+    if (this->tryPlaceWithoutPreferences(candidate, snapshot, request, now))
         return true;
     if (const auto places = snapshot.findAfterStops(request)) {
         snapshot.allocateAfterStops(request, *places);
