Check lost work in virtual time as the rule has it

Callers saw jobs stand for 3 s beside capacity for them twice over, where our own check was silent: it counted one rack, the rack of the data, workers on which the unit had failed and workers after failures or stalls as the planner does, exempted periodic jobs, and was silent for a lease after a fault.

SiteOptions::checkLostWorkStrictly counts capacity by resources, label and limit per worker, at any load, from 4 s after the last fault. Periodic jobs count once an occurrence is due; each long-running task counts by itself, from 6 s after its last run. The existing options are as before. Jobs with a policy remain exempt: the site does not know which workers it allows.

Runs of gangs are counted, not searched for on all workers, and long-running tasks last, in the virtual site.

--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -185,7 +185,11 @@
         this->nextPlannerTurn = std::max(this->nextPlannerTurn, this->now + suspension);
     }
     Orders orders = this->planner->takeOrders(this->now);
-    this->planEvents.insert(this->planEvents.end(), orders.events.begin(), orders.events.end());
+    for (const PlanEvent& event : orders.events) {
+        this->planEvents.push_back(event);
+        if (event.job == this->tracedJob)
+            this->trace.push_back(fmt::format("{} ms: event {} {} run {} on {}: {}", this->now, static_cast<int>(event.kind), event.unit, event.run, event.worker, event.detail));
+    }
     for (const RecordBatch& batch : orders.batches)
         this->storeRecords(batch);
     for (const StopOrder& order : orders.stops)
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -30,6 +30,7 @@
 struct SiteOptions {
     std::uint64_t seed { 1 };
     int workers { 12 };
+    Resources workerCapacity { 128000, 512000, 8 };
     Millis lease { 6000 };
     Millis maxStopTime { 200 };
     Millis gangTimeout { 3000 };
@@ -43,6 +44,7 @@
     double workSpread { 0 }; // The standard deviation of the logarithm of a task's work.
     double longTasks { 0 }; // Share of tasks with seven times the work.
     bool checkLostWorkAtAnyLoad { false }; // Instead of only while less than half of all accelerators are in use.
+    bool checkLostWorkStrictly { false }; // At any load, by what units need without their preferences, from 4 s after the last fault.
     bool uneven { false }; // Every task of a step except the first has a quarter of the first one's work.
     bool longPolls { false }; // Workers hold waiting polls until a run ends; otherwise each is answered after 100 ms.
     Millis calmAfterFault { 0 }; // Lost work is checked from this time after the last fault; 0: one lease and a second.
@@ -142,7 +144,10 @@
     void renewByEarlierPlanner(const std::string& id) { this->workers.at(id).leaseEnd = this->now + this->options.lease; }
 
     void loseAnswers(double share) { this->options.lostAnswers = share; }
+    void loseOrders(double share) { this->options.lostOrders = share; }
     void failAll(const std::string& id, bool fails) { this->workers.at(id).failsAll = fails; }
+    // The share of the job's runs that fail, instead of SiteOptions::failures.
+    void setFailures(const std::string& job, double share) { this->failureShares[job] = share; }
     void leave(const std::string& id);
 
     // The worker announces that it leaves, and stops soon after.
@@ -240,6 +245,8 @@
         double totalWork { 1 };
         std::string checkpoint;
         std::int64_t gangSize { 1 };
+        std::size_t gangRun { 0 }; // In gangRuns; used only if gangSize > 1.
+        bool isLongRunning { false };
         Millis waitingSince { 0 };
         Millis stopsAt { 0 };
         bool willFail { false };
@@ -248,7 +255,7 @@
 
     struct Worker {
         Millis born { 1 };
-        Resources capacity { 128000, 512000, 8 };
+        Resources capacity;
         std::string rack;
         double speed { 1 };
         std::int64_t highestTerm { 0 };
@@ -352,9 +359,15 @@
 
     void acknowledge(Worker& worker, std::int64_t lastAcknowledged);
 
-    std::int64_t countRunningMembers(const RunRef& run) const;
-
-    bool allMembersFinished(const RunRef& run) const;
+    // One run of a gang.
+    struct GangRun {
+        std::int64_t running { 0 };
+        std::int64_t finished { 0 }; // Running members without remaining work.
+    };
+    std::size_t gangRunOf(const RunRef& run);
+    void joinGangRun(const RunRef& ref, Run& run);
+    void clearRuns(Worker& worker);
+    void removeRun(Worker& worker, const RunRef& ref);
 
     void advanceWorker(const std::string& id, Worker& worker);
 
@@ -374,6 +387,10 @@
     int suppressedStarts { 0 };
     std::vector<CallFault> callFaults;
     Millis frozenUntil { 0 };
+    std::map<std::string, double> failureShares; // By job.
+    std::map<TaskRef, Millis> lastRunEndedAt; // Of long-running tasks.
+    std::vector<GangRun> gangRuns;
+    std::map<RunRef, std::size_t> gangRunNumbers; // By the run of the first member.
     std::map<std::string, Millis> crashDelays; // Time after the start at which a job's first task crashes its worker.
     std::map<TaskRef, std::int64_t> crashes; // Number of workers that crashed while running a task.
     std::map<TaskRef, std::int64_t> startsAfterCrashes; // Number of starts after the third crash.
--- a/src/tasks/testing/virtual_site_lost_work.cc
+++ b/src/tasks/testing/virtual_site_lost_work.cc
@@ -25,11 +25,14 @@
 {
     constexpr Millis checkInterval = 100;
     constexpr Millis margin = 1000;
+    constexpr Millis strictCalmAfterFault = 4000;
     if (this->hasActiveFault())
         this->recordFault();
     if (this->now % checkInterval != 0)
         return;
-    const Millis calmAfterFault = this->options.calmAfterFault > 0 ? this->options.calmAfterFault : this->options.lease + margin;
+    Millis calmAfterFault = this->options.calmAfterFault > 0 ? this->options.calmAfterFault : this->options.lease + margin;
+    if (this->options.checkLostWorkStrictly)
+        calmAfterFault = strictCalmAfterFault;
     if (this->now < this->lastFaultAt + calmAfterFault)
         return this->lostWorkDetector.reset();
     this->lostWorkDetector.check(this->detectorView(), this->violations);
@@ -40,25 +43,28 @@
     LostWorkDetector::View view;
     view.now = this->now;
     view.atAnyLoad = this->options.checkLostWorkAtAnyLoad;
+    view.strict = this->options.checkLostWorkStrictly;
     for (const auto& [id, worker] : this->workers) {
         if (!worker.listed || worker.crashed)
             continue;
         Resources free = worker.capacity;
+        std::vector<TaskRef> running;
         for (const auto& [ref, run] : worker.running) {
             free -= run.resources;
             view.running.insert(ref.task);
+            running.push_back(ref.task);
             view.usedAccelerators += run.resources.accelerators;
         }
         view.accelerators += worker.capacity.accelerators;
         constexpr int failureLimit = 2; // After this many failures the planner may stop using the worker.
-        if (!worker.leaving && !this->evacuatedDomains.contains(worker.rack) && !worker.wasStalled && worker.consecutiveFailures < failureLimit)
-            view.workers.push_back({ id, "s", worker.rack, { "k", worker.rack }, free });
+        const bool isSuspect = !view.strict && (worker.wasStalled || worker.consecutiveFailures >= failureLimit);
+        if (!worker.leaving && !this->evacuatedDomains.contains(worker.rack) && !isSuspect)
+            view.workers.push_back({ id, "s", worker.rack, { "k", worker.rack }, free, std::move(running) });
     }
     for (const auto& [id, job] : this->jobs) {
-        // For jobs that also depend on advice or on a calendar, the site cannot determine whether
-        // they should run.
+        // For jobs that also depend on advice, the site cannot determine whether they should run.
         const bool isPending = !this->cancelled.contains(id) && !isFinal(this->stateOf(id)) && !this->hasExhaustedAttempts(id);
-        if (isPending && job.repeats == 0 && job.terms.advice.ticketValidity == 0)
+        if (isPending && (job.repeats == 0 || view.strict) && job.terms.advice.ticketValidity == 0)
             view.jobs.push_back(&job);
     }
     view.isDone = [this](const TaskRef& task) { return this->done.contains(task); };
@@ -67,6 +73,10 @@
         const auto failed = this->failedOn.find(unit);
         return failed != this->failedOn.end() && failed->second.contains(worker);
     };
+    view.lastRunEndedAt = [this](const TaskRef& task) {
+        const auto ended = this->lastRunEndedAt.find(task);
+        return ended == this->lastRunEndedAt.end() ? Millis { 0 } : ended->second;
+    };
     return view;
 }
 
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -22,7 +22,7 @@
         this->recordFault();
         Worker& worker = this->workers.at(id);
         worker.crashed = true;
-        worker.running.clear();
+        this->clearRuns(worker);
         worker.ended.clear();
     });
     this->schedule(this->now + timeUntilStop + timeUntilUnlisted, [this, id] {
@@ -78,7 +78,7 @@
         this->traceRun(ref, id, "lost by a crash");
         ++this->crashes[ref.task];
     }
-    worker.running.clear();
+    this->clearRuns(worker);
     worker.ended.clear();
 }
 
@@ -155,6 +155,7 @@
 void VirtualSite::addWorker(const std::string& id, const std::string& rack)
 {
     Worker worker;
+    worker.capacity = this->options.workerCapacity;
     worker.rack = rack;
     if (!this->options.speeds.empty())
         worker.speed = this->options.speeds[this->workers.size() % this->options.speeds.size()];
@@ -221,7 +222,10 @@
     run.gangSize = step.gang ? step.count : 1;
     run.waitingSince = this->now;
     run.resources = step.perTask;
-    run.willFail = worker.failsAll || this->randomShare() < this->options.failures;
+    run.isLongRunning = step.longRunning;
+    const auto failureShare = this->failureShares.find(task.job);
+    run.willFail = worker.failsAll || this->randomShare() < (failureShare == this->failureShares.end() ? this->options.failures : failureShare->second);
+    this->joinGangRun(order.run, run);
     worker.running.emplace(order.run, run);
     const auto crashDelay = this->crashDelays.find(task.job);
     if (crashDelay != this->crashDelays.end() && task.step == 0 && task.index == 0) {
@@ -322,7 +326,7 @@
     report.clock = this->now - worker.born;
     report.born = worker.born;
     for (const auto& [ref, run] : worker.running)
-        report.running.push_back({ ref, run.checkpoint, 100 - static_cast<std::int64_t>(run.remaining * 100 / run.totalWork) });
+        report.running.push_back({ ref, run.checkpoint, run.isLongRunning ? 100 : 100 - static_cast<std::int64_t>(run.remaining * 100 / run.totalWork) });
     report.ended = worker.ended;
     return report;
 }
@@ -342,25 +346,43 @@
     std::erase_if(worker.ended, [&](const EndedTask& end) { return end.number <= lastAcknowledged; });
 }
 
-std::int64_t VirtualSite::countRunningMembers(const RunRef& run) const
+std::size_t VirtualSite::gangRunOf(const RunRef& run)
 {
-    std::int64_t count = 0;
-    for (const auto& [id, worker] : this->workers) {
-        for (const auto& [ref, other] : worker.running)
-            count += ref.task.job == run.task.job && ref.task.occurrence == run.task.occurrence && ref.task.step == run.task.step && ref.run == run.run ? 1 : 0;
-    }
-    return count;
+    RunRef first = run;
+    first.task.index = 0;
+    const auto [number, isNew] = this->gangRunNumbers.try_emplace(first, this->gangRuns.size());
+    if (isNew)
+        this->gangRuns.emplace_back();
+    return number->second;
 }
 
-bool VirtualSite::allMembersFinished(const RunRef& run) const
+void VirtualSite::joinGangRun(const RunRef& ref, Run& run)
 {
-    for (const auto& [id, worker] : this->workers) {
-        for (const auto& [ref, other] : worker.running) {
-            if (ref.task.job == run.task.job && ref.task.occurrence == run.task.occurrence && ref.task.step == run.task.step && ref.run == run.run && other.remaining > 0)
-                return false;
-        }
+    if (run.gangSize <= 1)
+        return;
+    run.gangRun = this->gangRunOf(ref);
+    GangRun& gangRun = this->gangRuns[run.gangRun];
+    ++gangRun.running;
+    gangRun.finished += run.remaining <= 0 ? 1 : 0;
+}
+
+void VirtualSite::removeRun(Worker& worker, const RunRef& ref)
+{
+    const Run& run = worker.running.at(ref);
+    if (run.isLongRunning)
+        this->lastRunEndedAt[ref.task] = this->now;
+    if (run.gangSize > 1) {
+        GangRun& gangRun = this->gangRuns[run.gangRun];
+        --gangRun.running;
+        gangRun.finished -= run.remaining <= 0 ? 1 : 0;
     }
-    return true;
+    worker.running.erase(ref);
+}
+
+void VirtualSite::clearRuns(Worker& worker)
+{
+    while (!worker.running.empty())
+        this->removeRun(worker, RunRef(worker.running.begin()->first));
 }
 
 void VirtualSite::advanceWorker(const std::string& id, Worker& worker)
@@ -380,7 +402,7 @@
             endedRuns.emplace_back(ref, RunEnd::Stopped);
             continue;
         }
-        if (run.gangSize > 1 && this->countRunningMembers(ref) < run.gangSize) {
+        if (run.gangSize > 1 && this->gangRuns[run.gangRun].running < run.gangSize) {
             if (this->endedGangs.contains({ ref.task.job, ref.task.occurrence, ref.task.step, ref.run }))
                 endedRuns.emplace_back(ref, this->endedGangs.at({ ref.task.job, ref.task.occurrence, ref.task.step, ref.run }) ? RunEnd::Done : RunEnd::GangMemberEnded);
             else if (this->now - run.waitingSince >= this->options.gangTimeout)
@@ -389,12 +411,17 @@
         }
         if (worker.isStalled)
             continue;
+        const bool wasFinished = run.remaining <= 0;
         run.remaining = std::max(run.remaining - static_cast<double>(stepMillis) * worker.speed, 0.0);
-        if (run.gangSize > 1 && run.remaining <= 0 && !this->allMembersFinished(ref))
-            continue; // All members of a gang end at the same time.
+        if (run.gangSize > 1 && run.remaining <= 0) {
+            GangRun& gangRun = this->gangRuns[run.gangRun];
+            gangRun.finished += wasFinished ? 0 : 1;
+            if (gangRun.finished < gangRun.running)
+                continue; // All members of a gang end at the same time.
+        }
         if (run.willFail && run.remaining < run.totalWork / 2)
             endedRuns.emplace_back(ref, RunEnd::Failed);
-        else if (run.remaining <= 0)
+        else if (run.remaining <= 0 && !run.isLongRunning)
             endedRuns.emplace_back(ref, RunEnd::Done);
     }
     for (const auto& [ref, end] : endedRuns)
@@ -417,7 +444,7 @@
 {
     const Run run = worker.running.at(ref);
     this->traceRun(ref, "", nameOf(end).data());
-    worker.running.erase(ref);
+    this->removeRun(worker, ref);
     std::int64_t& highestRefusedRun = worker.highestRefusedRuns[ref.task];
     highestRefusedRun = std::max(highestRefusedRun, ref.run);
     const bool savesProgress = this->stepOf(ref.task).savesProgress;
