Give up preferences also where the second fit is quarantined

Callers saw a gang stand for 3 s and more beside capacity for it twice over. The clock of its preferences ran only while it fitted twice on workers that take work now.

The clock now runs by passedOverSince, which counts these workers. gangIsNotPassedOverBesideQuarantinedWorkers fails without it: 0 of 3 members.

--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -194,12 +194,11 @@
         unit.fitsTwiceSince = 0;
     } else if (unit.fitsTwiceSince < idleSince) {
         unit.fitsTwiceSince = now;
-        this->pacer.scheduleBy(now + maxIdleBesideReserved);
-        this->pacer.scheduleBy(now + maxIdleBesideUnused);
     }
 }
 
-// Examines the same with the workers that take no work at present, for the log.
+// Examines the same with the workers that take no work at present. They count, since the unit may fit
+// once on the others.
 void TaskPlanner::updatePassedOver(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     const Millis idleSince = this->idleSinceOf(unit);
@@ -209,8 +208,11 @@
         unit.passedOverSince = 0;
         return;
     }
-    if (unit.passedOverSince < idleSince)
+    if (unit.passedOverSince < idleSince) {
         unit.passedOverSince = now;
+        this->pacer.scheduleBy(now + maxIdleBesideReserved);
+        this->pacer.scheduleBy(now + maxIdleBesideUnused);
+    }
     const bool fitsOnAvailableWorkers = snapshot.countUnusedFits(needs, 1) > 0;
     unit.withheldBy = fitsOnAvailableWorkers ? findWithholding(snapshot, request) : Withholding::UnavailableWorker;
     if (now < unit.passedOverSince + IdleJobCounts::minIdleTime || now < unit.passedOverReportedAt + waitReportInterval)
--- a/src/tasks/task_planner_preferences.cc
+++ b/src/tasks/task_planner_preferences.cc
@@ -22,7 +22,7 @@
 bool TaskPlanner::isPassedOver(const Unit& unit, Millis duration, Millis now) const
 {
     const Millis idleSince = this->idleSinceOf(unit);
-    return idleSince > 0 && unit.fitsTwiceSince >= idleSince && now >= unit.fitsTwiceSince + duration;
+    return idleSince > 0 && unit.passedOverSince >= idleSince && now >= unit.passedOverSince + duration;
 }
 
 // Places one unit of a job that has been passed over, giving up as few preferences as possible. The
--- a/src/tasks/testing/passed_over_jobs_test.cc
+++ b/src/tasks/testing/passed_over_jobs_test.cc
@@ -4,6 +4,7 @@
 
 #include "tasks/testing/virtual_site.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
 
@@ -40,6 +41,11 @@
     return "";
 }
 
+std::int64_t countEvents(const VirtualSite& site, PlanEventKind kind)
+{
+    return std::count_if(site.planEvents.begin(), site.planEvents.end(), [kind](const PlanEvent& event) { return event.kind == kind; });
+}
+
 class PassedOverJobsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PassedOverJobsTest);
     CPPUNIT_TEST(gangIsNotPassedOverForOneRack);
@@ -47,6 +53,7 @@
     CPPUNIT_TEST(taskIsNotPassedOverBesideTheWorkerOnWhichItFailed);
     CPPUNIT_TEST(stoppedSuspectIsNotIsolatedAnew);
     CPPUNIT_TEST(longRunningTaskIsNotPassedOverBesideItsSiblings);
+    CPPUNIT_TEST(gangIsNotPassedOverBesideQuarantinedWorkers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +135,38 @@
         site.run(2000 + maxIdleTime);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.runsOf("serving"));
     }
+
+    // Guards against a gang that stands still because it fits once on the workers that take work, and the rest of what is unused is quarantined.
+    void gangIsNotPassedOverBesideQuarantinedWorkers()
+    {
+        VirtualSite site({ .seed = 100, .workers = 16, .failures = 0, .racks = 4 });
+        site.newPlanner();
+        for (const char* rack : { "r0", "r1", "r2", "r3" })
+            site.submit(createLongTasks(rack, 2, wholeWorker));
+        site.run(2000);
+        std::set<std::string> failing;
+        for (int rack = 0; rack < 3; ++rack) {
+            for (int number = rack; number < 16; number += 4) {
+                const std::string id = fmt::format("w{:02}", number);
+                if (!site.isBusy(id)) {
+                    failing.insert(id);
+                    break;
+                }
+            }
+        }
+        for (const std::string& id : failing)
+            site.failAll(id, true);
+        site.submit(createJob("short", { .count = 16, .perTask = wholeWorker, .estimate = 200 }));
+        while (countEvents(site, PlanEventKind::WorkerDistrusted) < 3 && site.now < 10000)
+            site.run(site.now + 5);
+        for (const std::string& id : failing)
+            site.failAll(id, false);
+        constexpr Millis shortTasksTime = 600;
+        site.run(site.now + shortTasksTime);
+        site.submit(createJob("gang", { .count = 3, .perTask = wholeWorker, .estimate = 5000, .gang = true, .sameRack = true }));
+        site.run(site.now + maxIdleTime);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, site.runsOf("gang"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PassedOverJobsTest);
