Do not quarantine sound workers for a job that fails by itself

Callers saw jobs stand for 3 s beside sound workers. Any two failures in a row quarantined a worker, whatever failed (applyEndedTask called runFailed for each failed run): one job of 39 tasks that always fail got 16 of 16 workers quarantined.

Failures of a step count against two workers as long as no task of it has succeeded, and not after the job's end. Workers that fail everything are still quarantined: other steps have successes, or count against two of them each.

jobThatAlwaysFailsDoesNotQuarantineSoundWorkers: 16 workers before, at most 2 with it; workersThatFailEverythingAreQuarantined: 6 of 6, as before.

--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -12,6 +12,9 @@
 // immediately would get the same task in a tight loop until it is quarantined.
 inline constexpr Millis retryDelay = 100;
 
+// How many workers the failures of a step count against while no task of it has succeeded.
+inline constexpr std::size_t maxBlamedWorkers = 2;
+
 // How long a worker may hold a poll open until a run ends. This is the maximum that workers
 // allow: each poll costs processor time, and an end is answered immediately anyway.
 inline constexpr Millis longPollWait = 2000;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -183,6 +183,7 @@
     void stopUnit(Unit&, Millis now);
     void removeMember(Worker&, const RunRef&, std::optional<RunEnd>, const std::string& checkpoint, Millis now);
     void applyEndedTask(Worker&, const EndedTask&, Millis now);
+    bool failsAnywhere(const UnitKey&, const std::string& worker) const;
     void acceptLateCompletion(const RunRef&, Millis now);
     void applyRunningTask(Worker&, const RunningTask&, Millis now);
     double minMemberProgress(const Unit&);
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -193,7 +193,7 @@
     worker.handledUpTo = end.number;
     if (end.end == RunEnd::Done)
         worker.health.runSucceeded();
-    if (end.end == RunEnd::Failed && worker.placedRuns.contains(end.run)) {
+    if (end.end == RunEnd::Failed && worker.placedRuns.contains(end.run) && !this->failsAnywhere(this->unitOf(end.run.task), worker.description.incarnation.id)) {
         worker.health.runFailed(now);
         if (worker.health.isProbing())
             this->emit(PlanEventKind::WorkerDistrusted, {}, 0, worker.description.incarnation.id, "consecutive runs failed");
@@ -206,6 +206,28 @@
         this->countFailedRun(end.run, now);
 }
 
+// Whether the failure of a run says nothing about its worker: its step has failed on several others and
+// no task of it has succeeded, or its job is over. A job that fails by itself would otherwise get
+// one sound worker after the other quarantined.
+bool TaskPlanner::failsAnywhere(const UnitKey& key, const std::string& worker) const
+{
+    const auto found = this->units.find(key);
+    if (found == this->units.end())
+        return true;
+    const Step& step = found->second.step();
+    const StepState& state = this->jobs.at(key.job).occurrences.at(key.occurrence).steps[static_cast<std::size_t>(key.step)];
+    if (state.unitsLeft < (step.gang ? 1 : step.count))
+        return false;
+    std::set<std::string_view> others;
+    for (auto next = this->units.lower_bound({ key.job, key.occurrence, key.step, wholeGang }); next != this->units.end() && next->first.job == key.job && next->first.occurrence == key.occurrence && next->first.step == key.step; ++next) {
+        for (const std::string& failedOn : next->second.excludedWorkers) {
+            if (failedOn != worker)
+                others.insert(failedOn);
+        }
+    }
+    return others.size() >= maxBlamedWorkers;
+}
+
 // Accepts the completion of a run that was considered lost. Its task need not run again; if the
 // next run has begun already, it is stopped.
 void TaskPlanner::acceptLateCompletion(const RunRef& run, Millis now)
