--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -191,14 +191,16 @@
     if (idleSince == 0 || now < unit.fitsCheckedAt + unusedCheckInterval)
         return;
     const Millis earliest = std::max(idleSince, std::exchange(unit.fitsCheckedAt, now));
+    const UnusedMembers unused = snapshot.countUnusedMembers(request);
+    // The clock begins at two fits and runs on while there is one: a run that has ended occupies
+    // resources until that is read, so that on a full site the number often falls below two.
     const auto update = [&](Millis& since, std::int64_t members) {
         constexpr std::int64_t twice = 2;
-        if (members < twice * request.members)
+        if (members < request.members)
             since = 0;
-        else if (since < idleSince || since == 0)
+        else if (members >= twice * request.members && (since < idleSince || since == 0))
             since = earliest; // Resources may have become free just after the previous check.
     };
-    const UnusedMembers unused = snapshot.countUnusedMembers(request);
     update(unit.fitsTwiceSince, unused.available);
     update(unit.passedOverSince, unused.available + unused.unavailable);
     if (unit.passedOverSince > 0)
--- a/src/tasks/task_planner_preferences.cc
+++ b/src/tasks/task_planner_preferences.cc
@@ -25,9 +25,9 @@
 bool TaskPlanner::isPassedOver(const Unit& unit, Millis duration, Millis now)
 {
     const Millis idleSince = this->idleSinceOf(unit);
-    if (idleSince == 0 || unit.fitsTwiceSince < idleSince)
+    if (idleSince == 0 || unit.passedOverSince < idleSince)
         return false;
-    const Millis at = unit.fitsTwiceSince + duration - std::min(this->pacer.fullPause(), duration / 2);
+    const Millis at = unit.passedOverSince + duration - std::min(this->pacer.fullPause(), duration / 2);
     if (now >= at)
         return true;
     this->pacer.scheduleBy(at);
@@ -51,7 +51,7 @@
 
 void TaskPlanner::restartPreferences(Unit& unit, Millis now)
 {
-    unit.fitsTwiceSince = 0;
+    unit.passedOverSince = 0;
     unit.fitsCheckedAt = now;
 }
 
