Restart long-running tasks that end as done

Callers saw a task that lasts until its job is cancelled stop for good once it ended by itself, beside nearly empty workers; a job of one such task was shown as completed.

removeMember() completed the unit on every end as done; the other two paths asked whether the step lasts. Such an end now brings the unit back to the queue: the record has the number of its run, the end is acknowledged when that is durable, and the next run waits 100 ms, doubling up to 0.8 s while runs end within 2 s of their start. A gang that lasts is stopped and starts again as a whole. A planner that takes over ignores that an earlier version recorded such a unit as done; as the number of its run is lost then, the next ones begin above a million.

Tests: five of the six new ones on this failed before (ends, gangs, tasks that end at once, takeovers at each 10 ms around the end, records of earlier versions); the sixth, that a cancelled job's task is not restarted, passed.

--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -12,6 +12,12 @@
 // immediately would get the same task in a tight loop until it is quarantined.
 inline constexpr Millis retryDelay = 100;
 
+// The delay after a long-running task has ended as done; it starts at retryDelay and doubles up to the
+// maximum with each run that was shorter than the minimum. Together with maxIdleBesideUnused it is
+// below the three seconds within which such a task must run again.
+inline constexpr Millis maxRestartDelay = 800;
+inline constexpr Millis minSteadyRun = 2000;
+
 // How long a worker may hold a poll open until a run ends. This is the maximum that workers
 // allow: each poll costs processor time, and an end is answered immediately anyway.
 inline constexpr Millis longPollWait = 2000;
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -54,6 +54,7 @@
     // State of the current run.
     std::int64_t membersLeft { 0 };
     bool memberFailed { false }; // A member failed because of the task itself.
+    bool memberDone { false }; // A member of a task that runs until its job is cancelled ended as done.
     bool stopping { false };
     bool inherited { false }; // Started under an earlier planner, so the start time is unknown.
     bool borrows { false }; // Placed in resources that were reserved for other units.
@@ -82,6 +83,7 @@
     std::int64_t rankedPriority { 0 }; // The priority at which its current run was placed; it may have been raised.
     Millis waitingSince { 0 };
     Millis notBefore { 0 };
+    int shortRuns { 0 }; // Consecutive runs of a long-running task that ended as done soon after their start.
     WaitReason waitReason { WaitReason::NotConsidered };
     Millis fitsTwiceSince { 0 }; // Since when it has been idle although it fits twice, by all that it needs, in resources that no run uses; or 0.
     Millis passedOverSince { 0 }; // As fitsTwiceSince, with workers that take no work at present.
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -19,6 +19,19 @@
 
 using namespace detail;
 
+namespace {
+
+    // Earlier versions recorded a long-running task that ended as done like other tasks, without the
+    // number of its run. The next number must be higher, or workers that had the task refuse it.
+    constexpr std::int64_t runsBeforeLostNumber = 1'000'000;
+
+    bool isLongRunning(const Job& job, std::int64_t step)
+    {
+        return step >= 0 && step < static_cast<std::int64_t>(job.steps.size()) && job.steps[static_cast<std::size_t>(step)].longRunning;
+    }
+
+} // namespace
+
 TaskPlanner::TaskPlanner(PlannerOptions options, const JobTable& table, const PlanTable& plans, Millis now, Millis wall)
     : options(options)
     , termStartedAt(now)
@@ -73,7 +86,7 @@
 {
     for (const UnitProgress& unit : plan.units) {
         active.nextOccurrence = std::max(active.nextOccurrence, unit.occurrence + 1);
-        if (unit.state == UnitState::Done)
+        if (unit.state == UnitState::Done && !isLongRunning(*active.job, unit.step))
             active.occurrences[unit.occurrence].doneUnits.emplace(unit.step, unit.index);
     }
     for (std::int64_t number = active.occurrencesDone; number < active.nextOccurrence; ++number) {
@@ -88,7 +101,7 @@
         Unit* unit = this->find({ active.job->id, progress.occurrence, progress.step, progress.index });
         if (!unit)
             continue;
-        unit->run = progress.run;
+        unit->run = progress.state == UnitState::Done ? runsBeforeLostNumber : progress.run;
         unit->failedRuns.insert(progress.failedRuns.begin(), progress.failedRuns.end());
         unit->checkpoint = progress.checkpoint;
         for (const CrashedRun& crashed : progress.crashes)
@@ -320,22 +333,39 @@
         this->coverage.addUnfinishedRun(*unit.forecastAtStart, atLeast);
 }
 
+// A long-running task that ends at once again and again must not cost a record and a start each 100 ms.
+Millis TaskPlanner::restartDelay(int shortRuns)
+{
+    Millis delay = retryDelay;
+    for (int i = 1; i < shortRuns && delay < maxRestartDelay; ++i)
+        delay *= 2;
+    return std::min(delay, maxRestartDelay);
+}
+
 void TaskPlanner::requeueUnit(Unit& unit, Millis now)
 {
     const bool failed = unit.memberFailed;
+    const bool done = std::exchange(unit.memberDone, false);
     this->learnUnfinishedRun(unit);
+    if (done)
+        unit.shortRuns = unit.startedAt > 0 && now - unit.startedAt >= minSteadyRun ? 1 : unit.shortRuns + 1;
     unit.state = UnitState::Waiting;
     unit.workers.clear();
     unit.memberFailed = false;
     unit.stopping = false;
     unit.startedAt = 0;
     unit.waitingSince = now;
-    unit.notBefore = failed ? now + retryDelay : now;
+    unit.notBefore = now;
+    if (done)
+        unit.notBefore += restartDelay(unit.shortRuns);
+    else if (failed)
+        unit.notBefore += retryDelay;
     this->isolatedUnits.erase(unit.key);
     this->enqueue(unit);
     this->markDirty(unit.key.job);
     this->pacer.markChanged();
-    this->emit(PlanEventKind::UnitRetried, unit.key, unit.run, "", failed ? "failed" : "ended early");
+    const char* earlyEnd = failed ? "failed" : "ended early";
+    this->emit(PlanEventKind::UnitRetried, unit.key, unit.run, "", done ? "ended as done" : earlyEnd);
     if (unit.crashes.shouldGiveUp(unit.run))
         this->exhaustedUnits.insert(unit.key);
 }
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -165,6 +165,7 @@
     void beginReadySteps(ActiveJob&, std::int64_t occurrence, Millis now);
     void addUnit(ActiveJob&, const UnitKey&, Millis now);
     void completeUnit(const UnitKey&, Millis now);
+    static Millis restartDelay(int shortRuns);
     void requeueUnit(Unit&, Millis now);
     static bool wasObservedFromStart(const Unit&);
     void learnRunTime(const Unit&, Millis now);
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -443,10 +443,12 @@
     Unit* unit = placedRun.orphaned ? nullptr : this->find(placedRun.unit);
     if (!unit || unit->run != run.run || unit->state != UnitState::Running)
         return;
-    if (end == RunEnd::Done) {
+    if (end == RunEnd::Done && !unit->step().longRunning) {
         this->completeUnit(placedRun.unit, now);
         return;
     }
+    if (end == RunEnd::Done)
+        unit->memberDone = true;
     if (!checkpoint.empty()) {
         unit->checkpoint = checkpoint;
         unit->checkpointProgress = std::max(unit->checkpointProgress, unit->progress);
