Record wide jobs in parts, so that they stop no other job

Callers saw no job of anybody start any more after a job of 5,000 tasks was accepted: its progress was one record of 268,960 bytes, the store takes 262,144, and the planner repeated the batch for good, also after a takeover.

The limit is now read from the settings (262,144 if it is missing). Progress that would exceed it is written briefly: done units as ranges, each worker named once. A value that still exceeds it is split: parts first, under keys of their own, then a record that names their generation; two generations have different keys, so a planner that takes over reads one value or the other. The planners' estimates are split in the same way. Jobs are not rejected for their width: what their record needs depends on what runs, and they can be served. The bound is the 100,000 tasks of a step that acceptance allows. Smaller jobs keep the earlier format; earlier versions can't read the others and would begin such a job anew if they took over.

--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -149,6 +149,7 @@
     tasks::PlannerOptions options;
     options.maxLease = this->services.settings.maxLease;
     options.stopTimeout = this->services.settings.stopTimeout;
+    options.maxRecordBytes = this->services.settings.maxRecordBytes;
     options.hasAdviceService = !this->services.settings.adviceAddress.empty();
     this->planner = std::make_unique<tasks::TaskPlanner>(options, this->jobs, this->plans, now, wallTime);
     this->planner->applyCatalog(this->catalog);
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -17,6 +18,7 @@
     std::string peerAddress; // IP:PORT for datagrams between instances; empty if none are exchanged.
     std::string storeAddress; // IP:PORT of the platform's store.
     std::string adviceAddress; // IP:PORT of the advice service, which knows the queues' policies; empty if there is none.
+    std::size_t maxRecordBytes { 262144 }; // Largest record that the store takes.
     Millis maxLease { 10000 }; // Longest lease that a worker grants.
     Millis stopTimeout { 200 }; // Longest time that a worker takes to stop a task.
     Millis keyExpiry { 5000 }; // Longest time for which a revoked key may still be accepted.
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -9,6 +9,7 @@
 #include "tasks/placement.h"
 #include "tasks/progress.h"
 #include "tasks/run_time_forecast.h"
+#include "tasks/split_record.h"
 #include "tasks/wait_reason.h"
 #include "tasks/worker.h"
 #include "tasks/worker_health.h"
@@ -132,6 +133,7 @@
     bool guaranteed { false }; // The job is within its workspace's guarantee.
     Millis idleSince { 0 }; // Since when nothing of it runs although a task is ready, or 0.
     Millis heldReportedAt { 0 }; // When the run that keeps it idle was last logged.
+    SplitRecord record; // Of its progress.
     JobPaths paths; // By the forecasts of `pathsAt`.
     Millis pathsAt { 0 }; // 0 if not computed yet.
 };
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -3,7 +3,10 @@
 #include "base/json.h"
 #include "base/name_lookup.h"
 
+#include <algorithm>
 #include <array>
+#include <iterator>
+#include <map>
 
 namespace rattan::tasks {
 
@@ -107,9 +110,14 @@
         return terms;
     }
 
+    Json incarnationJson(const Incarnation& incarnation) { return Json::array({ incarnation.id, incarnation.born }); }
+
+    Incarnation incarnationOf(const Json& json) { return { json.at(0).get<std::string>(), json.at(1).get<Millis>() }; }
+
     // Each unit is an array without field names: there may be hundreds of units, and names
     // would be most of the size.
-    Json unitJson(const UnitProgress& unit)
+    // `hosts`, if given, are the workers that all units name by their index.
+    Json unitJson(const UnitProgress& unit, const std::map<Incarnation, std::size_t>* hosts)
     {
         Json row = Json::array({ unit.occurrence, unit.step, unit.index, unit.run, unit.failedRuns, static_cast<int>(unit.state) });
         if (unit.state == UnitState::Done)
@@ -117,7 +125,7 @@
         row.push_back(unit.checkpoint);
         Json workers = Json::array();
         for (const Incarnation& incarnation : unit.workers)
-            workers.push_back(Json::array({ incarnation.id, incarnation.born }));
+            workers.push_back(hosts ? Json(hosts->at(incarnation)) : incarnationJson(incarnation));
         row.push_back(std::move(workers));
         if (unit.crashes.empty())
             return row;
@@ -130,7 +138,14 @@
         return row;
     }
 
-    UnitProgress unitOf(const Json& row)
+    // Throws an error of Json, so that a damaged record is unreadable.
+    Incarnation hostOf(const std::vector<Incarnation>& hosts, const Json& index)
+    {
+        const auto number = index.get<std::size_t>();
+        return number < hosts.size() ? hosts[number] : incarnationOf(Json());
+    }
+
+    UnitProgress unitOf(const Json& row, const std::vector<Incarnation>& hosts)
     {
         UnitProgress unit;
         unit.occurrence = row.at(0).get<std::int64_t>();
@@ -143,7 +158,7 @@
             unit.checkpoint = row.at(6).get<std::string>();
         if (row.size() > 7) {
             for (const Json& incarnation : row.at(7))
-                unit.workers.push_back({ incarnation.at(0).get<std::string>(), incarnation.at(1).get<Millis>() });
+                unit.workers.push_back(incarnation.is_array() ? incarnationOf(incarnation) : hostOf(hosts, incarnation));
         }
         if (row.size() > 10) {
             for (const Json& crashed : row.at(8))
@@ -154,6 +169,41 @@
         return unit;
     }
 
+    bool isOnlyDone(const UnitProgress& unit) { return unit == UnitProgress { .occurrence = unit.occurrence, .step = unit.step, .index = unit.index, .state = UnitState::Done }; }
+
+    // Units that are done, as rows of occurrence, step, first and last index.
+    Json doneRangesJson(const std::vector<UnitProgress>& units)
+    {
+        Json rows = Json::array();
+        const UnitProgress* last = nullptr;
+        for (const UnitProgress& unit : units) {
+            if (!isOnlyDone(unit))
+                continue;
+            if (last && last->occurrence == unit.occurrence && last->step == unit.step && last->index + 1 == unit.index)
+                rows.back().back() = unit.index;
+            else
+                rows.push_back(Json::array({ unit.occurrence, unit.step, unit.index, unit.index }));
+            last = &unit;
+        }
+        return rows;
+    }
+
+    void addDoneRange(const Json& row, std::vector<UnitProgress>& units)
+    {
+        for (std::int64_t index = row.at(2).get<std::int64_t>(); index <= row.at(3).get<std::int64_t>(); ++index)
+            units.push_back({ .occurrence = row.at(0).get<std::int64_t>(), .step = row.at(1).get<std::int64_t>(), .index = index, .state = UnitState::Done });
+    }
+
+    Json progressJson(const Progress& progress)
+    {
+        Json json { { "state", nameOf(progress.state) }, { "started", progress.started } };
+        if (!progress.reason.empty())
+            json["reason"] = progress.reason;
+        if (progress.occurrencesDone > 0)
+            json["done"] = progress.occurrencesDone;
+        return json;
+    }
+
     // Only this project writes these records, so one that can't be parsed is damaged or from a
     // later version. Either way it is reported as an error, not interpreted in part.
     template <typename T, typename Function>
@@ -244,31 +294,62 @@
 
 std::string encodeProgress(const Progress& progress)
 {
-    Json units = Json::array();
+    Json json = progressJson(progress);
     for (const UnitProgress& unit : progress.units)
-        units.push_back(unitJson(unit));
-    Json json { { "state", nameOf(progress.state) }, { "started", progress.started } };
-    if (!progress.reason.empty())
-        json["reason"] = progress.reason;
-    if (progress.occurrencesDone > 0)
-        json["done"] = progress.occurrencesDone;
-    if (!progress.units.empty())
-        json["units"] = std::move(units);
+        json["units"].push_back(unitJson(unit, nullptr));
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string encodeProgressBriefly(const Progress& progress)
+{
+    std::map<Incarnation, std::size_t> hosts;
+    Json hostRows = Json::array();
+    for (const UnitProgress& unit : progress.units) {
+        for (const Incarnation& incarnation : unit.workers) {
+            if (hosts.try_emplace(incarnation, hosts.size()).second)
+                hostRows.push_back(incarnationJson(incarnation));
+        }
+    }
+    Json json = progressJson(progress);
+    json["hosts"] = std::move(hostRows);
+    json["doneUnits"] = doneRangesJson(progress.units);
+    for (const UnitProgress& unit : progress.units) {
+        if (!isOnlyDone(unit))
+            json["units"].push_back(unitJson(unit, &hosts));
+    }
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+std::string encodeProgress(const Progress& progress, std::size_t maxBytes)
+{
+    constexpr std::size_t minUnitBytes = 15; // Of a unit in the usual form.
+    if (progress.units.size() * minUnitBytes < maxBytes) {
+        std::string text = encodeProgress(progress);
+        if (text.size() < maxBytes)
+            return text;
+    }
+    return encodeProgressBriefly(progress);
+}
+
 Result<Progress> decodeProgress(std::string_view value)
 {
-    return decode<Progress>(value, "tasks.progress", [](const Json& json) {
+    return decode<Progress>(value, "tasks.progress", [](const Json& json) -> Result<Progress> {
         Progress progress;
         if (const auto state = indexOfName(stateNames, json.at("state").get<std::string>()))
             progress.state = static_cast<JobState>(*state);
         getIfPresent(json, "started", progress.started);
         getIfPresent(json, "reason", progress.reason);
         getIfPresent(json, "done", progress.occurrencesDone);
+        std::vector<Incarnation> hosts;
+        if (const auto rows = json.find("hosts"); rows != json.end())
+            std::transform(rows->begin(), rows->end(), std::back_inserter(hosts), incarnationOf);
+        if (const auto ranges = json.find("doneUnits"); ranges != json.end()) {
+            for (const Json& row : *ranges)
+                addDoneRange(row, progress.units);
+        }
         if (const auto units = json.find("units"); units != json.end()) {
             for (const Json& row : *units)
-                progress.units.push_back(unitOf(row));
+                progress.units.push_back(unitOf(row, hosts));
         }
         return progress;
     });
--- a/src/tasks/records.h
+++ b/src/tasks/records.h
@@ -14,6 +14,8 @@
 //     progress/ID its Progress; written by the leading planner
 //     learned/    run times of queues and speeds of workers; written by the leading planner
 //
+// A value of the second stream that is larger than the log takes is kept in parts (split_record.h).
+//
 // A job has several keys because a submission that is repeated seconds after it was
 // accepted writes the job's key again, which must neither undo a cancellation nor discard
 // progress. The values are JSON with field names of this project; version 2.
@@ -22,6 +24,7 @@
 #include "tasks/job.h"
 #include "tasks/progress.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -50,6 +53,13 @@
 Result<JobState> decodeState(std::string_view value);
 
 std::string encodeProgress(const Progress&);
+
+// In a form that needs less than half of the size, with done units as ranges and each worker named
+// once. Earlier versions can't read it, so it is used only for progress that is too large otherwise.
+std::string encodeProgressBriefly(const Progress&);
+
+// In the usual form if that is smaller than `maxBytes`.
+std::string encodeProgress(const Progress&, std::size_t maxBytes);
 Result<Progress> decodeProgress(std::string_view value);
 
 // Returns the value of a cancellation record; only the presence of the record matters.
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -45,9 +45,19 @@
         if (entry.job && !isFinal(entry.state))
             this->adoptJob(entry, plan ? *plan : emptyPlan, now, wall);
     }
+    this->estimatesRecord = plans.splitRecord(formatKey({ RecordKind::Estimates, "" }));
+    std::set<std::string> usedParts = this->estimatesRecord.partKeys;
+    for (auto& [id, active] : this->jobs) {
+        active.record = plans.splitRecord(formatKey({ RecordKind::Progress, id }));
+        usedParts.insert(active.record.partKeys.begin(), active.record.partKeys.end());
+    }
     for (const auto& [id, plan] : plans.all()) {
         if (!this->jobs.contains(id))
-            this->obsoletePlans.push_back(id);
+            this->obsoletePlans.push_back(formatKey({ RecordKind::Progress, id }));
+    }
+    for (const std::string& key : plans.partKeys()) {
+        if (!usedParts.contains(key))
+            this->obsoletePlans.push_back(key);
     }
 }
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -61,6 +61,7 @@
     Millis maxLease { 10000 }; // The duration of the lease that each poll and start grants.
     Millis predecessorGrace { 1000 }; // How long the previous planner, considered dead, may still grant leases.
     Millis stopTimeout { 200 }; // The maximum time a worker takes to stop a run.
+    std::size_t maxRecordBytes { 262144 }; // The largest record that the log takes, with its key.
     bool hasAdviceService { false }; // Whether an advice service can be queried; otherwise placement policies of queues are ignored.
 };
 
@@ -370,8 +371,9 @@
     std::set<std::string> finishedJobs; // Jobs that ended in this term; a late repeat of their records is ignored.
 
     std::vector<std::string> jobsToForget;
-    std::vector<std::string> obsoletePlans; // Ids of jobs whose end is recorded, so that their plans can be deleted.
-    std::vector<std::string> jobsEndedInBatch;
+    std::vector<std::string> obsoletePlans; // Keys of plans and their parts of jobs whose end is recorded, so that they can be deleted.
+    std::vector<std::string> plansEndedInBatch; // The same, of jobs whose end is in the pending batch.
+    SplitRecord estimatesRecord;
     std::set<std::string> dirtyJobs; // Jobs whose records are out of date.
     Millis recordDueAt { noRecord }; // When the dirty jobs must be recorded.
     static constexpr Millis noRecord = std::numeric_limits<Millis>::max();
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -97,7 +97,7 @@
         this->recordJob(id, batch);
     if (now >= this->lastLearnedRecordAt + learnedRecordInterval) {
         this->lastLearnedRecordAt = now;
-        batch.plans.emplace_back(formatKey({ RecordKind::Estimates, "" }), encodeEstimates(this->runTimes, this->workerSpeeds, this->runTimeForecaster));
+        this->estimatesRecord.write(batch.plans, formatKey({ RecordKind::Estimates, "" }), encodeEstimates(this->runTimes, this->workerSpeeds, this->runTimeForecaster), this->options.maxRecordBytes);
     }
     for (const auto& [key, value] : this->loadsToRecord)
         batch.jobs.emplace_back(key, value);
@@ -118,7 +118,8 @@
     if (found == this->jobs.end())
         return;
     ActiveJob& active = found->second;
-    batch.plans.emplace_back(formatKey({ RecordKind::Progress, id }), encodeProgress(this->progressOf(active)));
+    const std::string key = formatKey({ RecordKind::Progress, id });
+    active.record.write(batch.plans, key, encodeProgress(this->progressOf(active), this->options.maxRecordBytes - key.size()), this->options.maxRecordBytes);
     if (active.state != active.recordedState)
         batch.jobs.emplace_back(formatKey({ RecordKind::State, id }), encodeState(active.state));
     active.recordedState = active.state;
@@ -127,7 +128,8 @@
     if (this->finishedJobs.size() >= maxFinishedJobs)
         this->finishedJobs.clear();
     this->finishedJobs.insert(id);
-    this->jobsEndedInBatch.push_back(id);
+    this->plansEndedInBatch.push_back(key);
+    this->plansEndedInBatch.insert(this->plansEndedInBatch.end(), active.record.partKeys.begin(), active.record.partKeys.end());
     this->forgetAdvice(id);
     this->jobs.erase(found);
 }
@@ -137,8 +139,8 @@
 // only it shows that the job existed.
 void TaskPlanner::recordDeletions(RecordBatch& batch)
 {
-    for (const std::string& id : this->obsoletePlans)
-        batch.plans.emplace_back(formatKey({ RecordKind::Progress, id }), "");
+    for (const std::string& key : this->obsoletePlans)
+        batch.plans.emplace_back(key, "");
     this->obsoletePlans.clear();
     for (const std::string& id : this->jobsToForget) {
         for (const RecordKind kind : { RecordKind::Cancel, RecordKind::State, RecordKind::Job })
@@ -168,8 +170,8 @@
             worker->ackDueBy = now + maxAckDelay;
     }
     this->endsInBatch.clear();
-    this->obsoletePlans.insert(this->obsoletePlans.end(), this->jobsEndedInBatch.begin(), this->jobsEndedInBatch.end());
-    this->jobsEndedInBatch.clear();
+    this->obsoletePlans.insert(this->obsoletePlans.end(), this->plansEndedInBatch.begin(), this->plansEndedInBatch.end());
+    this->plansEndedInBatch.clear();
     for (const auto& [id, run] : this->startsInBatch) {
         const auto worker = this->workers.find(id);
         if (worker == this->workers.end())
--- a/src/tasks/testing/task_planner_random_test.cc
+++ b/src/tasks/testing/task_planner_random_test.cc
@@ -27,6 +27,12 @@
 constexpr std::uint64_t firstCrashSeed = 2'000'000;
 constexpr std::uint64_t crashSeedCount = 20;
 
+// Simulations with seeds from here on include jobs whose records are split.
+constexpr std::uint64_t firstSplitSeed = 3'000'000;
+constexpr std::uint64_t splitSeedCount = 3;
+constexpr std::size_t smallRecordBytes = 1024;
+constexpr std::size_t usualRecordBytes = 262144;
+
 // The first and the last seed; RATTAN_SEEDS=FIRST-LAST selects others.
 std::pair<std::uint64_t, std::uint64_t> seedRange()
 {
@@ -41,10 +47,11 @@
 class Simulation {
 public:
     explicit Simulation(std::uint64_t seed)
-        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1 })
+        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1, .maxRecordBytes = seed >= firstSplitSeed ? smallRecordBytes : usualRecordBytes })
         , random(seed * 7919)
         , hasPolicies(seed >= firstPolicySeed && seed < firstCrashSeed)
-        , hasCrashes(seed >= firstCrashSeed)
+        , hasCrashes(seed >= firstCrashSeed && seed < firstSplitSeed)
+        , hasSplitRecords(seed >= firstSplitSeed)
     {
     }
 
@@ -91,6 +98,12 @@
             step.savesProgress = this->randomBelow(3) == 0;
             if (this->randomBelow(8) == 0)
                 step.maxPerWorker = 1;
+            if (this->hasSplitRecords && this->randomBelow(3) == 0) {
+                step.count = 20 + this->randomBelow(60);
+                step.perTask = { 1000, 1000, 1 };
+                step.gang = false;
+                step.maxPerWorker = 0;
+            }
             if (i > 0)
                 step.dependsOn.push_back(i - 1);
             newJob.steps.push_back(step);
@@ -155,6 +168,7 @@
     std::uint64_t submittedJobs { 0 };
     bool hasPolicies;
     bool hasCrashes;
+    bool hasSplitRecords;
 };
 
 // Runs one simulation. Returns an empty text if all invariants held; otherwise the first violation,
@@ -179,6 +193,7 @@
     CPPUNIT_TEST(invariantsHoldUnderFaults);
     CPPUNIT_TEST(invariantsHoldWithPolicies);
     CPPUNIT_TEST(invariantsHoldWithWorkerCrashes);
+    CPPUNIT_TEST(invariantsHoldWithSplitRecords);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,6 +214,14 @@
         }
     }
 
+    void invariantsHoldWithSplitRecords()
+    {
+        for (std::uint64_t seed = firstSplitSeed; seed < firstSplitSeed + splitSeedCount; ++seed) {
+            const std::string problem = simulate(seed, "");
+            CPPUNIT_ASSERT_MESSAGE(problem, problem.empty());
+        }
+    }
+
     void invariantsHoldWithPolicies()
     {
         for (std::uint64_t seed = firstPolicySeed; seed < firstPolicySeed + policySeedCount; ++seed) {
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -31,6 +31,7 @@
     planning.maxLease = this->options.lease;
     planning.stopTimeout = this->options.maxStopTime;
     planning.hasAdviceService = true;
+    planning.maxRecordBytes = this->options.maxRecordBytes;
     this->planner = std::make_unique<TaskPlanner>(planning, this->table, this->plans, this->now, this->now);
     this->planner->applyCatalog(this->catalog);
     this->planner->setEvacuatedDomains(this->evacuatedDomains, true, this->now);
@@ -205,6 +206,9 @@
 void VirtualSite::storeRecords(const RecordBatch& batch)
 {
     const int generation = this->plannerGeneration;
+    const auto isTooLarge = [this](const auto& record) { return record.first.size() + record.second.size() >= this->options.maxRecordBytes; };
+    if (std::any_of(batch.plans.begin(), batch.plans.end(), isTooLarge))
+        return;
     const Millis jobsAt = this->now + this->recordDelay + this->randomBetween(5, 20);
     const Millis plansAt = this->now + this->recordDelay + this->randomBetween(5, 20);
     this->schedule(jobsAt, [this, batch, generation] {
@@ -221,13 +225,17 @@
                 this->checkFailedJob(parsed.value->job);
         }
     });
-    this->schedule(plansAt, [this, batch, generation] {
-        for (const auto& [key, value] : batch.plans) {
+    // Batches with split values are written slowly, so that planners die between their records.
+    const bool isSplit = std::any_of(batch.plans.begin(), batch.plans.end(), [](const auto& record) { return keyOfPart(record.first).has_value(); });
+    Millis recordAt = plansAt;
+    for (const auto& [recordKey, recordValue] : batch.plans) {
+        this->schedule(recordAt, [this, key = recordKey, value = recordValue, generation] {
             if (generation == this->plannerGeneration)
                 this->plans.apply(key, value, this->offset++);
-        }
-    });
-    this->deliver(std::max(jobsAt, plansAt) + 1, generation, [this, number = batch.number] { this->planner->batchRecorded(number, this->now); });
+        });
+        recordAt += isSplit ? 2 : 0;
+    }
+    this->deliver(std::max(jobsAt, recordAt) + 1, generation, [this, number = batch.number] { this->planner->batchRecorded(number, this->now); });
 }
 
 void VirtualSite::freezePlanner(Millis until)
