--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -9,6 +9,7 @@
 #include "tasks/placement.h"
 #include "tasks/progress.h"
 #include "tasks/run_time_forecast.h"
+#include "tasks/split_record.h"
 #include "tasks/wait_reason.h"
 #include "tasks/worker.h"
 #include "tasks/worker_health.h"
@@ -54,6 +55,7 @@
     // State of the current run.
     std::int64_t membersLeft { 0 };
     bool memberFailed { false }; // A member failed because of the task itself.
+    bool memberDone { false }; // A member of a task that runs until its job is cancelled ended as done.
     bool stopping { false };
     bool inherited { false }; // Started under an earlier planner, so the start time is unknown.
     bool borrows { false }; // Placed in resources that were reserved for other units.
@@ -83,6 +85,7 @@
     Millis waitingSince { 0 };
     Millis idleSince { 0 }; // Since when it waits without a run that has started.
     Millis notBefore { 0 };
+    int shortRuns { 0 }; // Consecutive runs of a long-running task that ended as done soon after their start.
     WaitReason waitReason { WaitReason::NotConsidered };
     Millis fitsTwiceSince { 0 }; // Since when it has been idle although it fits twice, by all that it needs, in resources that no run uses; or 0.
     Millis passedOverSince { 0 }; // As fitsTwiceSince, with workers that take no work at present. The clock of its preferences.
@@ -131,6 +134,7 @@
     bool guaranteed { false }; // The job is within its workspace's guarantee.
     Millis idleSince { 0 }; // Since when nothing of it runs although a task is ready, or 0.
     Millis heldReportedAt { 0 }; // When the run that keeps it idle was last logged.
+    SplitRecord record; // Of its progress.
     JobPaths paths; // By the forecasts of `pathsAt`.
     Millis pathsAt { 0 }; // 0 if not computed yet.
 };
