Record how long the leases of a silent worker last

What callers see: a gang with a member on a worker that is gone for good stood still for one more lease with each takeover.

Cause: adoptRun() counts a whole lease from each takeover, since no record told a new planner that its predecessor had renewed nothing there.

Change: for a worker that has been silent for a second, the planner records how much is left of the leases there (lease/ID in the stream of jobs). The next planner counts no further.

Why it holds: from before the record is written until the record that drops it is durable, no lease is granted there, by polls or by starts; a planner that was replaced can't drop it, since the store refuses its records. The time counts from when the reader has read the record, which is later than it was written, by the reader's own steady clock: wall clocks, suspensions and late records only make it longer. Earlier grants, those of the predecessor's grace included, are in the time that is recorded. So the next planner considers a run lost no earlier than the one that wrote the record would have.

Its price: a worker that was silent for over a second gets its next lease one record later, and each such silence adds two records to the stream of jobs, at most 100 a batch.

--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -27,6 +27,8 @@
 {
     if (stream == Stream::Plans)
         this->plans.clear();
+    if (stream == Stream::Jobs)
+        this->jobs.beginLoad();
     if (stream == Stream::Configuration)
         this->evacuatedDomains.beginLoad();
 }
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -147,6 +147,8 @@
     if (this->planner || !this->jobsLoaded || !this->plansLoaded)
         return;
     tasks::PlannerOptions options;
+    options.term = this->termNumber;
+    options.previousTerm = this->termNumber - 1;
     options.maxLease = this->services.settings.maxLease;
     options.stopTimeout = this->services.settings.stopTimeout;
     options.hasAdviceService = !this->services.settings.adviceAddress.empty();
--- a/src/tasks/job_table.cc
+++ b/src/tasks/job_table.cc
@@ -13,6 +13,10 @@
 {
     const Attempt<RecordKey> parsed = attempt([&] { return parseKey(key); });
     const RecordKind kind = parsed.value ? parsed.value->kind : RecordKind::Estimates;
+    if (kind == RecordKind::LeaseLimit) {
+        this->applyLeaseLimit(parsed.value->job, value, offset, now);
+        return std::nullopt;
+    }
     if (kind != RecordKind::Job && kind != RecordKind::Cancel && kind != RecordKind::State) {
         ++this->unreadableRecords;
         return std::nullopt;
@@ -52,6 +56,21 @@
     return Change { kind, parsed.value->job };
 }
 
+void JobTable::applyLeaseLimit(const std::string& worker, std::string_view value, std::int64_t offset, Millis now)
+{
+    const auto found = this->limits.find(worker);
+    if (found != this->limits.end() && offset <= found->second.offset)
+        return;
+    this->limits.erase(worker);
+    if (value.empty())
+        return;
+    const Attempt<LeaseLimit> limit = attempt([&] { return decodeLeaseLimit(value); });
+    if (limit.value)
+        this->limits[worker] = { limit.value->term, now + limit.value->remaining, offset };
+    else
+        ++this->unreadableRecords;
+}
+
 const JobEntry* JobTable::find(std::string_view id) const
 {
     const auto found = this->entries.find(id);
--- a/src/tasks/job_table.h
+++ b/src/tasks/job_table.h
@@ -30,6 +30,14 @@
     JobState visibleState() const;
 };
 
+// A bound for the leases of a worker, by the clock of this process: its record was written before it
+// was read.
+struct KnownLeaseLimit {
+    std::int64_t term { 0 }; // Of the planner that wrote it.
+    Millis endsBy { 0 };
+    std::int64_t offset { -1 };
+};
+
 class JobTable {
 public:
     struct Change {
@@ -42,6 +50,12 @@
     // that of a job record removes the job from the table.
     std::optional<Change> apply(std::string_view key, std::string_view value, std::int64_t offset, Millis now);
 
+    // All records are about to be read again. A bound whose record was dropped since the last one was
+    // read would otherwise remain.
+    void beginLoad() { this->limits.clear(); }
+
+    const std::map<std::string, KnownLeaseLimit, std::less<>>& leaseLimits() const { return this->limits; }
+
     // Returns null if there is no such job.
     const JobEntry* find(std::string_view id) const;
 
@@ -54,7 +68,10 @@
     std::int64_t unreadable() const { return this->unreadableRecords; }
 
 private:
+    void applyLeaseLimit(const std::string& worker, std::string_view value, std::int64_t offset, Millis now);
+
     std::map<std::string, JobEntry, std::less<>> entries;
+    std::map<std::string, KnownLeaseLimit, std::less<>> limits; // By worker id.
     std::int64_t unreadableRecords { 0 };
 };
 
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -40,6 +40,14 @@
 inline constexpr double leaseClockFactor = 1.02;
 inline constexpr Millis clockUncertainty = 300;
 
+// A bound for the leases of a silent worker is recorded after the delay, since most workers answer
+// again before, and only if this much is left of them.
+inline constexpr Millis leaseLimitDelay = 1000;
+inline constexpr Millis minRecordedLease = 1000;
+
+// The number of such bounds that a batch adds: a whole failure domain may be silent.
+inline constexpr std::size_t maxLeaseLimitsPerBatch = 100;
+
 // How long the acknowledgement of an idle worker's ends may wait for the next poll. Users don't
 // notice the delay, and it nearly always saves a poll.
 inline constexpr Millis maxAckDelay = 1200;
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -189,6 +189,7 @@
     bool listed { true };
     bool hasAnswered { false }; // A poll of this term was answered.
     bool silent { false }; // The last call was not answered.
+    Millis silentSince { 0 }; // Meaningful while silent.
     Millis lastAnswerAt { 0 };
     Millis leaseEndsBy { 0 }; // Without a new lease, no run is alive there after this time.
     bool pollInFlight { false };
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -14,12 +14,13 @@
         std::string_view prefix;
     };
 
-    constexpr std::array<KindName, 5> kinds { {
+    constexpr std::array<KindName, 6> kinds { {
         { RecordKind::Job, "job/" },
         { RecordKind::Cancel, "cancel/" },
         { RecordKind::State, "state/" },
         { RecordKind::Progress, "progress/" },
         { RecordKind::Estimates, "learned/" },
+        { RecordKind::LeaseLimit, "lease/" },
     } };
 
     constexpr std::array<std::string_view, 5> stateNames { "queued", "running", "completed", "failed", "cancelled" };
@@ -274,6 +275,15 @@
     });
 }
 
+std::string encodeLeaseLimit(const LeaseLimit& limit) { return Json { { "term", limit.term }, { "remaining", limit.remaining } }.dump(); }
+
+Result<LeaseLimit> decodeLeaseLimit(std::string_view value)
+{
+    return decode<LeaseLimit>(value, "tasks.lease", [](const Json& json) {
+        return LeaseLimit { json.at("term").get<std::int64_t>(), json.at("remaining").get<Millis>() };
+    });
+}
+
 std::string encodeCancel() { return "{}"; }
 
 } // namespace rattan::tasks
--- a/src/tasks/records.h
+++ b/src/tasks/records.h
@@ -7,6 +7,8 @@
 //     cancel/ID   its cancellation; written by any instance
 //     state/ID    the state that callers see; written by the leading planner, a few times per job
 //     load/QUEUE  an excess of work (admission.h); written by the leading planner, read by LoadTable
+//     lease/ID    a bound for the leases of a silent worker (task_planner_leases.cc); written by the
+//                 leading planner, used by the one that takes over
 //
 // The second one changes with each start and end of a task, and only a planner that takes
 // over reads it:
@@ -33,11 +35,18 @@
     State,
     Progress,
     Estimates,
+    LeaseLimit,
 };
 
 struct RecordKey {
     RecordKind kind { RecordKind::Job };
-    std::string job;
+    std::string job; // Of a lease limit, the id of the worker.
+};
+
+// While this record is the newest of its worker, the planner that wrote it grants no lease there.
+struct LeaseLimit {
+    std::int64_t term { 0 }; // Of the planner that wrote it.
+    Millis remaining { 0 }; // No lease is alive this long after the record was written.
 };
 
 std::string formatKey(const RecordKey&);
@@ -52,6 +61,9 @@
 std::string encodeProgress(const Progress&);
 Result<Progress> decodeProgress(std::string_view value);
 
+std::string encodeLeaseLimit(const LeaseLimit&);
+Result<LeaseLimit> decodeLeaseLimit(std::string_view value);
+
 // Returns the value of a cancellation record; only the presence of the record matters.
 std::string encodeCancel();
 
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,6 +1,6 @@
 // The life cycle of jobs and their units: takeover from records, begin, completion, failure and
 // cancellation. The other subjects are in task_planner_workers.cc (reports of workers and
-// leases), _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
+// runs), _leases.cc, _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
 // _polls.cc, _rounds.cc (placement), _evictions.cc, _reserved.cc (use of reserved resources by
 // others), _idle.cc (jobs of which nothing runs), _advice.cc, _orders.cc, _reports.cc and
 // _violations.cc.
@@ -32,6 +32,7 @@
         if (entry.job && !isFinal(entry.state))
             this->adoptJob(entry, plan ? *plan : emptyPlan, now, wall);
     }
+    this->adoptLeaseLimits();
     for (const auto& [id, plan] : plans.all()) {
         if (!this->jobs.contains(id))
             this->obsoletePlans.push_back(id);
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -58,6 +58,8 @@
 namespace rattan::tasks {
 
 struct PlannerOptions {
+    std::int64_t term { 1 };
+    std::int64_t previousTerm { 0 }; // Of the only planner that may have given orders directly before.
     Millis maxLease { 10000 }; // The duration of the lease that each poll and start grants.
     Millis predecessorGrace { 1000 }; // How long the previous planner, considered dead, may still grant leases.
     Millis stopTimeout { 200 }; // The maximum time a worker takes to stop a run.
@@ -194,7 +196,6 @@
     static bool canStartLate(const Worker&, const RunRef&, Millis now);
     static bool canReceiveLateCalls(const Worker&, Millis now);
     void stopLateStarts(Worker&, Millis now);
-    void grantLease(Worker&, Millis now) const;
     void markSilent(Worker&, Millis now);
     bool isInDoubtedDomain(const Worker&, Millis now) const;
     bool isEvacuated(const Worker& worker) const { return !this->evacuationsKnown || this->evacuatedDomains.contains(worker.description.domain); }
@@ -218,8 +219,18 @@
     bool isSurvivalCheckDue(const PlacedRun&, Millis now) const;
     Millis nextSurvivalCheck(Millis now) const;
 
-    // Leases, stalls, and the placement decisions of a round.
+    // Leases. See task_planner_leases.cc.
+    void grantLease(Worker&, Millis now) const;
     void expireLeases(Millis now);
+    void adoptLeaseLimits();
+    bool mayGrantLease(const Worker& worker) const { return !this->limitedWorkers.contains(worker.description.incarnation.id); }
+    bool isLeaseLimitDue(const Worker&, Millis now) const;
+    bool mustDropLeaseLimit(const std::string& worker) const;
+    void findLeaseLimitChanges(Millis now);
+    void recordLeaseLimits(RecordBatch&, Millis now);
+    void leaseLimitsRecorded();
+
+    // Stalls, and the placement decisions of a round.
     void stopStalledUnits(Millis now);
     Worker* slowestWorker(const Unit&);
     void evacuateLeavingWorkers(Millis now);
@@ -405,6 +416,11 @@
     std::map<std::string, DecayingDemand> recentUrgentDemand; // By service; the decaying maximum.
     Millis lastLoadCheckAt { 0 }; // When the backlogs of queues were last compared with the room.
     std::set<std::string> overloadedQueues; // Queues with a record that says so.
+    std::set<std::string> limitedWorkers; // Workers with a record of this term that bounds their leases, or with one under way.
+    std::set<std::string> inheritedLimits; // Workers with such a record of an earlier term.
+    std::vector<std::string> limitsToRecord;
+    std::vector<std::string> limitsToDrop;
+    std::vector<std::string> limitsDroppedInBatch;
     std::map<std::string, std::string> loadsToRecord; // Values by key; a batch may wait for longer than the interval.
     Millis wallOffset { 0 }; // The wall-clock time less the local time.
     Round round;
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -53,7 +53,7 @@
 // wait, so that several ends share one record: every instance has to read each record.
 bool TaskPlanner::isRecordDue(Millis now)
 {
-    if (!this->jobsToForget.empty() || !this->loadsToRecord.empty())
+    if (!this->jobsToForget.empty() || !this->loadsToRecord.empty() || !this->limitsToRecord.empty() || !this->limitsToDrop.empty())
         return true;
     if (this->dirtyJobs.empty())
         return true;
@@ -80,9 +80,10 @@
         if (worker.handledUpTo > worker.durableUpTo)
             this->endsInBatch[worker.description.incarnation] = worker.handledUpTo;
     }
+    this->findLeaseLimitChanges(now);
     if (!this->isRecordDue(now))
         return;
-    if (this->dirtyJobs.empty() && this->jobsToForget.empty() && this->loadsToRecord.empty()) {
+    if (this->dirtyJobs.empty() && this->jobsToForget.empty() && this->loadsToRecord.empty() && this->limitsToRecord.empty() && this->limitsToDrop.empty()) {
         // Ends that changed no job need no record and can be acknowledged.
         for (const auto& [incarnation, number] : this->endsInBatch) {
             if (Worker* worker = this->find(incarnation); worker && worker->description.incarnation == incarnation)
@@ -102,6 +103,7 @@
     for (const auto& [key, value] : this->loadsToRecord)
         batch.jobs.emplace_back(key, value);
     this->loadsToRecord.clear();
+    this->recordLeaseLimits(batch, now);
     this->recordDeletions(batch);
     this->dirtyJobs.clear();
     this->recordDueAt = noRecord;
@@ -159,6 +161,7 @@
     if (!this->isBatchPending || batch != this->batchNumber)
         return;
     this->isBatchPending = false;
+    this->leaseLimitsRecorded();
     for (const auto& [incarnation, number] : this->endsInBatch) {
         Worker* worker = this->find(incarnation);
         if (!worker || worker->description.incarnation != incarnation)
--- a/src/tasks/task_planner_polls.cc
+++ b/src/tasks/task_planner_polls.cc
@@ -72,6 +72,9 @@
     if (worker.pollInFlight || now < worker.nextPollAt)
         return false;
     const bool isResponsive = worker.hasAnswered && !worker.silent;
+    // Its lease can't be renewed before a record is durable, so it would answer at once again and again.
+    if (isResponsive && !this->mayGrantLease(worker) && now < worker.pollSentAt + minPollBackoff)
+        return false;
     const bool ackDue = worker.durableUpTo > worker.acknowledgedUpTo && worker.ackDueBy > 0 && now >= worker.ackDueBy;
     if (isResponsive && !worker.needsLease() && !ackDue)
         return false;
@@ -84,7 +87,7 @@
 // the state of the runs.
 void TaskPlanner::addPoll(Worker& worker, Millis now, Orders& orders) const
 {
-    const bool renewsLease = worker.hasAnswered && !worker.silent && worker.needsLease() && now < worker.leaseEndsBy;
+    const bool renewsLease = worker.hasAnswered && !worker.silent && worker.needsLease() && now < worker.leaseEndsBy && this->mayGrantLease(worker);
     worker.pollInFlight = true;
     worker.pollSentAt = now;
     worker.ackInFlight = worker.isIncarnationProven() ? worker.durableUpTo : 0;
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -1,5 +1,5 @@
 // Workers and their runs: applies worker lists, poll answers and answers to orders, and decides
-// when a run that is no longer observable has certainly ended.
+// when a run that is no longer observable has certainly ended. Leases are in task_planner_leases.cc.
 
 #include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
@@ -18,12 +18,6 @@
     return found == this->workers.end() ? nullptr : &found->second;
 }
 
-void TaskPlanner::grantLease(Worker& worker, Millis now) const
-{
-    const auto maxDuration = static_cast<Millis>(static_cast<double>(this->options.maxLease) * leaseClockFactor);
-    worker.leaseEndsBy = std::max(worker.leaseEndsBy, now + maxDuration + clockUncertainty);
-}
-
 void TaskPlanner::workersListed(const std::vector<WorkerDescription>& descriptions, Millis now)
 {
     std::set<std::string> listed;
@@ -153,6 +147,8 @@
 
 void TaskPlanner::markSilent(Worker& worker, Millis now)
 {
+    if (!worker.silent)
+        worker.silentSince = now;
     worker.silent = true;
     this->domainDoubts.addSilentWorker(worker.description.domain, worker.description.incarnation.id, now);
 }
@@ -335,7 +331,7 @@
     // The answer to a repeated start does not exclude that an earlier attempt is executed late.
     if (placedRun.hasUnansweredStart && !settlesEarlierAttempts(answer))
         answer = StartAnswer::NoAnswer;
-    const bool canSendAgain = unit && !unit->stopping && placedRun.startsSent < maxStartAttempts && isWithinCapacity(*worker) && !this->isEvacuated(*worker);
+    const bool canSendAgain = unit && !unit->stopping && placedRun.startsSent < maxStartAttempts && isWithinCapacity(*worker) && !this->isEvacuated(*worker) && this->mayGrantLease(*worker);
     switch (answer) {
     case StartAnswer::Started:
         this->confirmStart(placedRun, now);
@@ -464,29 +460,4 @@
         this->requeueUnit(*unit, now);
 }
 
-void TaskPlanner::expireLeases(Millis now)
-{
-    for (auto& [id, worker] : this->workers) {
-        if (worker.placedRuns.empty() || now < worker.leaseEndsBy)
-            continue;
-        // The worker answers but was not polled in time. It is polled first, since a run that has
-        // completed would run a second time if it were considered lost without reading its end.
-        if (worker.hasAnswered && !worker.silent && worker.incarnationConfirmedAt < worker.leaseEndsBy) {
-            worker.nextPollAt = std::min(worker.nextPollAt, now);
-            continue;
-        }
-        std::vector<RunRef> expired;
-        for (const auto& [run, placedRun] : worker.placedRuns) {
-            if (placedRun.phase != RunPhase::Recording)
-                expired.push_back(run);
-        }
-        if (expired.empty())
-            continue;
-        this->emit(PlanEventKind::WorkerLapsed, {}, 0, id, fmt::format("{} runs, no answer for a whole lease", expired.size()));
-        for (const RunRef& run : expired)
-            this->loseRun(worker, run, RunLoss::LeaseOver, now);
-        worker.hasAnswered = false; // A poll must show what runs there now.
-    }
-}
-
 } // namespace rattan::tasks
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -28,6 +28,8 @@
     ++this->term;
     ++this->plannerGeneration;
     PlannerOptions planning;
+    planning.term = this->term;
+    planning.previousTerm = this->term - 1;
     planning.maxLease = this->options.lease;
     planning.stopTimeout = this->options.maxStopTime;
     planning.hasAdviceService = true;
