--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,8 +1,8 @@
 // The life cycle of jobs and their units: takeover from records, begin, completion, failure and
 // cancellation. The other subjects are in task_planner_workers.cc (reports of workers and
-// leases), _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
+// runs), _leases.cc, _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
 // _polls.cc, _rounds.cc (placement), _evictions.cc, _preferences.cc (what is given up by
-// others), _idle.cc (jobs of which nothing runs), _advice.cc, _orders.cc, _reports.cc and
+// idle jobs), _idle.cc (jobs of which nothing runs), _advice.cc, _orders.cc, _reports.cc and
 // _violations.cc.
 
 #include "tasks/task_planner.h"
@@ -51,6 +51,7 @@
         active.record = plans.splitRecord(formatKey({ RecordKind::Progress, id }));
         usedParts.insert(active.record.partKeys.begin(), active.record.partKeys.end());
     }
+    this->adoptLeaseLimits();
     for (const auto& [id, plan] : plans.all()) {
         if (!this->jobs.contains(id))
             this->obsoletePlans.push_back(formatKey({ RecordKind::Progress, id }));
