Do not repeat acknowledgements that a worker has confirmed

What callers see: a worker that was cut off, crashed and came back under its id got no work for up to 13 s, even if its last end had been acknowledged long before.

Cause: each poll repeated the newest acknowledgement. An unanswered poll may be carried out seconds later, by the next incarnation, which would then forget ends that were never read; so nothing is placed there for maxCallDelay. Thus every poll that was missed put the worker in doubt once any run had ended there.

Evidence: TaskPlannerPollsTest::confirmedAcknowledgementIsNotRepeated, no start within 3 s before.

Change: a poll acknowledges ends only if the worker hasn't answered a poll that acknowledged them.

Why it holds: PROTOCOL has ends up to acked_through forgotten, and "the others" returned again; what an answered poll has acknowledged is forgotten, so 0 changes nothing. Nothing that was in doubt counts as settled: an acknowledgement without an answer is repeated, and rests the next incarnation as before (pendingAcknowledgementDelaysNextIncarnation, lostAcknowledgementIsRememberedForUnlistedWorker).

--- a/src/tasks/task_planner_polls.cc
+++ b/src/tasks/task_planner_polls.cc
@@ -90,7 +90,8 @@
     const bool renewsLease = worker.hasAnswered && !worker.silent && worker.needsLease() && now < worker.leaseEndsBy && this->mayGrantLease(worker);
     worker.pollInFlight = true;
     worker.pollSentAt = now;
-    worker.ackInFlight = worker.isIncarnationProven() ? worker.durableUpTo : 0;
+    // What the worker has confirmed is not acknowledged again: unanswered, it would be in doubt.
+    worker.ackInFlight = worker.isIncarnationProven() && worker.durableUpTo > worker.acknowledgedUpTo ? worker.durableUpTo : 0;
     worker.ackDueBy = 0;
     if (renewsLease)
         this->grantLease(worker, now);
--- a/src/tasks/testing/task_planner_polls_test.cc
+++ b/src/tasks/testing/task_planner_polls_test.cc
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(runsOfUnpolledWorkerAreNotConsideredLost);
     CPPUNIT_TEST(pendingAcknowledgementDelaysNextIncarnation);
     CPPUNIT_TEST(lostAcknowledgementIsRememberedForUnlistedWorker);
+    CPPUNIT_TEST(confirmedAcknowledgementIsNotRepeated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -191,6 +192,28 @@
         CPPUNIT_ASSERT(restartShown);
     }
 
+    // Guards against a restarted worker that gets no work because every poll that it missed
+    // acknowledged, once more, ends that it had forgotten long before.
+    void confirmedAcknowledgementIsNotRepeated()
+    {
+        VirtualSite site({ .seed = 38, .workers = 1, .lease = 10000, .failures = 0, .longPolls = true });
+        site.newPlanner();
+        site.submit(makeJob("long", 1, oneAccelerator, 60000));
+        site.submit(makeJob("short", 1, oneAccelerator, 300));
+        site.run(8000);
+        CPPUNIT_ASSERT(site.stateOf("short") == JobState::Completed);
+        site.setPartitioned("w00", true);
+        site.run(10000);
+        site.restart("w00");
+        site.run(11000);
+        site.setPartitioned("w00", false);
+        site.submit(makeJob("next", 1, oneAccelerator, 300));
+        constexpr Millis maxStartTime = 3000; // A silent worker is polled every 1.6 s.
+        site.run(site.now + maxStartTime);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, site.runsOf("next"));
+        assertNoViolations(site);
+    }
+
 private:
     void submit(const std::string& id)
     {
