Keep the time that a unit is passed over through moments of fewer fits

Callers saw jobs stand for 3 s on a full site without any fault. The time since a unit fits twice in unused resources began anew with each examination at which it fitted less often.

The time begins with two fits and runs on while there is one.

--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -198,16 +198,18 @@
 }
 
 // Examines the same with the workers that take no work at present. They count, since the unit may fit
-// once on the others.
+// once on the others. While it fits once its time runs on: a run that has ended occupies resources
+// until that is read, so that on a full site the number often falls below two for a moment.
 void TaskPlanner::updatePassedOver(Unit& unit, const Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     const Millis idleSince = this->idleSinceOf(unit);
     constexpr std::int64_t twice = 2;
     const PlacementRequest needs = withoutPreferences(request, preferences.back());
-    if (snapshot.countUnusedFitsAnywhere(needs, twice) < twice) {
+    const std::int64_t fits = snapshot.countUnusedFitsAnywhere(needs, twice);
+    if (fits == 0)
         unit.passedOverSince = 0;
+    if (fits == 0 || (fits < twice && unit.passedOverSince < idleSince))
         return;
-    }
     if (unit.passedOverSince < idleSince) {
         unit.passedOverSince = now;
         this->pacer.scheduleBy(now + maxIdleBesideReserved);
