Report no wait from before a job was idle

While a unit fits once, the time since it was passed over is kept, also from before its job last ran, so that job_passed_over could tell a longer wait than the job was idle. Only the log is concerned.

--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -203,7 +203,7 @@
     };
     update(unit.fitsTwiceSince, unused.available);
     update(unit.passedOverSince, unused.available + unused.unavailable);
-    if (unit.passedOverSince > 0)
+    if (unit.passedOverSince > 0 && unit.passedOverSince >= idleSince)
         this->reportPassedOver(unit, snapshot, request, unused, now);
 }
 
