--- a/src/tasks/testing/withheld_resources_test.cc
+++ b/src/tasks/testing/withheld_resources_test.cc
@@ -54,7 +54,7 @@
     site.newPlanner();
     site.submit(createJob("long", { .perTask = wholeWorker, .estimate = 600000 }));
     site.run(2000);
-    const std::string sound = site.hostOf("long", 0) == "w00" ? "w01" : "w00";
+    std::string sound = site.hostOf("long", 0) == "w00" ? "w01" : "w00";
     site.failAll(sound, true);
     site.submit(createJob("failing", { .count = 2, .perTask = oneAccelerator, .estimate = 500 }));
     while (site.countEnds(RunEnd::Failed) < 2 && site.now < 10000)
