Acknowledge ends that need no record

An idle worker went on listing the end of a run that was stopped with its cancelled job until something else caused a poll. Ends that change no job need no record; makeBatch() marked them as durable at once, but set no time for their acknowledgement, which batchRecorded() does for all others. Both now go through setDurable().

LongRunningTasksTest::endOfCancelledTaskIsAcknowledged failed before (1 end left after 5 s) and passes.

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -311,6 +311,7 @@
     void recordJob(const std::string& id, RecordBatch&);
     void recordDeletions(RecordBatch&);
     void makePolls(Millis now, Orders&);
+    static void setDurable(Worker&, std::int64_t number, Millis now);
     static bool isWithinCapacity(const Worker&);
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
     static bool isEndExpected(const Worker&);
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -87,7 +87,7 @@
         // Ends that changed no job need no record and can be acknowledged.
         for (const auto& [incarnation, number] : this->endsInBatch) {
             if (Worker* worker = this->find(incarnation); worker && worker->description.incarnation == incarnation)
-                worker->durableUpTo = number;
+                setDurable(*worker, number, now);
         }
         this->endsInBatch.clear();
         return;
@@ -158,6 +158,14 @@
     return worker.used.fitsIn(worker.description.capacity);
 }
 
+// Ends up to the number can be acknowledged.
+void TaskPlanner::setDurable(Worker& worker, std::int64_t number, Millis now)
+{
+    worker.durableUpTo = number;
+    if (worker.ackDueBy == 0)
+        worker.ackDueBy = now + maxAckDelay;
+}
+
 void TaskPlanner::batchRecorded(std::int64_t batch, Millis now)
 {
     if (!this->isBatchPending || batch != this->batchNumber)
@@ -168,9 +176,7 @@
         Worker* worker = this->find(incarnation);
         if (!worker || worker->description.incarnation != incarnation)
             continue; // A later incarnation numbers its ends from 1 again.
-        worker->durableUpTo = number;
-        if (worker->ackDueBy == 0)
-            worker->ackDueBy = now + maxAckDelay;
+        setDurable(*worker, number, now);
     }
     this->endsInBatch.clear();
     this->obsoletePlans.insert(this->obsoletePlans.end(), this->plansEndedInBatch.begin(), this->plansEndedInBatch.end());
