Acknowledge the end of the only run on an idle worker

The end of the only run on a worker stayed unacknowledged until the worker got another run. An acknowledgement is sent only if the incarnation is proven, that is, if the worker answered a poll that was sent after the last start was answered. The poll that lists the end of a short run is often sent before that. The poll that was due for the acknowledgement then carried none, and after it nothing was due any more.

An answer to a poll that acknowledged less than is durable now makes the next poll due at once. TaskPlannerPollsTest::endOfTheOnlyRunIsAcknowledged failed before (1 end listed after 4 s) and passes.

--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -81,6 +81,8 @@
         worker->acknowledgedUpTo = std::max(worker->acknowledgedUpTo, worker->ackInFlight);
     if (worker->acknowledgedUpTo >= worker->durableUpTo)
         worker->ackDueBy = 0;
+    else if (worker->ackDueBy == 0)
+        worker->ackDueBy = now; // The poll acknowledged less, since a start could have reached another incarnation.
     this->pacer.markChanged();
     for (const EndedTask& end : report.ended)
         this->applyEndedTask(*worker, end, now);
--- a/src/tasks/testing/task_planner_polls_test.cc
+++ b/src/tasks/testing/task_planner_polls_test.cc
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(pendingAcknowledgementDelaysNextIncarnation);
     CPPUNIT_TEST(lostAcknowledgementIsRememberedForUnlistedWorker);
     CPPUNIT_TEST(confirmedAcknowledgementIsNotRepeated);
+    CPPUNIT_TEST(endOfTheOnlyRunIsAcknowledged);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -240,6 +241,20 @@
     JobTable table;
     std::int64_t offset { 1 };
     Millis now { 1000 };
+
+    // Guards against an end that an idle worker lists for good, because the poll that listed it was sent before its start
+    // was answered.
+    void endOfTheOnlyRunIsAcknowledged()
+    {
+        VirtualSite site({ .seed = 39, .workers = 1, .lease = 10000, .failures = 0, .longPolls = true });
+        site.newPlanner();
+        site.run(2000);
+        site.submit(makeJob("only", 1, oneAccelerator, 400));
+        site.run(6000);
+        CPPUNIT_ASSERT(site.stateOf("only") == JobState::Completed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, site.unacknowledgedEnds());
+        assertNoViolations(site);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TaskPlannerPollsTest);
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -126,6 +126,14 @@
     return found == this->endCounts.end() ? 0 : found->second;
 }
 
+std::size_t VirtualSite::unacknowledgedEnds() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, worker] : this->workers)
+        count += worker.ended.size();
+    return count;
+}
+
 void VirtualSite::publishWorkers()
 {
     if (this->planner)
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -231,6 +231,9 @@
 
     std::int64_t countEnds(RunEnd end) const;
 
+    // The number of ends that workers still list.
+    std::size_t unacknowledgedEnds() const;
+
     std::map<std::string, double> workFactors; // By workspace, the ratio of the work to the declared time; 1 if not listed.
     std::int64_t startsWithoutTicket { 0 }; // Starts that lacked a required ticket.
     std::int64_t workersInAdviceRequests { 0 }; // Workers listed in all advice requests.
