Do not take a partial list of ends for all of them

A report lists 500 ends at a time. removeUnlistedRuns() took the runs whose ends were not among these for lost, and they were started again before the next report listed them as done. A planner that took over read such a report first and did the same.

A report now says whether there may be further ends. That is known only at the boundary: fewer than 500 rows are all of them, 500 may be all or not. The relays pass it on. What reads "not listed" now waits while there may be more ends: - A run that isn't running and can't start any more, but whose end may come yet, has a phase of its own, EndUnread: it keeps its resources, is neither stopped nor started again, and is settled by its end, by a list that is complete, or, if its worker falls silent, by the end of the lease. As it can't start any more it doesn't delay acknowledgements; otherwise the runs that a planner inherits would have stopped them, and so the list, for good. - A later incarnation may have run and ended what was confirmed shortly before it was noticed; such a run counts as lost only beside a full list. - The lease of a worker that answers is extended while ends are unread.

--- a/src/delivery/delivery.capnp
+++ b/src/delivery/delivery.capnp
@@ -79,6 +79,8 @@
   removed @3 :List(UInt16);
   added @4 :List(Running);
   ended @5 :List(Ended);
+  hasMoreEnds @6 :Bool;
+  # There may be ends that are not listed.
 }
 
 struct Answer {
--- a/src/delivery/delivery.capnp.h
+++ b/src/delivery/delivery.capnp.h
@@ -1267,6 +1267,8 @@
             inline bool hasEnded() const;
             inline ::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>::Reader getEnded() const;
 
+            inline bool getHasMoreEnds() const;
+
         private:
             ::capnp::_::StructReader _reader;
             template <typename, ::capnp::Kind>
@@ -1336,6 +1338,9 @@
             inline void adoptEnded(::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>>&& value);
             inline ::capnp::Orphan<::capnp::List<::rattan::delivery::wire::Ended, ::capnp::Kind::STRUCT>> disownEnded();
 
+            inline bool getHasMoreEnds();
+            inline void setHasMoreEnds(bool value);
+
         private:
             ::capnp::_::StructBuilder _builder;
             template <typename, ::capnp::Kind>
@@ -3476,6 +3481,23 @@
                 ::capnp::bounded<3>() * ::capnp::POINTERS));
         }
 
+        inline bool Report::Reader::getHasMoreEnds() const
+        {
+            return _reader.getDataField<bool>(
+                ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+        }
+
+        inline bool Report::Builder::getHasMoreEnds()
+        {
+            return _builder.getDataField<bool>(
+                ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+        }
+        inline void Report::Builder::setHasMoreEnds(bool value)
+        {
+            _builder.setDataField<bool>(
+                ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+        }
+
         inline ::uint32_t Answer::Reader::getId() const
         {
             return _reader.getDataField<::uint32_t>(
--- a/src/delivery/delivery_codec.cc
+++ b/src/delivery/delivery_codec.cc
@@ -33,6 +33,7 @@
     {
         out.setBorn(delta.born);
         out.setWhole(delta.isSnapshot);
+        out.setHasMoreEnds(delta.hasMoreEnds);
         auto moved = out.initMoved(static_cast<unsigned>(delta.changed.size()));
         for (unsigned i = 0; i < moved.size(); ++i) {
             const ChangedTask& row = delta.changed[i];
@@ -64,6 +65,7 @@
     ReportDelta readReport(wire::Report::Reader in, Millis clock)
     {
         ReportDelta delta { .clock = clock, .born = in.getBorn(), .isSnapshot = in.getWhole() };
+        delta.hasMoreEnds = in.getHasMoreEnds();
         for (const auto row : in.getMoved()) {
             ChangedTask changed { .position = row.getPlace(), .percent = row.getPercent(), .checkpoint = std::nullopt };
             if (!row.getKeepsCheckpoint())
--- a/src/delivery/report_delta.cc
+++ b/src/delivery/report_delta.cc
@@ -66,6 +66,7 @@
 {
     ReportDelta delta { .clock = report.clock, .born = report.born };
     delta.ended = report.ended;
+    delta.hasMoreEnds = report.hasMoreEnds;
     const auto [found, isFirst] = this->lastReports.try_emplace(worker);
     LastReport& previous = found->second;
     delta.isSnapshot = isFirst || previous.born != report.born;
@@ -94,7 +95,7 @@
         return std::nullopt;
     running.insert(running.end(), delta.added.begin(), delta.added.end());
     found->second = running;
-    return WorkerReport { .clock = delta.clock, .born = delta.born, .running = std::move(running), .ended = delta.ended };
+    return WorkerReport { .clock = delta.clock, .born = delta.born, .running = std::move(running), .ended = delta.ended, .hasMoreEnds = delta.hasMoreEnds };
 }
 
 } // namespace rattan::delivery
--- a/src/delivery/report_delta.h
+++ b/src/delivery/report_delta.h
@@ -37,7 +37,8 @@
     std::vector<ChangedTask> changed;
     std::vector<std::size_t> removed; // Positions in the list of the previous report, ascending.
     std::vector<tasks::RunningTask> added;
-    std::vector<tasks::EndedTask> ended; // All ends that are not acknowledged.
+    std::vector<tasks::EndedTask> ended; // As in the report.
+    bool hasMoreEnds { false }; // As in the report.
 };
 
 class ReportEncoder {
--- a/src/delivery/testing/delivery_codec_test.cc
+++ b/src/delivery/testing/delivery_codec_test.cc
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(DeliveryCodecTest);
     CPPUNIT_TEST(unknownOutcomesSettleNothing);
     CPPUNIT_TEST(unknownEndsCountAsFailed);
+    CPPUNIT_TEST(partialListOfEndsStaysPartial);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,6 +50,26 @@
         }
     }
 
+    // Guards against a relay that passes on a part of a worker's ends as all of them, so that the others count as lost.
+    void partialListOfEndsStaysPartial()
+    {
+        this->introduceWorker();
+        RelayCodec relay;
+        capnp::MallocMessageBuilder order;
+        PlannerCodec planner;
+        planner.encode({ 1, { PollOrder { .worker = { "w1", 5 }, .address = "10.0.0.1:80" }, 1, std::nullopt } }, order.initRoot<wire::Order>());
+        CPPUNIT_ASSERT(relay.decode(order.getRoot<wire::Order>().asReader(), 1));
+        for (const bool hasMoreEnds : { true, false }) {
+            capnp::MallocMessageBuilder message;
+            const PollReply reply { .report = WorkerReport { .clock = 7, .born = 5, .ended = { { 1, { { "a", 0, 0, 0 }, 1 }, RunEnd::Done, "" } }, .hasMoreEnds = hasMoreEnds } };
+            relay.encode({ .id = 1, .worker = "w1", .answer = { .reply = reply, .status = 200 } }, message.initRoot<wire::Answer>());
+            const auto decoded = planner.decode(message.getRoot<wire::Answer>().asReader());
+            const auto& report = std::get<PollReply>(decoded->answer.reply).report;
+            CPPUNIT_ASSERT(report);
+            CPPUNIT_ASSERT_EQUAL(hasMoreEnds, report->hasMoreEnds);
+        }
+    }
+
 private:
     void introduceWorker()
     {
--- a/src/delivery/testing/report_delta_test.cc
+++ b/src/delivery/testing/report_delta_test.cc
@@ -19,7 +19,7 @@
     std::sort(b.running.begin(), b.running.end(), byRun);
     const auto sameTask = [](const RunningTask& x, const RunningTask& y) { return x.run == y.run && x.percent == y.percent && x.checkpoint == y.checkpoint; };
     const auto sameEnd = [](const EndedTask& x, const EndedTask& y) { return x.number == y.number && x.run == y.run && x.end == y.end; };
-    return a.clock == b.clock && a.born == b.born && std::equal(a.running.begin(), a.running.end(), b.running.begin(), b.running.end(), sameTask)
+    return a.clock == b.clock && a.born == b.born && a.hasMoreEnds == b.hasMoreEnds && std::equal(a.running.begin(), a.running.end(), b.running.begin(), b.running.end(), sameTask)
         && std::equal(a.ended.begin(), a.ended.end(), b.ended.begin(), b.ended.end(), sameEnd);
 }
 
@@ -99,6 +99,7 @@
             report.running.push_back({ runOf("job", ++this->lastIndex), "", 0 });
         if (random() % 3 == 0)
             report.ended.push_back({ ++this->lastIndex, runOf("job", this->lastIndex), RunEnd::Done, "" });
+        report.hasMoreEnds = random() % 2 == 0;
         std::shuffle(report.running.begin(), report.running.end(), random);
     }
 
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -143,6 +143,7 @@
     Recording, // Its record isn't durable yet, and no start was sent.
     Starting, // A start was sent, or may have been sent by an earlier planner.
     Running, // The worker listed it or confirmed its start.
+    EndUnread, // It isn't running and can't start any more, but its end may be one that its worker hasn't listed yet.
 };
 
 // A run that is still listed this long after its confirmed start hasn't crashed its worker by
@@ -204,6 +205,7 @@
     Millis pollBackoff { 0 }; // The delay after a poll without an answer.
     Millis ackDueBy { 0 }; // When ends that are durable must be acknowledged; 0 if there are none.
     Millis leavesAt { 0 }; // The earliest time at which a leaving worker leaves.
+    bool hasMoreEnds { false }; // Its last report may not list all of its ends.
     std::int64_t handledUpTo { 0 }; // Ends up to this number are in the planner's state.
     std::int64_t durableUpTo { 0 }; // Ends up to this number are in the log.
     std::int64_t acknowledgedUpTo { 0 }; // The worker has confirmed an acknowledgement up to this number.
@@ -217,7 +219,7 @@
     std::map<RunRef, PlacedRun> placedRuns;
     WorkerHealth health;
 
-    // True if a run may be alive there, which needs a lease.
+    // True if a run may be alive there, which needs a lease, or may have ended without its end being read.
     bool needsLease() const
     {
         return std::any_of(this->placedRuns.begin(), this->placedRuns.end(), [](const auto& entry) { return entry.second.phase != RunPhase::Recording; });
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -21,6 +21,8 @@
 //    run, or shows that a stop arrived first, or every lease on the worker has expired.
 //  * A worker crash under a task is recorded with the task before the task starts again.
 //    After a few crashes the job fails, also across takeovers.
+//  * A run that a worker doesn't list is over only if the worker has listed all of its ends.
+//    Until then it may have ended as done.
 //  * Ends of runs are acknowledged to workers, and jobs are shown as final, only when the
 //    record of it is durable.
 //
@@ -192,7 +194,7 @@
     void applyRunningTask(Worker&, const RunningTask&, Millis now);
     double minMemberProgress(const Unit&);
     void estimateInheritedRunTime(Unit&, double progress, Millis now) const;
-    void removeUnlistedRuns(Worker&, const WorkerReport&, Millis sentAt, Millis now);
+    void settleUnlistedRuns(Worker&, const WorkerReport&, Millis sentAt, Millis now);
     void loseIncarnation(Worker&, Millis now, const char* reason);
     void changeIncarnation(Worker&, const WorkerReport&, Millis sentAt, bool concurrent, Millis now);
     static void rememberLostStart(Worker&, PlacedRun&, Millis now);
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -19,6 +19,8 @@
     {
         if (placedRun.phase == RunPhase::Recording)
             return IdleCause::NotRecorded;
+        if (placedRun.phase == RunPhase::EndUnread)
+            return IdleCause::EndUnread;
         if (placedRun.stopRequested)
             return placedRun.startRuledOutAt > 0 ? IdleCause::EndUnread : IdleCause::StopUnanswered;
         if (placedRun.phase == RunPhase::Running)
--- a/src/tasks/task_planner_incarnations.cc
+++ b/src/tasks/task_planner_incarnations.cc
@@ -42,6 +42,7 @@
         worker.placementBlockedUntil = worker.ackUnansweredAt + maxCallDelay;
     worker.handledUpTo = worker.durableUpTo = worker.acknowledgedUpTo = worker.ackInFlight = 0;
     worker.ackDueBy = 0;
+    worker.hasMoreEnds = report.hasMoreEnds;
     worker.health = {};
     this->endsInBatch.erase(earlier);
     std::set<RunRef> listed;
@@ -56,7 +57,9 @@
         const bool couldBePresent = placedRun.phase == RunPhase::Running && placedRun.confirmedAt >= sentAt;
         if (placedRun.phase == RunPhase::Recording || listed.contains(run) || couldBePresent)
             continue;
-        if (placedRun.phase == RunPhase::Running && !canStartLate(worker, run, now)) {
+        // A run that was started shortly before the restart was noticed may have ended in the current
+        // incarnation, and its end may not be listed yet.
+        if (placedRun.phase == RunPhase::Running && !report.hasMoreEnds && !canStartLate(worker, run, now)) {
             lost.push_back(run);
         } else {
             placedRun.phase = RunPhase::Starting;
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -158,11 +158,13 @@
     return worker.used.fitsIn(worker.description.capacity);
 }
 
-// Ends up to the number can be acknowledged.
+// Ends up to the number can be acknowledged. A worker with more ends lists them only then.
 void TaskPlanner::setDurable(Worker& worker, std::int64_t number, Millis now)
 {
     worker.durableUpTo = number;
-    if (worker.ackDueBy == 0)
+    if (worker.hasMoreEnds)
+        worker.ackDueBy = now;
+    else if (worker.ackDueBy == 0)
         worker.ackDueBy = now + maxAckDelay;
 }
 
@@ -224,7 +226,8 @@
         if (worker.description.address.empty())
             continue;
         for (auto& [run, placedRun] : worker.placedRuns) {
-            if (!placedRun.stopRequested || placedRun.phase == RunPhase::Recording || placedRun.stopInFlight)
+            const bool canRun = placedRun.phase == RunPhase::Starting || placedRun.phase == RunPhase::Running;
+            if (!placedRun.stopRequested || !canRun || placedRun.stopInFlight)
                 continue;
             if (now < placedRun.nextStopAt || isStoppedBeforeStart(worker, placedRun))
                 continue;
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -274,6 +274,8 @@
         return WorkerAvailability::Evacuated;
     if (worker.silent)
         return WorkerAvailability::Silent;
+    if (worker.hasMoreEnds)
+        return WorkerAvailability::EndsUnread;
     if (now < worker.placementBlockedUntil)
         return WorkerAvailability::Resting;
     if (this->isInDoubtedDomain(worker, now))
@@ -291,7 +293,7 @@
     for (const auto& [id, worker] : this->workers) {
         const WorkerAvailability availability = worker.description.service == service ? this->availabilityOf(worker, now) : WorkerAvailability::Unlisted;
         const bool hasProbe = availability == WorkerAvailability::Quarantined && now >= worker.health.quarantinedUntil();
-        const bool answers = availability == WorkerAvailability::Resting || availability == WorkerAvailability::Doubted || (availability == WorkerAvailability::Quarantined && !hasProbe);
+        const bool answers = availability == WorkerAvailability::EndsUnread || availability == WorkerAvailability::Resting || availability == WorkerAvailability::Doubted || (availability == WorkerAvailability::Quarantined && !hasProbe);
         if (availability != WorkerAvailability::Available && availability != WorkerAvailability::NotPolled && !answers && !hasProbe)
             continue;
         SnapshotWorker snapshotWorker { .id = id, .rack = worker.description.rack, .labels = &worker.description.labels, .capacity = worker.description.capacity };
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -76,6 +76,11 @@
     this->domainDoubts.addAnswer(worker->description.domain, now);
     worker->pollBackoff = 0;
     worker->nextPollAt = now;
+    // Answers may overtake each other.
+    if (sentAt >= worker->incarnationConfirmedAt)
+        worker->hasMoreEnds = report.hasMoreEnds;
+    if (report.hasMoreEnds)
+        this->requestImmediateRecord(); // The worker lists the other ends only after these are acknowledged.
     worker->incarnationConfirmedAt = std::max(worker->incarnationConfirmedAt, sentAt);
     if (!concurrent)
         worker->acknowledgedUpTo = std::max(worker->acknowledgedUpTo, worker->ackInFlight);
@@ -88,9 +93,11 @@
         this->applyEndedTask(*worker, end, now);
     for (const RunningTask& running : report.running)
         this->applyRunningTask(*worker, running, now);
-    this->removeUnlistedRuns(*worker, report, sentAt, now);
-    // The runs are alive, so the lease was renewed later than this planner knew.
-    if (!report.running.empty() && now >= worker->leaseEndsBy)
+    this->settleUnlistedRuns(*worker, report, sentAt, now);
+    // Runs that are alive show that the lease was renewed later than this planner knew. Unread ends
+    // are waited for as long as the worker answers.
+    const bool hasUnreadEnds = std::any_of(worker->placedRuns.begin(), worker->placedRuns.end(), [](const auto& row) { return row.second.phase == RunPhase::EndUnread; });
+    if ((!report.running.empty() || hasUnreadEnds) && now >= worker->leaseEndsBy)
         this->grantLease(*worker, now);
 }
 
@@ -257,6 +264,8 @@
         return;
     }
     PlacedRun& placedRun = found->second;
+    if (placedRun.phase == RunPhase::EndUnread)
+        return; // A later report, which was answered first, didn't list it any more.
     const bool startWasUnanswered = placedRun.phase != RunPhase::Running;
     if (startWasUnanswered)
         this->confirmStart(placedRun, now);
@@ -318,9 +327,10 @@
     return minProgress;
 }
 
-// Removes runs that the worker's complete list does not hold and that cannot start later. That
-// depends on which planner sent the start, and on whether a stop arrived first.
-void TaskPlanner::removeUnlistedRuns(Worker& worker, const WorkerReport& report, Millis sentAt, Millis now)
+// Removes runs that the worker's lists do not hold and that cannot start later. That depends on
+// which planner sent the start, and on whether a stop arrived first. While the worker has more ends
+// than it lists, such a run may have ended as done, so it is kept until all of them were read.
+void TaskPlanner::settleUnlistedRuns(Worker& worker, const WorkerReport& report, Millis sentAt, Millis now)
 {
     std::set<RunRef> listed;
     for (const RunningTask& running : report.running)
@@ -336,8 +346,15 @@
         if (ranBefore || canNeverStart)
             unlisted.push_back(run);
     }
-    for (const RunRef& run : unlisted)
-        this->removeMember(worker, run, std::nullopt, "", now);
+    for (const RunRef& run : unlisted) {
+        if (!report.hasMoreEnds) {
+            this->removeMember(worker, run, std::nullopt, "", now);
+            continue;
+        }
+        PlacedRun& placedRun = worker.placedRuns.at(run);
+        placedRun.phase = RunPhase::EndUnread;
+        placedRun.startRuledOutAt = sentAt;
+    }
 }
 
 void TaskPlanner::startAnswered(const Incarnation& incarnation, const RunRef& run, StartAnswer answer, Millis now)
--- a/src/tasks/testing/task_planner_random_test.cc
+++ b/src/tasks/testing/task_planner_random_test.cc
@@ -33,6 +33,12 @@
 constexpr std::size_t smallRecordBytes = 1024;
 constexpr std::size_t usualRecordBytes = 262144;
 
+// Simulations with seeds from here on include workers that list few of their ends at a time.
+constexpr std::uint64_t firstPartialListSeed = 4'000'000;
+constexpr std::uint64_t partialListSeedCount = 10;
+constexpr std::size_t fewEnds = 2;
+constexpr std::size_t usualEnds = 500;
+
 // The first and the last seed; RATTAN_SEEDS=FIRST-LAST selects others.
 std::pair<std::uint64_t, std::uint64_t> seedRange()
 {
@@ -47,11 +53,11 @@
 class Simulation {
 public:
     explicit Simulation(std::uint64_t seed)
-        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1, .maxRecordBytes = seed >= firstSplitSeed ? smallRecordBytes : usualRecordBytes })
+        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1, .maxRecordBytes = seed >= firstSplitSeed && seed < firstPartialListSeed ? smallRecordBytes : usualRecordBytes, .maxEndsPerReport = seed >= firstPartialListSeed ? fewEnds : usualEnds })
         , random(seed * 7919)
         , hasPolicies(seed >= firstPolicySeed && seed < firstCrashSeed)
         , hasCrashes(seed >= firstCrashSeed && seed < firstSplitSeed)
-        , hasSplitRecords(seed >= firstSplitSeed)
+        , hasSplitRecords(seed >= firstSplitSeed && seed < firstPartialListSeed)
     {
     }
 
@@ -194,6 +200,7 @@
     CPPUNIT_TEST(invariantsHoldWithPolicies);
     CPPUNIT_TEST(invariantsHoldWithWorkerCrashes);
     CPPUNIT_TEST(invariantsHoldWithSplitRecords);
+    CPPUNIT_TEST(invariantsHoldWithPartialLists);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -222,6 +229,14 @@
         }
     }
 
+    void invariantsHoldWithPartialLists()
+    {
+        for (std::uint64_t seed = firstPartialListSeed; seed < firstPartialListSeed + partialListSeedCount; ++seed) {
+            const std::string problem = simulate(seed, "");
+            CPPUNIT_ASSERT_MESSAGE(problem, problem.empty());
+        }
+    }
+
     void invariantsHoldWithPolicies()
     {
         for (std::uint64_t seed = firstPolicySeed; seed < firstPolicySeed + policySeedCount; ++seed) {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -48,6 +48,7 @@
     bool uneven { false }; // Every task of a step except the first has a quarter of the first one's work.
     bool longPolls { false }; // Workers hold waiting polls until a run ends; otherwise each is answered after 100 ms.
     std::size_t maxRecordBytes { 262144 }; // A batch with a larger record is refused for good.
+    std::size_t maxEndsPerReport { 500 }; // Further ends are listed once these are acknowledged.
     Millis calmAfterFault { 0 }; // Lost work is checked from this time after the last fault; 0: one lease and a second.
 };
 
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -327,7 +327,9 @@
     report.born = worker.born;
     for (const auto& [ref, run] : worker.running)
         report.running.push_back({ ref, run.checkpoint, run.isLongRunning ? 100 : 100 - static_cast<std::int64_t>(run.remaining * 100 / run.totalWork) });
-    report.ended = worker.ended;
+    const std::size_t listedEnds = std::min(worker.ended.size(), this->options.maxEndsPerReport);
+    report.ended.assign(worker.ended.begin(), worker.ended.begin() + static_cast<std::ptrdiff_t>(listedEnds));
+    report.hasMoreEnds = listedEnds == this->options.maxEndsPerReport;
     return report;
 }
 
--- a/src/tasks/wait_reason.h
+++ b/src/tasks/wait_reason.h
@@ -31,6 +31,7 @@
     Unlisted,
     Leaving,
     Silent, // The last call had no answer.
+    EndsUnread, // It has more ends than one report lists. Each start would delay the acknowledgement that makes it list the others.
     Resting, // A late poll could still acknowledge ends there that were never read.
     Doubted, // Its whole failure domain may be cut off.
     Quarantined, // Two runs in a row failed there or one stalled.
@@ -38,8 +39,8 @@
     NotPolled, // It has not answered a poll of this term yet.
 };
 
-inline constexpr std::size_t availabilityCount = 9;
-inline constexpr std::array<std::string_view, availabilityCount> availabilityNames { "take work", "not listed", "leaving", "silent", "resting", "doubted", "distrusted", "evacuated", "not heard yet" };
+inline constexpr std::size_t availabilityCount = 10;
+inline constexpr std::array<std::string_view, availabilityCount> availabilityNames { "take work", "not listed", "leaving", "silent", "ends not read", "resting", "doubted", "distrusted", "evacuated", "not heard yet" };
 
 inline std::string_view nameOf(WorkerAvailability availability) { return availabilityNames.at(static_cast<std::size_t>(availability)); }
 
--- a/src/tasks/worker.h
+++ b/src/tasks/worker.h
@@ -53,7 +53,8 @@
     Millis clock { 0 }; // Time by the worker's clock.
     Millis born { 0 }; // When the answering incarnation of the worker started.
     std::vector<RunningTask> running;
-    std::vector<EndedTask> ended; // Not acknowledged yet; the number in one report is bounded.
+    std::vector<EndedTask> ended; // Not acknowledged yet, by number; those with the lowest numbers if the worker has more than one report lists.
+    bool hasMoreEnds { false }; // There may be ends that the report doesn't list. Then a run that it doesn't list may have ended in any way.
 };
 
 // Why the effect of a poll or an order is absent or uncertain.
