Do not end a load at an empty page that more follow

A load of a stream took a page without records as its end, also if the page said that more follow: a bounded list taken for the whole. What was not delivered would count as deleted, for example workers or a lease bound. It is now a failed call, and the page is asked for again.

StreamReaderTest::emptyPageWithMoreDoesNotEndALoad failed before (the stream counted as loaded) and passes.

--- a/src/instance/stream_reader.cc
+++ b/src/instance/stream_reader.cc
@@ -100,13 +100,16 @@
     const Attempt<NewestPage> page = attempt([&] { return this->protocol.parseNewest(reply); });
     if (!page.value)
         return this->handleFailure(page.error.message);
+    // Without a last key, the records that follow can't be asked for, and must not count as deleted.
+    if (page.value->hasMore && page.value->records.empty())
+        return this->handleFailure("a page without records says that more follow");
     const Millis now = this->clock.now();
     this->retryDelay = 0;
     if (this->endAtLoadStart < 0)
         this->endAtLoadStart = page.value->end;
     for (const StoreRecord& record : page.value->records)
         this->handler.recordRead(this->options.stream, record, now);
-    if (page.value->hasMore && !page.value->records.empty()) {
+    if (page.value->hasMore) {
         this->lastLoadedKey = page.value->records.back().key;
         return;
     }
--- a/src/instance/testing/stream_reader_test.cc
+++ b/src/instance/testing/stream_reader_test.cc
@@ -27,13 +27,14 @@
         return ReadReply {};
     }
     http::Call listNewest(Stream, const std::string&) const override { return { .path = "/newest" }; }
-    Result<NewestPage> parseNewest(const http::Reply&) const override { return NewestPage {}; }
+    Result<NewestPage> parseNewest(const http::Reply& reply) const override { return NewestPage { .records = {}, .hasMore = reply.body == "more" }; }
 };
 
 class StreamReaderTest : public CppUnit::TestFixture, public StreamHandler {
     CPPUNIT_TEST_SUITE(StreamReaderTest);
     CPPUNIT_TEST(firstReadAfterFailureDoesNotWait);
     CPPUNIT_TEST(readThatHangsIsRepeatedOnceTheStoreAnswers);
+    CPPUNIT_TEST(emptyPageWithMoreDoesNotEndALoad);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +69,27 @@
         CPPUNIT_ASSERT(this->immediateReads > immediateReadsBefore);
     }
 
+    // Guards against records that count as deleted because a page of a load was empty although more followed.
+    void emptyPageWithMoreDoesNotEndALoad()
+    {
+        http::Server server({ .address = "127.0.0.1:0" });
+        std::atomic<int> pages { 0 };
+        std::atomic<bool> hasMore { true };
+        server.fallback([&](const http::Request& request) {
+            if (request.path == "/newest")
+                ++pages;
+            return http::Answer { 200, hasMore && request.path == "/newest" ? "more" : "", "text/plain", {} };
+        });
+        CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
+        http::AsyncClient client({}, this->clock);
+        StreamReader reader(client, this->store, this->clock, { .stream = Stream::Configuration, .address = server.address() }, *this);
+        this->runUntil(reader, client, [&] { return pages > 1; });
+        CPPUNIT_ASSERT(!reader.loaded());
+        CPPUNIT_ASSERT(this->failures > 0);
+        hasMore = false;
+        this->runUntil(reader, client, [&] { return reader.loaded(); });
+    }
+
     // Guards against a stream that stays unconfirmed for more than a second after an outage, because
     // its read was sent during the outage and is not answered.
     void readThatHangsIsRepeatedOnceTheStoreAnswers()
