Record the cancel of a job that nobody knows

Only the instance that holds the append can know of it, so the answer can't rest on what one process knows.

The cancel of an unknown job is now a record like that of a known one, and the answer waits until it is durable. A job record that comes later meets it, in whichever order they are read: JobTable and the planner already took a cancel before its job, after a takeover and a reload too. The caller gets 410 if the stream, read up to the cancel, shows no such job, and 200 if it does or may. While the store is out of reach it gets 503, as before.

The cancel is kept as long as the state of an ended job, twice status_s, and deleted by the planner. An instance that was suspended for longer than status_s refuses submissions for two seconds, since those in its sockets may be older than the cancels that are kept. At most 10,000 cancels without jobs are kept; beyond that they are refused with 503, while cancels of known jobs go on. A job that is submitted after its cancel is accepted and shown as cancelled, like one that was cancelled before its submission is repeated: an id names one job, and a late first submission can't be told from a new one. Its state is now kept for the whole time from the submission on.

GatewayTest::cancelIsNotDeniedWhileSubmitIsUnresolved held that a job that was never submitted at an instance can't be stored, which is the fault; it now demands that no cancel is answered before it is durable, and cancelOfUnknownJobIsRecorded what 410 requires.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -46,6 +46,7 @@
     {
         constexpr double maxAgeShare = 0.8; // Of the time after which a revoked key must be rejected.
         GatewayOptions options;
+        options.maxSuspension = settings.statusRetention;
         options.maxConfigurationAge = static_cast<Millis>(static_cast<double>(settings.keyExpiry) * maxAgeShare);
         return options;
     }
@@ -133,6 +134,7 @@
         const Millis overrun = this->clock.now() - startedAt - wait;
         if (overrun < slowIterationThreshold)
             continue;
+        this->gateway.resumed(overrun, this->clock.now());
         const ThreadUsage used = ThreadUsage::current() - usageAtStart;
         logEvent(events::slowIteration, { { "late_ms", overrun }, { "round_ms", now - startedAt }, { "leads", this->leadership ? 1 : 0 }, { "processor_ms", used.processorTime }, { "preempted", used.involuntarySwitches }, { "major_faults", used.majorFaults }, { "timed_out", this->client.timedOutCalls() - timeoutsAtStart } });
     }
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -50,7 +50,7 @@
 
 void Gateway::handleRequest(std::uint64_t ticket, const CallerRequest& request, Millis now, Millis wallTime)
 {
-    WaitingRequest waiting { .request = request, .jobId = request.path.substr(request.path.rfind('/') + 1), .receivedAt = now };
+    WaitingRequest waiting { .request = request, .jobId = request.path.substr(request.path.rfind('/') + 1), .receivedAt = now, .readUpTo = now };
     waiting.deadline = now + this->answerTimeOf(request.timeout);
     waiting.callerDeadline = request.timeout > 0 ? now + request.timeout : 0;
     if (!this->hasConfiguration || !this->jobsLoaded)
@@ -108,6 +108,8 @@
     Attempt<tasks::Job> job = attempt([&] { return this->protocol.parseJob(waiting.request.body); });
     if (!job.value)
         return this->answer(ticket, waiting, { .outcome = Outcome::Malformed, .message = job.error.message }, now);
+    if (now < this->refusesSubmissionsUntil)
+        return this->refuse(ticket, waiting, RefusalCause::LocalState, "this instance was suspended for long", now);
     if (!this->isStoreReachable(now))
         return this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "the store is out of reach", now);
     if (this->unresolvedRecords.size() + this->storedRecords.size() >= this->options.maxUnreadRecords)
@@ -134,13 +136,19 @@
 void Gateway::cancel(std::uint64_t ticket, WaitingRequest waiting, Millis now)
 {
     const JobEntry* entry = this->jobs.find(waiting.jobId);
-    if (!entry)
-        return this->reportState(ticket, std::move(waiting), now);
     waiting.recordKey = tasks::formatKey({ RecordKind::Cancel, waiting.jobId });
-    if (entry->cancelled || isFinal(entry->visibleState()) || this->storedRecords.contains(waiting.recordKey))
+    const bool isDurable = this->jobs.isCancelled(waiting.jobId) || this->storedRecords.contains(waiting.recordKey);
+    if (entry && (isDurable || isFinal(entry->visibleState())))
         return this->answer(ticket, waiting, { .outcome = Outcome::Cancelled }, now);
     if (!this->isStoreReachable(now))
         return this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "the store is out of reach", now);
+    if (isDurable) {
+        waiting.awaited = AwaitedEvent::JobsConfirmed;
+        this->waitingRequests.emplace(ticket, std::move(waiting));
+        return;
+    }
+    if (!entry && this->jobs.cancelOnlyCount() >= this->options.maxUnknownCancels)
+        return this->refuse(ticket, waiting, RefusalCause::Busy, "too many cancels of unknown jobs are kept", now);
     this->queueRecord(ticket, std::move(waiting), tasks::encodeCancel());
 }
 
@@ -211,7 +219,12 @@
     }
     const auto matches = [&](const WaitingRequest& waiting) { return waiting.awaited == AwaitedEvent::RecordStored && std::find(settledKeys.begin(), settledKeys.end(), waiting.recordKey) != settledKeys.end(); };
     for (const auto& [ticket, waiting] : this->takeWaiting(matches)) {
-        if (status == AppendStatus::Appended)
+        if (status == AppendStatus::Appended && waiting.request.kind == RequestKind::Cancel && !this->jobs.find(waiting.jobId)) {
+            WaitingRequest durable = waiting;
+            durable.awaited = AwaitedEvent::JobsConfirmed;
+            durable.readUpTo = now;
+            this->waitingRequests.emplace(ticket, std::move(durable));
+        } else if (status == AppendStatus::Appended)
             this->answer(ticket, waiting, { .outcome = waiting.request.kind == RequestKind::Submit ? Outcome::Accepted : Outcome::Cancelled }, now);
         else
             this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "the store took no record", now);
@@ -305,11 +318,10 @@
 
 void Gateway::jobChanged(const std::string& id, Millis now)
 {
-    if (const JobEntry* entry = this->unresolvedRecords.empty() ? nullptr : this->jobs.find(id)) {
+    if (!this->unresolvedRecords.empty() && this->jobs.find(id))
         this->unresolvedRecords.erase(tasks::formatKey({ RecordKind::Job, id }));
-        if (entry->cancelled)
-            this->unresolvedRecords.erase(tasks::formatKey({ RecordKind::Cancel, id }));
-    }
+    if (this->jobs.isCancelled(id))
+        this->cancelRead(id);
     for (auto next = this->waitingRequests.begin(); next != this->waitingRequests.end();) {
         const auto current = next++;
         if (current->second.jobId != id)
@@ -330,6 +342,31 @@
     }
 }
 
+// The cancel is durable. Whether there is such a job is known once the stream is read up to it.
+void Gateway::cancelRead(const std::string& jobId)
+{
+    const std::string key = tasks::formatKey({ RecordKind::Cancel, jobId });
+    this->unresolvedRecords.erase(key);
+    this->recordsInDoubt.erase(key);
+    for (auto& [ticket, waiting] : this->waitingRequests) {
+        if (waiting.recordKey == key)
+            waiting.awaited = AwaitedEvent::JobsConfirmed;
+    }
+}
+
+// The cancel is durable, and no submission of the job was read when it was recorded.
+void Gateway::answerUnknownCancel(std::uint64_t ticket, const WaitingRequest& waiting, Millis now)
+{
+    const bool mayExist = this->jobs.find(waiting.jobId) || this->isJobPossiblyStored(waiting.jobId);
+    this->answer(ticket, waiting, { .outcome = mayExist ? Outcome::Cancelled : Outcome::NoSuchJob }, now);
+}
+
+void Gateway::resumed(Millis suspension, Millis now)
+{
+    if (suspension > this->options.maxSuspension)
+        this->refusesSubmissionsUntil = now + this->options.staleRequestTime;
+}
+
 void Gateway::jobsConfirmed(Millis confirmedAt, Millis now)
 {
     this->jobsLoaded = true;
@@ -337,7 +374,7 @@
     this->contact.storeAnswered(this->jobsConfirmedAt);
     for (auto next = this->waitingRequests.begin(); next != this->waitingRequests.end();) {
         const auto current = next++;
-        if (current->second.awaited != AwaitedEvent::JobsConfirmed || current->second.receivedAt > confirmedAt)
+        if (current->second.awaited != AwaitedEvent::JobsConfirmed || current->second.readUpTo > confirmedAt)
             continue;
         const WaitingRequest waiting = current->second;
         const std::uint64_t ticket = current->first;
@@ -345,12 +382,10 @@
         const JobEntry* entry = this->jobs.find(waiting.jobId);
         if (waiting.request.kind == RequestKind::Submit)
             this->refuseOverload(ticket, waiting, now);
-        else if (waiting.request.kind == RequestKind::Cancel && this->isJobPossiblyStored(waiting.jobId))
-            this->answer(ticket, waiting, { .outcome = Outcome::Unknown, .message = "the job may be stored yet", .canPeerHelp = true }, now);
+        else if (waiting.request.kind == RequestKind::Cancel)
+            this->answerUnknownCancel(ticket, waiting, now);
         else if (!entry)
             this->answer(ticket, waiting, { .outcome = Outcome::NoSuchJob }, now);
-        else if (waiting.request.kind == RequestKind::Cancel)
-            this->cancel(ticket, waiting, now);
         else
             this->answer(ticket, waiting, { .outcome = Outcome::State, .state = entry->visibleState() }, now);
     }
@@ -371,8 +406,11 @@
 {
     for (const auto& [ticket, waiting] : this->takeWaiting([&](const WaitingRequest& candidate) { return now >= std::min(candidate.deadline, this->answerDeadline); })) {
         const JobEntry* entry = waiting.awaited == AwaitedEvent::JobEnd ? this->jobs.find(waiting.jobId) : nullptr;
+        const bool isDurableCancel = waiting.request.kind == RequestKind::Cancel && waiting.awaited == AwaitedEvent::JobsConfirmed;
         if (entry)
             this->answer(ticket, waiting, { .outcome = Outcome::State, .state = entry->visibleState() }, now);
+        else if (isDurableCancel)
+            this->answer(ticket, waiting, { .outcome = Outcome::Cancelled }, now);
         else
             this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "no answer from the store in time", now);
     }
@@ -391,8 +429,8 @@
     return this->storedRecords.contains(recordKey) || this->inFlightRecords.contains(recordKey) || this->unresolvedRecords.contains(recordKey) || this->isAwaited(recordKey);
 }
 
-// True if the job is not in the table but its record may still appear. A cancel request for
-// it must not be answered with "no such job", neither here nor by another instance.
+// True if the job is not in the table but its record may still appear, because of a request to this
+// instance. What other instances may still store isn't known here.
 bool Gateway::isJobPossiblyStored(const std::string& jobId) const
 {
     return !this->jobs.find(jobId) && this->isPossiblyStored(tasks::formatKey({ RecordKind::Job, jobId }));
@@ -406,7 +444,7 @@
     const RequestKind kind = waiting.request.kind;
     const JobEntry* entry = this->jobs.find(waiting.jobId);
     const bool isPossiblyDone = (kind == RequestKind::Submit && (entry || this->isPossiblyStored(tasks::formatKey({ RecordKind::Job, waiting.jobId }))))
-        || (kind == RequestKind::Cancel && ((entry && entry->cancelled) || this->isJobPossiblyStored(waiting.jobId) || this->isPossiblyStored(tasks::formatKey({ RecordKind::Cancel, waiting.jobId }))));
+        || (kind == RequestKind::Cancel && (this->jobs.isCancelled(waiting.jobId) || this->isJobPossiblyStored(waiting.jobId) || this->isPossiblyStored(tasks::formatKey({ RecordKind::Cancel, waiting.jobId }))));
     this->answer(ticket, waiting, { .outcome = isPossiblyDone ? Outcome::Unknown : Outcome::NotNow, .retryAfter = this->retryDelay(waiting, cause, now), .message = std::move(why), .canPeerHelp = !waiting.peerAsked }, now);
 }
 
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -15,7 +15,9 @@
 // the append, or the record was read back. Outcome::NotNow, which means that the job will
 // not run, is given only if the record is not known to be stored and no append of it is in
 // flight or queued. Outcome::NoSuchJob is given only after the jobs stream was read up to
-// the time of the request. API keys are accepted only while the configuration was
+// the time of the request, and to a cancel only after a record of it is durable: the job may
+// still be stored by an instance that was suspended with the submission in its socket, or by
+// an append that the store executes late. It then meets the cancel, and never runs. API keys are accepted only while the configuration was
 // confirmed recently enough.
 //
 // If the outcome of an append is lost, its requests keep waiting within their deadlines while
@@ -27,7 +29,7 @@
 //
 // Limits: at most `maxWaitingRequests` requests wait at the same time. Further requests are
 // refused immediately, and so are submissions while `maxUnreadRecords` records have not been
-// read back yet. Each request is answered within its caller's timeout.
+// read back yet, and cancels of unknown jobs while `maxUnknownCancels` of them are kept. Each request is answered within its caller's timeout.
 
 #include "instance/caller_protocol.h"
 #include "instance/retry_advice.h"
@@ -51,6 +53,7 @@
 struct GatewayOptions {
     std::size_t maxWaitingRequests { 2000 }; // About 5 KB each, including the job.
     std::size_t maxUnreadRecords { 20000 }; // Records that were or may have been appended but were not read back; about 100 bytes each. Submissions are refused above this.
+    std::size_t maxUnknownCancels { 10000 }; // Kept cancels of jobs that were never submitted; about 200 bytes each. Further ones are refused.
     Millis maxAnswerTime { 2500 }; // Callers time out after three seconds, and the answer needs time to reach them.
     Millis answerMargin { 300 }; // Part of the caller's timeout that is reserved for sending the answer; at most half of it.
     Millis maxConfigurationAge { 4000 }; // API keys are not accepted if the configuration was last confirmed longer ago.
@@ -62,6 +65,8 @@
     Millis jobEndWait { 200 };
     Millis repeatDelay { 100 }; // Pause after a rejected repeat of an append, so that a store that rejects appends gets few of them.
     Millis readBackTime { 150 }; // For reading back after a lost outcome, including one retry, before a peer is asked.
+    Millis maxSuspension { 120000 }; // After a longer one, submissions may be older than the cancels that are kept.
+    Millis staleRequestTime { 2000 }; // How long after it submissions are refused; requests that were in sockets arrive in that time.
     Millis minPeerTime { 200 }; // With less time left, a peer is not asked.
 };
 
@@ -99,6 +104,9 @@
     void jobsConfirmed(Millis confirmedAt, Millis now);
     void jobsReadFailed(Millis now) { this->jobsReadFailedAt = now; }
 
+    // Reports that the process was suspended until now.
+    void resumed(Millis suspension, Millis now);
+
     // Sets whether the store serves no instance, so that callers should wait longer.
     void setStoreAway(bool away, Millis now) { this->retryAdvice.setStoreAway(away, now); }
 
@@ -151,7 +159,7 @@
 private:
     enum class AwaitedEvent {
         RecordStored, // The record of the request is durable.
-        JobsConfirmed, // The jobs stream was read up to `receivedAt`.
+        JobsConfirmed, // The jobs stream was read up to `readUpTo`. A cancel that waits for it is durable.
         JobEnd, // The running job ended; waits only for `jobEndWait`.
     };
 
@@ -161,6 +169,7 @@
         std::string jobId;
         std::string recordKey; // Key of the record that has to be durable; empty if there is none.
         Millis receivedAt { 0 };
+        Millis readUpTo { 0 };
         Millis deadline { 0 };
         Millis callerDeadline { 0 }; // When the caller gives up; 0 if unknown.
         bool peerAsked { false };
@@ -184,6 +193,8 @@
     Millis answerTimeOf(Millis callerTimeout) const;
     void submit(std::uint64_t ticket, WaitingRequest, const tasks::Queue&, std::string workspace, Millis now, Millis wallTime);
     void cancel(std::uint64_t ticket, WaitingRequest, Millis now);
+    void answerUnknownCancel(std::uint64_t ticket, const WaitingRequest&, Millis now);
+    void cancelRead(const std::string& jobId);
     void reportState(std::uint64_t ticket, WaitingRequest, Millis now);
     void queueRecord(std::uint64_t ticket, WaitingRequest, std::string value);
     bool keepInDoubt(const std::string& key, std::string value, AppendStatus, Millis now);
@@ -214,6 +225,7 @@
     Millis configurationConfirmedAt { 0 };
     Millis jobsConfirmedAt { 0 };
     Millis jobsReadFailedAt { 0 };
+    Millis refusesSubmissionsUntil { 0 };
     bool peerAvailable { false };
     std::map<std::uint64_t, WaitingRequest> waitingRequests;
     std::vector<StoreRecord> records; // Queued for the next append.
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -36,7 +36,8 @@
     constexpr Millis maxQueuedAdvice = 5; // Requests that the advice service may process before and including this one.
 
     // The state of an ended job is kept for twice the promised time, since each instance counts
-    // from the time when it first read of the end.
+    // from the time when it first read of the end. So is the cancel of a job that was never
+    // submitted, which may be stored late by an instance that was suspended.
     constexpr Millis statusRetentionFactor = 2;
     constexpr Millis forgetInterval = 5000;
     constexpr std::size_t maxForgottenJobs = 100; // Per interval: 20 a second, while 11,000 jobs a day are one in eight seconds.
@@ -263,7 +264,7 @@
     this->nextForgetAt = now + forgetInterval;
     std::vector<std::string> expired;
     for (const auto& [id, entry] : this->jobs.all()) {
-        const bool isExpired = entry.job && entry.finalSince > 0 && now - entry.finalSince > this->services.settings.statusRetention * statusRetentionFactor;
+        const bool isExpired = (entry.job || entry.cancelled) && entry.finalSince > 0 && now - entry.finalSince > this->services.settings.statusRetention * statusRetentionFactor;
         if (isExpired && expired.size() < maxForgottenJobs)
             expired.push_back(id);
     }
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -65,6 +65,11 @@
     CPPUNIT_TEST(stateRequestDoesNotWaitWithoutStore);
     CPPUNIT_TEST(requestsAreAnsweredBeforeShutdown);
     CPPUNIT_TEST(cancelIsNotDeniedWhileSubmitIsUnresolved);
+    CPPUNIT_TEST(cancelOfUnknownJobIsRecorded);
+    CPPUNIT_TEST(cancelOfUnknownJobIsReadBack);
+    CPPUNIT_TEST(durableCancelIsAcknowledgedWithoutARead);
+    CPPUNIT_TEST(cancelsOfUnknownJobsAreBounded);
+    CPPUNIT_TEST(submissionsFromBeforeALongSuspensionAreRefused);
     CPPUNIT_TEST(overloadIsRefusedTruthfully);
     CPPUNIT_TEST(guaranteedJobsAreAdmittedInAnOverload);
     CPPUNIT_TEST_SUITE_END();
@@ -74,7 +79,7 @@
     {
         this->table = JobTable();
         this->offset = 0;
-        this->gateway.emplace(GatewayOptions { .maxWaitingRequests = 3, .maxUnreadRecords = 2 }, this->protocol, this->table);
+        this->gateway.emplace(GatewayOptions { .maxWaitingRequests = 3, .maxUnreadRecords = 2, .maxUnknownCancels = 2 }, this->protocol, this->table);
         this->gateway->configurationUpdated(this->catalogWith(1, "key"));
         this->confirmReads(startTime);
     }
@@ -166,18 +171,102 @@
         this->submitWithUnknownOutcome();
         this->request(2, RequestKind::Cancel, startTime + 800);
         this->confirmReads(startTime + 900);
-        this->expect(2, Outcome::Unknown);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty()); // The cancel is not durable yet.
         // The store counts as unreachable by now, so the request is forwarded. The peer's "no such
         // job" would replace a refusal, but it does not replace Outcome::Unknown.
         this->request(4, RequestKind::Cancel, startTime + 2500);
         this->expect(4, Outcome::Unknown);
-        // A job that was never submitted here cannot be stored.
-        this->request(3, RequestKind::Cancel, startTime + 2500, "/p/0000000000000001");
-        this->expect(3, Outcome::NotNow);
-        this->confirmReads(startTime + 2600);
-        this->request(3, RequestKind::Cancel, startTime + 2600, "/p/0000000000000001");
-        this->confirmReads(startTime + 2601);
-        this->expect(3, Outcome::NoSuchJob);
+        this->appendCancel(testJobId, startTime + 2600);
+        this->confirmReads(startTime + 2700);
+        this->expect(2, Outcome::Cancelled);
+    }
+
+    // Guards against a job that runs although another instance has answered its cancel with "no such job".
+    void cancelOfUnknownJobIsRecorded()
+    {
+        const std::string path = "/p/" + testJobId;
+        this->request(1, RequestKind::Cancel, startTime + 10, path);
+        this->confirmReads(startTime + 20);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        this->appendCancel(testJobId, startTime + 30);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        this->gateway->jobsConfirmed(startTime + 29, startTime + 31); // Read before the cancel was durable.
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        CPPUNIT_ASSERT(this->gateway->needsJobsRead());
+        this->gateway->jobsConfirmed(startTime + 31, startTime + 32);
+        this->expect(1, Outcome::NoSuchJob);
+        this->request(2, RequestKind::Cancel, startTime + 40, path);
+        CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty()); // One record is enough.
+        this->confirmReads(startTime + 41);
+        this->expect(2, Outcome::NoSuchJob);
+        this->applyJobRecord(); // The late submission.
+        this->request(3, RequestKind::Cancel, startTime + 50, path);
+        this->expect(3, Outcome::Cancelled);
+        this->request(4, RequestKind::State, startTime + 60, path);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().at(0).answer.state == JobState::Cancelled);
+    }
+
+    // Guards against a repeated append, or an unknown outcome, of a cancel that the job table shows.
+    void cancelOfUnknownJobIsReadBack()
+    {
+        this->request(1, RequestKind::Cancel, startTime + 10);
+        this->gateway->takeRecords(100, 1 << 20);
+        this->gateway->appendCompleted({ "cancel/" + testJobId }, AppendStatus::Unknown, startTime + 700);
+        this->applyCancelRecord(testJobId, startTime + 710);
+        this->gateway->jobChanged(testJobId, startTime + 710);
+        this->gateway->step(startTime + 710);
+        CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
+        this->gateway->jobsConfirmed(startTime + 705, startTime + 711);
+        this->expect(1, Outcome::NoSuchJob);
+    }
+
+    // Guards against "try again later" for a cancel that is durable.
+    void durableCancelIsAcknowledgedWithoutARead()
+    {
+        this->request(1, RequestKind::Cancel, startTime + 10);
+        this->appendCancel(testJobId, startTime + 20);
+        this->gateway->step(startTime + 2520);
+        this->expect(1, Outcome::Cancelled);
+    }
+
+    // Guards against memory that grows with cancels of jobs that nobody submits.
+    void cancelsOfUnknownJobsAreBounded()
+    {
+        const std::string first = "0000000000000001";
+        const std::string second = "0000000000000002";
+        for (const std::string& id : { first, second }) {
+            this->request(1, RequestKind::Cancel, startTime + 10, "/p/" + id);
+            this->appendCancel(id, startTime + 20);
+            this->confirmReads(startTime + 30);
+            this->expect(1, Outcome::NoSuchJob);
+        }
+        this->request(2, RequestKind::Cancel, startTime + 40, "/p/0000000000000003");
+        this->expect(2, Outcome::NotNow);
+        this->applyJobRecord();
+        this->request(3, RequestKind::Cancel, startTime + 50); // Of a job that exists.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
+        for (const char* kind : { "cancel/", "state/", "job/" })
+            this->table.apply(kind + first, "", this->offset++, startTime + 60); // The planner deletes the oldest.
+        this->request(4, RequestKind::Cancel, startTime + 70, "/p/0000000000000003");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
+    }
+
+    // Guards against a job that runs after its cancel was forgotten, because its submission was in the socket of a process
+    // that was suspended for longer than cancels are kept.
+    void submissionsFromBeforeALongSuspensionAreRefused()
+    {
+        constexpr Millis suspension = 120001;
+        const Millis resumedAt = startTime + suspension;
+        this->gateway->resumed(suspension - 1, resumedAt);
+        this->confirmReads(resumedAt);
+        this->request(1, RequestKind::Submit, resumedAt, "/p/0000000000000001");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
+        this->gateway->resumed(suspension, resumedAt);
+        this->request(2, RequestKind::Submit, resumedAt + 1000);
+        this->expect(2, Outcome::NotNow);
+        this->confirmReads(resumedAt + 2000);
+        this->request(3, RequestKind::Submit, resumedAt + 2000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
     }
 
     void recordReadBackCountsAsStored()
@@ -614,6 +703,18 @@
         this->table.apply("state/" + testJobId, tasks::encodeState(state), this->offset++, startTime);
     }
 
+    void applyCancelRecord(const std::string& id, Millis now) { this->table.apply("cancel/" + id, tasks::encodeCancel(), this->offset++, now); }
+
+    // The queued cancel of the job becomes durable and is read.
+    void appendCancel(const std::string& id, Millis now)
+    {
+        const auto records = this->gateway->takeRecords(100, 1 << 20);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, records.size());
+        CPPUNIT_ASSERT_EQUAL("cancel/" + id, records[0].key);
+        this->gateway->appendCompleted({ records[0].key }, AppendStatus::Appended, now);
+        this->applyCancelRecord(id, now);
+    }
+
     void applyJobRecord()
     {
         tasks::Job job;
--- a/src/tasks/job_table.cc
+++ b/src/tasks/job_table.cc
@@ -21,21 +21,32 @@
         ++this->unreadableRecords;
         return std::nullopt;
     }
-    JobEntry& entry = this->entries[parsed.value->job];
+    const auto found = this->entries.try_emplace(parsed.value->job).first;
+    JobEntry& entry = found->second;
+    this->cancelOnlyEntries -= entry.isCancelOnly() ? 1 : 0;
+    const std::int64_t lastJobOffset = entry.jobOffset;
+    const std::optional<Change> change = this->applyTo(entry, *parsed.value, value, offset, now);
+    if (kind == RecordKind::Job && value.empty() && offset > lastJobOffset)
+        this->entries.erase(found);
+    else
+        this->cancelOnlyEntries += entry.isCancelOnly() ? 1 : 0;
+    return change;
+}
+
+std::optional<JobTable::Change> JobTable::applyTo(JobEntry& entry, const RecordKey& key, std::string_view value, std::int64_t offset, Millis now)
+{
+    const RecordKind kind = key.kind;
     std::int64_t& lastOffset = kind == RecordKind::Job ? entry.jobOffset : kind == RecordKind::Cancel ? entry.cancelOffset
                                                                                                       : entry.stateOffset;
     if (offset <= lastOffset)
         return std::nullopt;
     lastOffset = offset;
-    if (value.empty()) {
-        if (kind == RecordKind::Job)
-            this->entries.erase(parsed.value->job);
+    if (value.empty())
         return std::nullopt;
-    }
     if (kind == RecordKind::Cancel) {
         entry.cancelled = true;
     } else if (kind == RecordKind::Job) {
-        Attempt<Job> job = attempt([&] { return decodeJob(parsed.value->job, value); });
+        Attempt<Job> job = attempt([&] { return decodeJob(key.job, value); });
         if (!job.value) {
             ++this->unreadableRecords;
             return std::nullopt;
@@ -43,6 +54,7 @@
         if (entry.job)
             return std::nullopt; // The job was submitted again; the first submission counts.
         entry.job = std::make_shared<const Job>(std::move(*job.value));
+        entry.finalSince = 0; // A cancel that was read before is reported to callers from now on.
     } else {
         const Attempt<JobState> state = attempt([&] { return decodeState(value); });
         if (!state.value) {
@@ -53,7 +65,7 @@
     }
     if (entry.finalSince == 0 && isFinal(entry.visibleState()))
         entry.finalSince = now;
-    return Change { kind, parsed.value->job };
+    return Change { kind, key.job };
 }
 
 void JobTable::applyLeaseLimit(const std::string& worker, std::string_view value, std::int64_t offset, Millis now)
@@ -77,6 +89,12 @@
     return found == this->entries.end() || !found->second.job ? nullptr : &found->second;
 }
 
+bool JobTable::isCancelled(std::string_view id) const
+{
+    const auto found = this->entries.find(id);
+    return found != this->entries.end() && found->second.cancelled;
+}
+
 std::int64_t JobTable::pending(std::string_view queue) const
 {
     std::int64_t count = 0;
--- a/src/tasks/job_table.h
+++ b/src/tasks/job_table.h
@@ -18,7 +18,7 @@
 namespace rattan::tasks {
 
 struct JobEntry {
-    std::shared_ptr<const Job> job; // Null if only other records of the job were read so far.
+    std::shared_ptr<const Job> job; // Null if only other records of the job were read so far. It may be submitted later, or never.
     bool cancelled { false };
     JobState state { JobState::Queued }; // As last recorded by the planner.
     std::int64_t jobOffset { -1 };
@@ -28,6 +28,9 @@
 
     // The state that is reported to callers.
     JobState visibleState() const;
+
+    // Whether the job was cancelled and no submission of it was read.
+    bool isCancelOnly() const { return !this->job && this->cancelled; }
 };
 
 // A bound for the leases of a worker, by the clock of this process: its record was written before it
@@ -59,6 +62,12 @@
     // Returns null if there is no such job.
     const JobEntry* find(std::string_view id) const;
 
+    // Whether the job was cancelled, also if no submission of it was read: then it never runs.
+    bool isCancelled(std::string_view id) const;
+
+    // The number of jobs that were cancelled and of which no submission was read.
+    std::size_t cancelOnlyCount() const { return this->cancelOnlyEntries; }
+
     // The number of accepted jobs of a queue of which no task has started.
     std::int64_t pending(std::string_view queue) const;
 
@@ -68,9 +77,11 @@
     std::int64_t unreadable() const { return this->unreadableRecords; }
 
 private:
+    std::optional<Change> applyTo(JobEntry&, const RecordKey&, std::string_view value, std::int64_t offset, Millis now);
     void applyLeaseLimit(const std::string& worker, std::string_view value, std::int64_t offset, Millis now);
 
     std::map<std::string, JobEntry, std::less<>> entries;
+    std::size_t cancelOnlyEntries { 0 };
     std::map<std::string, KnownLeaseLimit, std::less<>> limits; // By worker id.
     std::int64_t unreadableRecords { 0 };
 };
--- a/src/tasks/testing/takeover_test.cc
+++ b/src/tasks/testing/takeover_test.cc
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(endRecordedOnlyInProgressIsCompleted);
     CPPUNIT_TEST(endRecordedOnlyInStateIsFinal);
     CPPUNIT_TEST(progressIsRemovedOnlyAfterTheEndIsRecorded);
+    CPPUNIT_TEST(jobThatWasCancelledBeforeItsRecordIsNotStarted);
     CPPUNIT_TEST(crashLimitSurvivesTakeover);
     CPPUNIT_TEST(nearlyFinishedRunIsNotEvictedAfterTakeover);
     CPPUNIT_TEST(youngestRunOfEarlierPlannerIsEvicted);
@@ -71,6 +72,21 @@
         CPPUNIT_ASSERT(this->contains(second.batches.at(0).plans, "progress/a", ""));
     }
 
+    // Guards against a start after a takeover of a job whose cancel was recorded before the job.
+    void jobThatWasCancelledBeforeItsRecordIsNotStarted()
+    {
+        JobTable cancelledFirst;
+        cancelledFirst.apply("cancel/a", encodeCancel(), 1, now);
+        Job submitted;
+        submitted.id = job;
+        submitted.steps.emplace_back();
+        cancelledFirst.apply("job/a", encodeJob(submitted), 2, now);
+        TaskPlanner planner({}, cancelledFirst, this->plans, now, now);
+        planner.step(now, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), planner.waitingUnitCount());
+        CPPUNIT_ASSERT(this->contains(planner.takeOrders(now).batches.at(0).jobs, "state/a", encodeState(JobState::Cancelled)));
+    }
+
     // Guards against another start of a task that crashes its workers, because its planner was
     // killed after it recorded the last crash and before it gave up the job.
     void crashLimitSurvivesTakeover()
