--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -79,7 +79,7 @@
     JobIdle, // The job of which nothing has run for longest although a task is ready, and what it waits for.
     JobPassedOver, // A job of which nothing runs although a unit of it fits twice in unused resources, and which preference keeps it from starting.
     JobHeld, // A job of which nothing runs because of a run that may still be alive.
-    RunLost, // No end was reported: the run's worker is gone or has not answered for a whole lease.
+    RunLost, // No end was reported: the run's worker is gone, has not answered for a whole lease, or doesn't list it.
 };
 
 // A decision or a change of the planner's state, for the log.
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -347,11 +347,16 @@
             unlisted.push_back(run);
     }
     for (const RunRef& run : unlisted) {
+        const auto found = worker.placedRuns.find(run);
+        if (found == worker.placedRuns.end())
+            continue; // Removed with a run before it.
+        PlacedRun& placedRun = found->second;
         if (!report.hasMoreEnds) {
+            if (placedRun.phase == RunPhase::Running)
+                this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.description.incarnation.id, "its worker lists neither the run nor its end");
             this->removeMember(worker, run, std::nullopt, "", now);
             continue;
         }
-        PlacedRun& placedRun = worker.placedRuns.at(run);
         placedRun.phase = RunPhase::EndUnread;
         placedRun.startRuledOutAt = sentAt;
     }
