--- a/src/tasks/job_table.cc
+++ b/src/tasks/job_table.cc
@@ -25,7 +25,7 @@
     JobEntry& entry = found->second;
     this->cancelOnlyEntries -= entry.isCancelOnly() ? 1 : 0;
     const std::int64_t lastJobOffset = entry.jobOffset;
-    const std::optional<Change> change = this->applyTo(entry, *parsed.value, value, offset, now);
+    std::optional<Change> change = this->applyTo(entry, *parsed.value, value, offset, now);
     if (kind == RecordKind::Job && value.empty() && offset > lastJobOffset)
         this->entries.erase(found);
     else
