--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -354,7 +354,7 @@
     }
 }
 
-// The cancel is durable, and no submission of the job was read when it was recorded.
+// The cancel is durable, and no submission of the job was known when it was recorded.
 void Gateway::answerUnknownCancel(std::uint64_t ticket, const WaitingRequest& waiting, Millis now)
 {
     const bool mayExist = this->jobs.find(waiting.jobId) || this->isJobPossiblyStored(waiting.jobId);
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -17,8 +17,8 @@
 // flight or queued. Outcome::NoSuchJob is given only after the jobs stream was read up to
 // the time of the request, and to a cancel only after a record of it is durable: the job may
 // still be stored by an instance that was suspended with the submission in its socket, or by
-// an append that the store executes late. It then meets the cancel, and never runs. API keys are accepted only while the configuration was
-// confirmed recently enough.
+// an append that the store executes late. It then meets the cancel, and never runs. API keys
+// are accepted only while the configuration was confirmed recently enough.
 //
 // If the outcome of an append is lost, its requests keep waiting within their deadlines while
 // needsJobsRead() requests a read of the jobs stream. They are answered when the record appears. If
@@ -29,7 +29,8 @@
 //
 // Limits: at most `maxWaitingRequests` requests wait at the same time. Further requests are
 // refused immediately, and so are submissions while `maxUnreadRecords` records have not been
-// read back yet, and cancels of unknown jobs while `maxUnknownCancels` of them are kept. Each request is answered within its caller's timeout.
+// read back yet, and cancels of unknown jobs while `maxUnknownCancels` of them are kept. Each
+// request is answered within its caller's timeout.
 
 #include "instance/caller_protocol.h"
 #include "instance/retry_advice.h"
@@ -65,8 +66,8 @@
     Millis jobEndWait { 200 };
     Millis repeatDelay { 100 }; // Pause after a rejected repeat of an append, so that a store that rejects appends gets few of them.
     Millis readBackTime { 150 }; // For reading back after a lost outcome, including one retry, before a peer is asked.
-    Millis maxSuspension { 120000 }; // After a longer one, submissions may be older than the cancels that are kept.
-    Millis staleRequestTime { 2000 }; // How long after it submissions are refused; requests that were in sockets arrive in that time.
+    Millis maxSuspension { 120000 }; // After a longer one, submissions are refused for `staleRequestTime`.
+    Millis staleRequestTime { 2000 }; // Requests that were in sockets are read in this time.
     Millis minPeerTime { 200 }; // With less time left, a peer is not asked.
 };
 
@@ -104,7 +105,8 @@
     void jobsConfirmed(Millis confirmedAt, Millis now);
     void jobsReadFailed(Millis now) { this->jobsReadFailedAt = now; }
 
-    // Reports that the process was suspended until now.
+    // Reports that the process was suspended until now. Submissions that came meanwhile may be older
+    // than the cancels of their jobs are kept.
     void resumed(Millis suspension, Millis now);
 
     // Sets whether the store serves no instance, so that callers should wait longer.
