--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -321,7 +321,7 @@
     if (!this->unresolvedRecords.empty() && this->jobs.find(id))
         this->unresolvedRecords.erase(tasks::formatKey({ RecordKind::Job, id }));
     if (this->jobs.isCancelled(id))
-        this->cancelRead(id);
+        this->settleDurableCancel(id);
     for (auto next = this->waitingRequests.begin(); next != this->waitingRequests.end();) {
         const auto current = next++;
         if (current->second.jobId != id)
@@ -343,7 +343,7 @@
 }
 
 // The cancel is durable. Whether there is such a job is known once the stream is read up to it.
-void Gateway::cancelRead(const std::string& jobId)
+void Gateway::settleDurableCancel(const std::string& jobId)
 {
     const std::string key = tasks::formatKey({ RecordKind::Cancel, jobId });
     this->unresolvedRecords.erase(key);
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -196,7 +196,7 @@
     void submit(std::uint64_t ticket, WaitingRequest, const tasks::Queue&, std::string workspace, Millis now, Millis wallTime);
     void cancel(std::uint64_t ticket, WaitingRequest, Millis now);
     void answerUnknownCancel(std::uint64_t ticket, const WaitingRequest&, Millis now);
-    void cancelRead(const std::string& jobId);
+    void settleDurableCancel(const std::string& jobId);
     void reportState(std::uint64_t ticket, WaitingRequest, Millis now);
     void queueRecord(std::uint64_t ticket, WaitingRequest, std::string value);
     bool keepInDoubt(const std::string& key, std::string value, AppendStatus, Millis now);
