--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -171,7 +171,7 @@
         std::string jobId;
         std::string recordKey; // Key of the record that has to be durable; empty if there is none.
         Millis receivedAt { 0 };
-        Millis readUpTo { 0 };
+        Millis readUpTo { 0 }; // For AwaitedEvent::JobsConfirmed.
         Millis deadline { 0 };
         Millis callerDeadline { 0 }; // When the caller gives up; 0 if unknown.
         bool peerAsked { false };
