review: show that a raised bound of leases lets a task run twice (case 6)

Claim: when the settings raise the bound of leases while an instance plans, the leases that it grants and the ones that it counts differ. A task whose worker is cut off for 5.5 s then runs on two workers at the same time.

--- /dev/null
+++ b/review/standin-2/review_cases.cpp
@@ -0,0 +1,268 @@
+// Plays one case of the review: review-cases CASE PROGRAM DIRECTORY RECORD
+//
+// Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. The variable
+// TROUBLE is 0 for a play without the disruption.
+
+#include "deployment.hpp"
+
+#include <functional>
+
+namespace review {
+
+namespace {
+
+    constexpr int held = 0;
+    constexpr int broken = 1;
+    constexpr int notRun = 2;
+
+    struct Play {
+        Recorder& recorder;
+        std::string program;
+        std::string directory;
+        std::string trouble; // "0", "1", or a word that a case knows.
+    };
+
+    // Whether the system runs a first job, so that one instance plans and all workers are known.
+    bool warmUp(Deployment& site, Recorder& recorder)
+    {
+        if (!site.waitUntilReady(20000)) {
+            recorder.say("the instances are not ready");
+            return false;
+        }
+        if (!site.submit("00000000000000aa", Deployment::oneTask(300)) || site.waitForEnd("00000000000000aa", 15000) != "completed") {
+            recorder.say("the first job was not completed");
+            return false;
+        }
+        sleepFor(2000);
+        return true;
+    }
+
+    int judgeDoubles(Deployment& site, Recorder& recorder)
+    {
+        const std::vector<std::string> doubles = site.allRuns().doubleRuns();
+        for (const std::string& text : doubles)
+            recorder.say("BROKEN TWICE: %s", text.c_str());
+        return doubles.empty() ? held : broken;
+    }
+
+    // The bound of leases is raised while an instance plans. After that, the worker of a long task is
+    // cut off for 5.5 s and runs on. TROUBLE=cut plays the cut alone, TROUBLE=settings the change alone.
+    int raisedLeaseBound(const Play& play)
+    {
+        Deployment site({ .program = play.program, .directory = play.directory, .workers = 8, .maxHold = 6000 }, play.recorder);
+        if (!warmUp(site, play.recorder))
+            return notRun;
+        const int planner = site.planner();
+        play.recorder.say("instance %d plans", planner);
+        if (planner < 0)
+            return notRun;
+        if (play.trouble == "1" || play.trouble == "settings") {
+            site.changeMaxHold(10000, planner);
+            sleepFor(4000);
+        }
+        if (!site.submit("00000000000000b1", Deployment::oneTask(20000)))
+            return notRun;
+        const auto start = site.waitForStart("00000000000000b1", 0, 10000);
+        if (!start)
+            return notRun;
+        sleepFor(3900);
+        if (play.trouble == "1" || play.trouble == "cut")
+            site.workerOf(start->worker)->cut(5500);
+        const std::string state = site.waitForEnd("00000000000000b1", 45000);
+        if (state != "completed") {
+            play.recorder.say("the job has not ended: %s", state.c_str());
+            return notRun;
+        }
+        return judgeDoubles(site, play.recorder);
+    }
+
+    // Whether the job is shown as failed after its worker has crashed so often, each time so long after
+    // the start of its only task. One worker of eight is down at a time, for two seconds.
+    std::optional<bool> isShownAsFailed(Deployment& site, const Play& play, const std::string& job, int crashes, Millis runTime)
+    {
+        Millis after = 0;
+        for (int crash = 0; crash < crashes; ++crash) {
+            const auto start = site.waitForStart(job, after, 20000);
+            if (!start)
+                return std::nullopt;
+            after = start->at;
+            sleepFor(runTime);
+            if (play.trouble == "0")
+                continue;
+            Worker* worker = site.workerOf(start->worker);
+            worker->crash();
+            sleepFor(2000);
+            worker->restart();
+            if (site.stateOf(job, crash % 3) == "failed")
+                break;
+        }
+        sleepFor(1500);
+        const std::string state = site.stateOf(job, 0);
+        play.recorder.say("%s is shown as %s; %d runs have ended as failed", job.c_str(), state.c_str(), site.allRuns().endsOf("failed"));
+        return state == "failed";
+    }
+
+    // A job that ends by itself, and one that lasts until it is cancelled.
+    int crashedWorkers(const Play& play)
+    {
+        Deployment site({ .program = play.program, .directory = play.directory, .workers = 8, .isGrown = true }, play.recorder);
+        if (!warmUp(site, play.recorder))
+            return notRun;
+        const std::string shortJob = "00000000000000c1";
+        const std::string lastingJob = "00000000000000c2";
+        if (!site.submit(shortJob, Deployment::oneTask(3000)))
+            return notRun;
+        const auto shortFailed = isShownAsFailed(site, play, shortJob, play.trouble == "0" ? 1 : 2, 400);
+        if (!site.submit(lastingJob, Deployment::lastingTask()))
+            return notRun;
+        const auto lastingFailed = isShownAsFailed(site, play, lastingJob, play.trouble == "0" ? 1 : 5, 3000);
+        if (!shortFailed || !lastingFailed)
+            return notRun;
+        if (*shortFailed)
+            play.recorder.say("BROKEN LOST: a job is shown as failed after two crashes of workers, and no run of it has ended as failed");
+        if (*lastingFailed)
+            play.recorder.say("BROKEN LOST: a job that lasts is shown as failed after five crashes of workers, and no run of it has ended as failed");
+        return *shortFailed || *lastingFailed ? broken : held;
+    }
+
+    // All workers of a rack crash while short tasks run there, and are back after 4.5 s. A job that
+    // needs the rack's label waits; nothing else runs.
+    int restartedRack(const Play& play)
+    {
+        Deployment site({ .program = play.program, .directory = play.directory, .workers = 14, .workersPerRack = 2, .isGrown = true }, play.recorder);
+        if (!warmUp(site, play.recorder))
+            return notRun;
+        const std::string needsRack = ",\"requirements\":\"r1\"";
+        std::vector<Worker*> rack;
+        for (const auto& worker : site.allWorkers()) {
+            if (worker->rack() == "r1")
+                rack.push_back(worker.get());
+        }
+        // A stream of short tasks keeps the rack's workers busy, and their ends are acknowledged.
+        int number = 0;
+        const auto submitShort = [&] {
+            char id[17];
+            std::snprintf(id, sizeof id, "0000000000d%05d", ++number);
+            return site.submit(id, "{\"spec\":\"work=700\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":256,\"gpu\":8,\"estimate_ms\":700" + needsRack + "}]}", 2);
+        };
+        for (int i = 0; i < 6; ++i) {
+            submitShort();
+            sleepFor(450);
+        }
+        const std::string job = "00000000000000d1";
+        if (play.trouble != "0") {
+            for (Worker* worker : rack)
+                worker->crash();
+            sleepFor(4500);
+            for (Worker* worker : rack)
+                worker->restart();
+        }
+        const Millis upAt = steadyNow();
+        if (!site.submit(job, Deployment::oneTask(2000, needsRack)))
+            return notRun;
+        const auto start = site.waitForStart(job, 0, 40000);
+        if (!start) {
+            play.recorder.say("the job never began");
+            return broken;
+        }
+        const Millis waited = start->at - upAt;
+        play.recorder.say("the job began %ld ms after the last worker was up again", static_cast<long>(waited));
+        if (site.waitForEnd(job, 20000) != "completed")
+            return notRun;
+        // 4 s without disruption, and 3 s in which the job has nothing running beside an empty rack.
+        if (waited > 7000) {
+            play.recorder.say("BROKEN LOST: for %ld ms after 4 calm seconds nothing of the job ran beside 16 free GPUs of its rack", static_cast<long>(waited - 4000));
+            return broken;
+        }
+        return held;
+    }
+
+    // A job waits since the workers of its queue's service are full. A new configuration sends the queue
+    // to another service, whose workers are idle.
+    int changedRoute(const Play& play)
+    {
+        Deployment site({ .program = play.program, .directory = play.directory, .workers = 8, .workersOfSecondService = 4, .isGrown = true }, play.recorder);
+        if (!warmUp(site, play.recorder))
+            return notRun;
+        const std::string filling = "{\"spec\":\"lasting\",\"steps\":[{\"count\":4,\"cpu\":32000,\"mem_mb\":1024,\"gpu\":8,\"estimate_ms\":60000,\"long_running\":true}]}";
+        if (!site.submit("00000000000000f0", filling, 8, "/lasting/"))
+            return notRun;
+        sleepFor(3000);
+        const std::string job = "00000000000000f1";
+        if (play.trouble == "0")
+            site.publishConfiguration(2, "s2"); // Before the job is handed in.
+        sleepFor(3000);
+        if (!site.submit(job, Deployment::oneTask(1000)))
+            return notRun;
+        sleepFor(3000);
+        if (play.trouble != "0")
+            site.publishConfiguration(2, "s2");
+        const Millis changedAt = steadyNow();
+        const std::string state = site.waitForEnd(job, 30000);
+        if (state == "completed")
+            return held;
+        // A job that is handed in now shows that the queue's new service runs its tasks.
+        const std::string laterJob = "00000000000000f2";
+        if (!site.submit(laterJob, Deployment::oneTask(1000)) || site.waitForEnd(laterJob, 10000) != "completed")
+            return notRun;
+        for (const Runs::Start& start : site.allRuns().allStarts()) {
+            if (start.task.rfind(job, 0) == 0)
+                return notRun;
+        }
+        play.recorder.say("BROKEN LOST: %ld ms after the change the job is %s and has never begun, beside four idle workers of its queue's service; a later job of the queue has run there", static_cast<long>(steadyNow() - changedAt), site.stateOf(job, 1).c_str());
+        return broken;
+    }
+
+    // A lasting task may run on the two workers of a rack only. Its runs fail for 20 s by its own fault;
+    // after that it would run. Nothing else happens.
+    int failingTask(const Play& play)
+    {
+        Deployment site({ .program = play.program, .directory = play.directory, .workers = 14, .workersPerRack = 2, .isGrown = true }, play.recorder);
+        if (!warmUp(site, play.recorder))
+            return notRun;
+        const std::string job = "00000000000000e1";
+        const Millis soundFrom = steadyNow() + (play.trouble == "0" ? 0 : 20000);
+        if (!site.submit(job, Deployment::lastingTask(" fails-before=" + std::to_string(soundFrom), ",\"requirements\":\"r1\"")))
+            return notRun;
+        // Watches the job for 60 s: the longest time with nothing of it running, from 6 s after each run.
+        Millis lastSeen = steadyNow();
+        Millis longest = 0;
+        const Millis end = steadyNow() + (play.trouble == "0" ? 15000 : 60000);
+        while (steadyNow() < end) {
+            if (site.allRuns().atWorkOf(job))
+                lastSeen = steadyNow();
+            longest = std::max(longest, steadyNow() - lastSeen);
+            sleepFor(5);
+        }
+        play.recorder.say("the longest time with nothing of the job running: %ld ms", static_cast<long>(longest));
+        if (longest <= 9000)
+            return held;
+        play.recorder.say("BROKEN LOST: for %ld ms from 6 s after a run of a lasting task nothing of it ran, beside 16 free GPUs of its rack", static_cast<long>(longest - 6000));
+        return broken;
+    }
+
+} // namespace
+
+} // namespace review
+
+int main(int count, char** arguments)
+{
+    using namespace review;
+    if (count != 5)
+        return notRun;
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        Recorder recorder(arguments[4]);
+        const char* trouble = std::getenv("TROUBLE");
+        const Play play { recorder, arguments[2], arguments[3], trouble ? trouble : "1" };
+        const std::map<std::string, std::function<int(const Play&)>> cases { { "raised-lease-bound", raisedLeaseBound }, { "crashed-workers", crashedWorkers }, { "restarted-rack", restartedRack }, { "changed-route", changedRoute }, { "failing-task", failingTask } };
+        const auto found = cases.find(arguments[1]);
+        const int code = found == cases.end() ? notRun : found->second(play);
+        recorder.say("exit %d (%s)", code, code == held ? "the rule held" : code == broken ? "the rule was broken"
+                                                                                           : "the case could not run");
+        return code;
+    } catch (const std::exception& problem) {
+        std::fprintf(stderr, "review-cases: %s\n", problem.what());
+        return notRun;
+    }
+}
