review: show a worker whose later life has an earlier birth (case 7)

Claim: after a step of its clock a worker may start again with a smaller time of birth. The planner takes all its answers for those of an earlier life, but gives it work: a job of one task runs to its end twice, and never ends.

--- a/review/standin-2/worker.hpp
+++ b/review/standin-2/worker.hpp
@@ -134,6 +134,13 @@
         this->site.maxHold = value;
     }
 
+    // How many calls of planners it has answered in this life.
+    int answeredCalls()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->answered;
+    }
+
     // Cuts the worker off from all machines of the system; it runs on.
     void cut(Millis duration)
     {
@@ -155,12 +162,20 @@
         this->server.down();
     }
 
+    // The time of day of the worker's machine is ahead of the true one by so much.
+    void setClockAhead(Millis ahead)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->clockAhead = ahead;
+        this->recorder.say("the time of day of %s is ahead by %ld ms", this->site.id.c_str(), static_cast<long>(ahead));
+    }
+
     // Starts again under the same id; it knows nothing of before.
     void restart()
     {
         {
             const std::lock_guard lock(this->mutex);
-            this->born = wallNow();
+            this->born = wallNow() + this->clockAhead;
             this->bornAt = steadyNow();
             this->token = 0;
             this->leaseUntil = 0;
@@ -168,6 +183,7 @@
             this->lastEnd = 0;
             this->highestEnded.clear();
             this->sequence = 0;
+            this->answered = 0;
             this->nextBeatAt = 0;
             this->isUp = true;
             this->recorder.say("%s is up again, born %ld", this->site.id.c_str(), static_cast<long>(this->born));
@@ -222,6 +238,7 @@
         if (fencingToken < this->token)
             return this->reject("fence");
         this->token = fencingToken;
+        ++this->answered;
         if (request.path == "/run-start")
             return this->start(order);
         if (request.path == "/run-stop")
@@ -352,6 +369,7 @@
     std::condition_variable changed;
     std::atomic<bool> stopping { false };
     bool isUp { true };
+    Millis clockAhead { 0 };
     Millis born { 0 };
     Millis bornAt { 0 };
     std::int64_t token { 0 };
@@ -361,6 +379,7 @@
     std::int64_t lastEnd { 0 };
     std::map<std::string, std::int64_t> highestEnded;
     std::int64_t sequence { 0 };
+    int answered { 0 };
     Millis nextBeatAt { 0 };
     Server server;
     std::thread thread;
