Place tasks by the newest terms of their queue

Cause: the gateway copies the queue's terms into the job's record, and the planner read the service from there for the lifetime of the job. No catalog changed that, and neither did a takeover.

Change: terms carry the version of their configuration. The highest known version decides the service, the advice policy and the priority: from the catalog, from the record of another job of the queue, or from the progress recorded by the planner before. Attempts and objective stay those of the acceptance. Runs go on where they are and count as load of that service. A term begins to plan only after the configuration was read behind the fence, so no planner places by an older one than its predecessor. A removed queue keeps its last terms. The record of an overload names its service, and is ignored once the queue is sent elsewhere.

LoadTable::find() takes the queue's terms instead of its name; the existing test of it passes a queue without a service, which matches as before.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -160,6 +160,8 @@
     this->claimsReader.step(now);
     if (this->gateway.needsJobsRead() || this->gateway.shouldProbeStore(now) || (this->leadership && this->leadership->needsJobsRead()))
         this->jobsReader.probe();
+    if (this->leadership && this->leadership->needsConfiguration())
+        this->configurationReader.probe();
     this->gateway.setAnswerDeadline(this->answerDeadline);
     this->requestForwarder.setAnswerDeadline(this->answerDeadline);
     this->gateway.setPeerAvailable(this->requestForwarder.hasPeer());
--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -100,6 +100,8 @@
     if (stream == Stream::Configuration) {
         this->endEvacuationLoad(now);
         this->gateway.configurationConfirmed(confirmedAt);
+        if (this->leadership)
+            this->leadership->configurationConfirmed(confirmedAt, now, this->clock.wall());
     }
     if (stream == Stream::Claims)
         this->election.didReachEnd(end);
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -116,7 +116,7 @@
         return this->refuse(ticket, waiting, RefusalCause::Busy, "too many records are yet to be read back", now);
     // A job within its workspace's guarantee never waits behind others.
     const bool mayBeGuaranteed = queue.terms.priority == 0 && this->catalog->guaranteedAcceleratorsOf(workspace) > 0;
-    const tasks::QueueLoad* load = mayBeGuaranteed ? nullptr : this->loads.find(queue.terms.queue, now, wallTime);
+    const tasks::QueueLoad* load = mayBeGuaranteed ? nullptr : this->loads.find(queue.terms, now, wallTime);
     if (load && !this->isPossiblyStored(waiting.recordKey)) {
         // An earlier attempt may have been stored through another instance, so the answer has to
         // wait for a read of the jobs stream.
--- a/src/instance/leadership.cc
+++ b/src/instance/leadership.cc
@@ -70,8 +70,8 @@
 
     std::string_view nameOf(PlanEventKind kind)
     {
-        constexpr std::array<std::string_view, 19> names { "unit_placed", "tasks_placed", "unit_evicted", "units_done", "unit_retried", "unit_stalled",
-            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits", "guarantee_waits", "work_waits", "job_idle", "job_passed_over", "job_held", "run_lost" };
+        constexpr std::array<std::string_view, 20> names { "unit_placed", "tasks_placed", "unit_evicted", "units_done", "unit_retried", "unit_stalled",
+            "job_finished", "worker_known", "worker_silent", "worker_lapsed", "worker_gone", "worker_distrusted", "unit_waits", "guarantee_waits", "work_waits", "job_idle", "job_passed_over", "job_held", "run_lost", "queue_moved" };
         return names.at(static_cast<std::size_t>(kind));
     }
 
@@ -135,6 +135,15 @@
     this->beginPlanning(now, wallTime);
 }
 
+// The catalog must be as new as any that the previous planner started tasks by.
+void Leadership::configurationConfirmed(Millis at, Millis now, Millis wallTime)
+{
+    if (!this->needsConfiguration() || at < this->plansAppender.fencedAt())
+        return;
+    this->configurationLoaded = true;
+    this->beginPlanning(now, wallTime);
+}
+
 void Leadership::plansConfirmed(Millis at, Millis now, Millis wallTime)
 {
     if (!this->needsPlans() || at < this->plansAppender.fencedAt())
@@ -145,7 +154,7 @@
 
 void Leadership::beginPlanning(Millis now, Millis wallTime)
 {
-    if (this->planner || !this->jobsLoaded || !this->plansLoaded)
+    if (this->planner || !this->jobsLoaded || !this->plansLoaded || !this->configurationLoaded)
         return;
     tasks::PlannerOptions options;
     options.term = this->termNumber;
--- a/src/instance/leadership.h
+++ b/src/instance/leadership.h
@@ -7,8 +7,8 @@
 //     leadership.step(now, wallTime); // only while the election reports this instance as leader
 //     if (leadership.isLost()) ...
 //
-// A term fences the appends of earlier terms, reads the streams of jobs and plans up to their
-// ends at that time, creates a planner from them, and then executes the planner's orders.
+// A term fences the appends of earlier terms, reads the configuration and the streams of jobs and
+// plans up to their ends at that time, creates a planner from them, and then executes the planner's orders.
 // The destructor aborts all calls in flight. Orders that were already sent may still reach
 // their workers; the planner's protocol allows for that.
 
@@ -66,6 +66,10 @@
 
     // Reports that the plan table contains every record that was appended before `at`.
     void plansConfirmed(Millis at, Millis now, Millis wallTime);
+
+    // Reports that the catalog contains every change that was made before `at`.
+    void configurationConfirmed(Millis at, Millis now, Millis wallTime);
+    bool needsConfiguration() const { return this->plansAppender.fencedAt() > 0 && !this->configurationLoaded; }
     bool needsPlans() const { return this->plansAppender.fencedAt() > 0 && !this->plansLoaded; }
 
     // True while planning cannot begin until the jobs stream is read further.
@@ -118,6 +122,7 @@
     const tasks::PlanTable& plans;
     bool jobsLoaded { false }; // The job table contains all appends of earlier, now fenced, terms.
     bool plansLoaded { false }; // The same for the plan table.
+    bool configurationLoaded { false }; // The catalog is as new as any that an earlier term used.
     std::int64_t batchInFlight { 0 }; // Number of the batch, or 0 if there is none.
     Millis batchSentAt { 0 };
     Millis nextForgetAt { 0 };
--- a/src/tasks/admission.cc
+++ b/src/tasks/admission.cc
@@ -47,7 +47,7 @@
     return std::string(key.substr(keyPrefix.size()));
 }
 
-std::string encodeLoad(const QueueLoad& load) { return Json { { "drain", load.drain }, { "at", load.writtenAt } }.dump(); }
+std::string encodeLoad(const QueueLoad& load) { return Json { { "drain", load.drain }, { "at", load.writtenAt }, { "service", load.service } }.dump(); }
 
 std::optional<QueueLoad> decodeLoad(std::string_view value)
 {
@@ -55,7 +55,8 @@
     const auto isNumber = [&](const char* name) { return json.contains(name) && json.at(name).is_number_integer(); };
     if (!json.is_object() || !isNumber("drain") || !isNumber("at"))
         return std::nullopt;
-    return QueueLoad { json.at("drain").get<Millis>(), json.at("at").get<Millis>() };
+    const auto service = json.find("service");
+    return QueueLoad { json.at("drain").get<Millis>(), json.at("at").get<Millis>(), service != json.end() && service->is_string() ? service->get<std::string>() : "" };
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/admission.h
+++ b/src/tasks/admission.h
@@ -26,6 +26,7 @@
 struct QueueLoad {
     Millis drain { 0 }; // Forecast time until arriving jobs are of use again.
     Millis writtenAt { 0 }; // Wall-clock time.
+    std::string service; // That the forecast is about; empty in records of earlier versions.
 };
 
 // The forecast drain; none if a job that arrives now can be of use. `wasExceeded` is whether the
--- a/src/tasks/job.cc
+++ b/src/tasks/job.cc
@@ -28,6 +28,11 @@
     return this->milliCores <= other.milliCores && this->memoryMb <= other.memoryMb && this->accelerators <= other.accelerators;
 }
 
+bool movesWork(const QueueTerms& before, const QueueTerms& after)
+{
+    return before.service != after.service || before.priority != after.priority || !(before.advice == after.advice);
+}
+
 double coreEquivalents(const Resources& resources)
 {
     return static_cast<double>(resources.milliCores) / 1000.0 + static_cast<double>(resources.accelerators * coresPerAccelerator);
--- a/src/tasks/job.h
+++ b/src/tasks/job.h
@@ -64,9 +64,12 @@
     bool operator==(const AdviceTerms&) const = default;
 };
 
-// The configuration of the queue at the time when the job was accepted.
+// The configuration of a queue. A job keeps the terms under which it was accepted for what its caller
+// was promised: the attempts and the objective. The newest terms of its queue decide where and in
+// which order its tasks run.
 struct QueueTerms {
     std::string queue;
+    std::int64_t version { 0 }; // Of the configuration; 0 if unknown.
     std::string service; // The service whose workers run the tasks.
     std::int64_t priority { 0 }; // 0 is the most urgent.
     std::int64_t maxAttempts { 1 }; // The number of failed runs of a task after which the job fails.
@@ -77,10 +80,13 @@
     bool operator==(const QueueTerms&) const = default;
 };
 
+// Whether the change decides differently where or in which order tasks run.
+bool movesWork(const QueueTerms& before, const QueueTerms& after);
+
 struct Job {
     std::string id;
     std::string workspace;
-    QueueTerms terms;
+    QueueTerms terms; // Under which it was accepted.
     std::string text; // Passed to every task unchanged.
     std::vector<Step> steps;
     std::int64_t repeats { 0 }; // The number of occurrences of a periodic job; 0 for a job that runs once, immediately.
--- a/src/tasks/load_table.cc
+++ b/src/tasks/load_table.cc
@@ -13,12 +13,15 @@
     return true;
 }
 
-const QueueLoad* LoadTable::find(std::string_view queue, Millis now, Millis wall) const
+const QueueLoad* LoadTable::find(const QueueTerms& terms, Millis now, Millis wall) const
 {
     constexpr Millis maxAge = 5000;
-    const auto found = this->entries.find(queue);
+    const auto found = this->entries.find(terms.queue);
     if (found == this->entries.end() || !found->second.load)
         return nullptr;
+    const std::string& service = found->second.load->service;
+    if (!service.empty() && service != terms.service)
+        return nullptr;
     // An instance that has just started reads old records, so the wall-clock time counts too.
     const bool isFresh = now - found->second.readAt <= maxAge && wall - found->second.load->writtenAt <= maxAge;
     return isFresh ? &*found->second.load : nullptr;
--- a/src/tasks/load_table.h
+++ b/src/tasks/load_table.h
@@ -5,6 +5,7 @@
 // Not thread-safe.
 
 #include "tasks/admission.h"
+#include "tasks/job.h"
 
 #include <cstdint>
 #include <map>
@@ -16,8 +17,9 @@
     // Returns whether the key is that of a load record. Records may be repeated and out of order.
     bool apply(std::string_view key, std::string_view value, std::int64_t offset, Millis now);
 
-    // The load of a queue; null if it isn't overloaded or its record is too old.
-    const QueueLoad* find(std::string_view queue, Millis now, Millis wall) const;
+    // The load of a queue; null if it isn't overloaded, its record is too old, or the record is about
+    // another service, to which the queue was sent before.
+    const QueueLoad* find(const QueueTerms&, Millis now, Millis wall) const;
 
 private:
     struct Entry {
--- a/src/tasks/orders.h
+++ b/src/tasks/orders.h
@@ -80,6 +80,7 @@
     JobPassedOver, // A job of which nothing runs although a unit of it fits twice in unused resources, and which preference keeps it from starting.
     JobHeld, // A job of which nothing runs because of a run that may still be alive.
     RunLost, // No end was reported: the run's worker is gone, has not answered for a whole lease, or doesn't list it.
+    QueueMoved, // A new configuration sends a queue with unfinished jobs to another service.
 };
 
 // A decision or a change of the planner's state, for the log.
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -43,6 +43,7 @@
 struct Unit {
     UnitKey key;
     std::shared_ptr<const Job> job;
+    std::shared_ptr<const QueueTerms> terms; // In force; those of its job.
     UnitState state { UnitState::Waiting };
     std::int64_t run { 0 };
     std::set<std::int64_t> failedRuns; // Run numbers, since a worker may report the same end again.
@@ -122,6 +123,7 @@
 
 struct ActiveJob {
     std::shared_ptr<const Job> job;
+    std::shared_ptr<const QueueTerms> terms; // In force: the newest known terms of its queue.
     std::shared_ptr<const std::string> text;
     JobState state { JobState::Queued };
     JobState recordedState { JobState::Queued }; // The last state in a record that the instances read.
--- a/src/tasks/progress.h
+++ b/src/tasks/progress.h
@@ -80,6 +80,7 @@
     std::string reason; // Why the job failed, in a form for users.
     std::int64_t occurrencesDone { 0 }; // All occurrences with lower numbers are done.
     std::vector<UnitProgress> units; // The units that were ever started, of occurrences that aren't done.
+    std::optional<QueueTerms> terms; // The terms in force, if they are newer than those of the job's record.
 
     bool operator==(const Progress&) const = default;
 };
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -92,7 +92,7 @@
 
     Json termsJson(const QueueTerms& terms)
     {
-        return { { "queue", terms.queue }, { "service", terms.service }, { "priority", terms.priority },
+        return { { "queue", terms.queue }, { "version", terms.version }, { "service", terms.service }, { "priority", terms.priority },
             { "attempts", terms.maxAttempts }, { "stretch", terms.stretch }, { "target", terms.latencyTarget },
             { "advice", Json::array({ terms.advice.perRequest, terms.advice.perWorker, terms.advice.ticketValidity }) } };
     }
@@ -101,6 +101,7 @@
     {
         QueueTerms terms;
         getIfPresent(json, "queue", terms.queue);
+        getIfPresent(json, "version", terms.version);
         getIfPresent(json, "service", terms.service);
         getIfPresent(json, "priority", terms.priority);
         getIfPresent(json, "attempts", terms.maxAttempts);
@@ -202,6 +203,8 @@
             json["reason"] = progress.reason;
         if (progress.occurrencesDone > 0)
             json["done"] = progress.occurrencesDone;
+        if (progress.terms)
+            json["terms"] = termsJson(*progress.terms);
         return json;
     }
 
@@ -341,6 +344,8 @@
         getIfPresent(json, "started", progress.started);
         getIfPresent(json, "reason", progress.reason);
         getIfPresent(json, "done", progress.occurrencesDone);
+        if (const auto terms = json.find("terms"); terms != json.end())
+            progress.terms = termsOf(*terms);
         std::vector<Incarnation> hosts;
         if (const auto rows = json.find("hosts"); rows != json.end())
             std::transform(rows->begin(), rows->end(), std::back_inserter(hosts), incarnationOf);
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -2,8 +2,8 @@
 // cancellation. The other subjects are in task_planner_workers.cc (reports of workers and
 // runs), _leases.cc, _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
 // _polls.cc, _rounds.cc (placement), _evictions.cc, _preferences.cc (what is given up by
-// idle jobs), _idle.cc (jobs of which nothing runs), _advice.cc, _orders.cc, _reports.cc and
-// _violations.cc.
+// idle jobs), _idle.cc (jobs of which nothing runs), _terms.cc (changes of queues), _advice.cc,
+// _orders.cc, _reports.cc and _violations.cc.
 
 #include "tasks/task_planner.h"
 
@@ -25,6 +25,14 @@
     // number of its run. The next number must be higher, or workers that had the task refuse it.
     constexpr std::int64_t runsBeforeLostNumber = 1'000'000;
 
+    // The terms that the previous planner recorded as in force, or those of the job's record.
+    std::shared_ptr<const QueueTerms> recordedTerms(const std::shared_ptr<const Job>& job, const Progress& plan)
+    {
+        if (plan.terms && plan.terms->version > job->terms.version)
+            return std::make_shared<const QueueTerms>(*plan.terms);
+        return { job, &job->terms };
+    }
+
     bool isLongRunning(const Job& job, std::int64_t step)
     {
         return step >= 0 && step < static_cast<std::int64_t>(job.steps.size()) && job.steps[static_cast<std::size_t>(step)].longRunning;
@@ -45,6 +53,7 @@
         if (entry.job && !isFinal(entry.state))
             this->adoptJob(entry, plan ? *plan : emptyPlan, now, wall);
     }
+    this->updateTerms();
     this->estimatesRecord = plans.splitRecord(formatKey({ RecordKind::Estimates, "" }));
     std::set<std::string> usedParts = this->estimatesRecord.partKeys;
     for (auto& [id, active] : this->jobs) {
@@ -62,17 +71,13 @@
     }
 }
 
-void TaskPlanner::applyCatalog(std::shared_ptr<const Catalog> newCatalog)
-{
-    this->catalog = std::move(newCatalog);
-    this->pacer.markChanged();
-}
-
 void TaskPlanner::adoptJob(const JobEntry& entry, const Progress& plan, Millis now, Millis wall)
 {
     const Job& job = *entry.job;
     ActiveJob& active = this->jobs[job.id];
     active.job = entry.job;
+    active.terms = recordedTerms(entry.job, plan);
+    this->learnTerms(active.terms);
     active.text = std::make_shared<const std::string>(job.text);
     active.state = plan.state;
     active.recordedState = entry.state;
@@ -128,7 +133,7 @@
 void TaskPlanner::adoptRun(Unit& unit, const UnitProgress& progress, Millis now)
 {
     unit.state = UnitState::Running;
-    unit.rankedPriority = unit.job->terms.priority;
+    unit.rankedPriority = unit.terms->priority;
     unit.workers = progress.workers;
     unit.membersLeft = static_cast<std::int64_t>(progress.workers.size());
     unit.placedAt = now;
@@ -167,6 +172,11 @@
         return;
     ActiveJob& active = this->jobs[job->id];
     active.job = job;
+    active.terms = std::shared_ptr<const QueueTerms>(job, &job->terms);
+    if (this->learnTerms(active.terms))
+        this->updateTerms();
+    else
+        this->updateTerms(active);
     active.text = std::make_shared<const std::string>(job->text);
     this->beginDueOccurrences(active, now, wall);
     this->pacer.markChanged();
@@ -225,7 +235,7 @@
 void TaskPlanner::enqueue(const Unit& unit)
 {
     this->waitingUnits.insert(unit.key);
-    if (unit.job->terms.priority == 0)
+    if (unit.terms->priority == 0)
         this->urgentWaitingUnits.insert(unit.key);
 }
 
@@ -240,6 +250,7 @@
     Unit& unit = this->units[key];
     unit.key = key;
     unit.job = active.job;
+    unit.terms = active.terms;
     unit.waitingSince = now;
     unit.idleSince = now;
     this->enqueue(unit);
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -75,6 +75,8 @@
     // planner's records show. The job table must outlive the planner, which reads it later too.
     TaskPlanner(PlannerOptions, const JobTable&, const PlanTable&, Millis now, Millis wall);
 
+    // A queue's tasks start on its newest service; runs that are on another one go on. The queue of
+    // an accepted job may be absent, and then keeps its last known terms.
     void applyCatalog(std::shared_ptr<const Catalog>);
 
     // Nothing is started in these failure domains. Runs that are there go on. If `known` is false,
@@ -184,6 +186,12 @@
     void enqueue(const Unit&);
     void dequeue(const UnitKey&);
 
+    // The terms of queues. See task_planner_terms.cc.
+    bool learnTerms(const std::shared_ptr<const QueueTerms>&);
+    void updateTerms();
+    bool updateTerms(ActiveJob&);
+    const std::string& serviceOf(const Unit&) const;
+
     // Runs and workers.
     void place(Unit&, const std::vector<std::string>& workers, Millis now);
     void stopUnit(Unit&, Millis now);
@@ -363,6 +371,7 @@
     const Millis termStartedAt;
     const JobTable& jobTable;
     std::shared_ptr<const Catalog> catalog;
+    std::map<std::string, std::shared_ptr<const QueueTerms>, std::less<>> queueTerms; // Of the catalog, or of a job that was accepted under a newer version.
     std::map<std::string, ActiveJob> jobs;
     std::map<UnitKey, Unit> units; // Of jobs that are not final.
     std::set<UnitKey> waitingUnits;
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -88,7 +88,7 @@
         return stepAdvice.requestedWorkers.empty();
     std::stable_sort(candidates.begin(), candidates.end(), [](const AdviceCandidate& a, const AdviceCandidate& b) { return std::pair(a.nearData, a.fitsNow) > std::pair(b.nearData, b.fitsNow); });
     if (stepAdvice.requestedWorkers.empty() && now >= stepAdvice.notBefore && this->claimAdviceTurn(stepAdvice)) {
-        AdviceOrder order { .step = stepOf(unit.key), .terms = unit.job->terms.advice, .workers = {} };
+        AdviceOrder order { .step = stepOf(unit.key), .terms = unit.terms->advice, .workers = {} };
         for (std::size_t i = 0; i < std::min(candidates.size(), maxWorkersPerAdviceRequest); ++i) {
             order.workers.push_back(candidates[i].worker->id);
             stepAdvice.requestedWorkers.push_back(this->workers.at(candidates[i].worker->id).description.incarnation);
@@ -113,7 +113,7 @@
         if (row == allowed.end())
             stepAdvice.deny(incarnation);
         else
-            stepAdvice.allow(incarnation, row->ticket, now + job->second.job->terms.advice.ticketValidity);
+            stepAdvice.allow(incarnation, row->ticket, now + job->second.terms->advice.ticketValidity);
     }
     stepAdvice.requestedWorkers.clear();
 }
--- a/src/tasks/task_planner_evictions.cc
+++ b/src/tasks/task_planner_evictions.cc
@@ -63,7 +63,7 @@
 double TaskPlanner::maxLostWork(const Candidate& candidate, Millis now) const
 {
     const Unit& unit = *candidate.unit;
-    if (unit.job->terms.priority == 0)
+    if (unit.terms->priority == 0)
         return maxUrgentLostCoreSeconds * (now > candidate.latestStarts.inTime ? lateValue : 1);
     const double work = coreEquivalents(unit.step().perTask) * static_cast<double>(unit.members() * this->expectedRunTime(unit)) / 1000.0;
     return work * maxLostWorkFraction;
@@ -73,7 +73,7 @@
 {
     if (candidate.queueKey.isTooLate && !candidate.queueKey.guaranteed)
         return false;
-    if (candidate.unit->job->terms.priority == 0)
+    if (candidate.unit->terms->priority == 0)
         return true;
     const Millis evictionAllowedAt = candidate.queueKey.latestStart - evictionLeadTime;
     if (now >= evictionAllowedAt)
@@ -104,7 +104,7 @@
 {
     Unit& unit = *candidate.unit;
     const bool guaranteed = candidate.queueKey.guaranteed;
-    const std::int64_t priority = unit.job->terms.priority;
+    const std::int64_t priority = unit.terms->priority;
     const auto evictionCostOf = [&](const Allocation& run) {
         if (run.guaranteed || (!guaranteed && (run.priority <= priority || run.stops >= maxStopsPerUnit)))
             return -1.0;
--- a/src/tasks/task_planner_excess.cc
+++ b/src/tasks/task_planner_excess.cc
@@ -102,10 +102,10 @@
     const Unit* previous = nullptr;
     for (const Candidate& candidate : candidates) {
         const Unit& unit = *candidate.unit;
-        const auto found = capacity.find(unit.job->terms.service);
+        const auto found = capacity.find(unit.terms->service);
         if (candidate.queueKey.guaranteed || candidate.queueKey.isTooLate || found == capacity.end())
             continue;
-        WaitingWork work { unit.job->terms.service, unit.job->terms.priority, candidate.latestStarts.inTime, 0 };
+        WaitingWork work { unit.terms->service, unit.terms->priority, candidate.latestStarts.inTime, 0 };
         const bool isSibling = previous && previous->job == unit.job && previous->key.step == unit.key.step;
         work.siteMillis = isSibling ? waiting.back().siteMillis : siteMillisOf(unit, this->expectedRunTime(unit), found->second);
         waiting.push_back(work);
@@ -123,7 +123,7 @@
     const std::map<std::string_view, double> meanWork = this->meanWorkByQueue();
     for (Candidate& candidate : candidates) {
         const Unit& unit = *candidate.unit;
-        const QueueTerms& terms = unit.job->terms;
+        const QueueTerms& terms = *unit.terms;
         if (candidate.queueKey.guaranteed || candidate.queueKey.isTooLate || !excess.isBacklogged(terms.service, terms.priority))
             continue;
         const ActiveJob& active = this->jobs.at(unit.key.job);
@@ -162,10 +162,10 @@
     for (const auto& [key, unit] : this->units) {
         if (unit.state != UnitState::Running)
             continue;
-        ServiceWork& service = services[unit.job->terms.service];
+        ServiceWork& service = services[this->serviceOf(unit)];
         service.used += unit.step().perTask.times(unit.members());
         if (!unit.step().longRunning)
-            service.siteMillis[unit.job->terms.priority] += siteMillisOf(unit, this->expectedEnd(unit, now) - now, service.capacity);
+            service.siteMillis[unit.terms->priority] += siteMillisOf(unit, this->expectedEnd(unit, now) - now, service.capacity);
     }
     struct QueueWork {
         const QueueTerms* terms { nullptr };
@@ -176,10 +176,10 @@
         const Unit& unit = *candidate.unit;
         if (unit.state != UnitState::Waiting || candidate.queueKey.isTooLate || !unit.step().label.empty() || !unit.step().dataRack.empty())
             continue;
-        ServiceWork& service = services[unit.job->terms.service];
-        service.siteMillis[unit.job->terms.priority] += siteMillisOf(unit, this->expectedRunTime(unit), service.capacity);
+        ServiceWork& service = services[unit.terms->service];
+        service.siteMillis[unit.terms->priority] += siteMillisOf(unit, this->expectedRunTime(unit), service.capacity);
         QueueWork& queue = queues[unit.job->terms.queue];
-        queue.terms = &unit.job->terms;
+        queue.terms = unit.terms.get();
         queue.usefulSlack = std::max(queue.usefulSlack, candidate.latestStarts.useful - candidate.waitingSince);
     }
     const auto share = [](std::int64_t part, std::int64_t whole) { return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0; };
@@ -193,7 +193,7 @@
         const std::string queueName(name);
         if (const auto drain = forecastDrain(backlog, this->overloadedQueues.contains(queueName))) {
             overloaded.insert(queueName);
-            this->loadsToRecord[loadKeyOf(name)] = encodeLoad({ *drain, wall });
+            this->loadsToRecord[loadKeyOf(name)] = encodeLoad({ *drain, wall, queue.terms->service });
         }
     }
     for (const std::string& queue : this->overloadedQueues) {
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -218,7 +218,7 @@
     const Step& step = unit.step();
     this->emit(PlanEventKind::JobPassedOver, unit.key, unit.run, "",
         fmt::format("for {} ms, idle for {} ms, withheld by {}, {} members with {} accelerators, priority {}{}{}", now - unit.passedOverSince, now - this->idleSinceOf(unit), nameOf(unit.withheldBy), unit.members(),
-            step.perTask.accelerators, unit.job->terms.priority, step.sameRack ? ", same rack" : "", step.dataRack.empty() ? "" : ", data in rack " + step.dataRack));
+            step.perTask.accelerators, unit.terms->priority, step.sameRack ? ", same rack" : "", step.dataRack.empty() ? "" : ", data in rack " + step.dataRack));
 }
 
 // The unit of an idle job that has been passed over for longest, at least for the minimum time, or null.
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -17,6 +17,8 @@
     progress.occurrencesDone = active.occurrencesDone;
     if (isFinal(active.state))
         return progress;
+    if (active.terms->version > active.job->terms.version && movesWork(active.job->terms, *active.terms))
+        progress.terms = *active.terms;
     for (const auto& [number, occurrence] : active.occurrences) {
         for (const auto& [step, index] : occurrence.doneUnits)
             progress.units.push_back({ .occurrence = number, .step = step, .index = index, .state = UnitState::Done });
--- a/src/tasks/task_planner_preferences.cc
+++ b/src/tasks/task_planner_preferences.cc
@@ -103,14 +103,14 @@
 bool TaskPlanner::mayTakeBack(const Candidate& candidate, Millis now) const
 {
     const Unit& unit = *candidate.unit;
-    return unit.job->terms.priority > 0 && unit.fitsTwiceSince == 0 && now >= candidate.latestStarts.inTime;
+    return unit.terms->priority > 0 && unit.fitsTwiceSince == 0 && now >= candidate.latestStarts.inTime;
 }
 
 // Stops only units that were placed in reserved resources while this one waited for them.
 bool TaskPlanner::tryTakeBack(Candidate& candidate, Snapshot& snapshot, const PlacementRequest& request, Millis now)
 {
     const Unit& unit = *candidate.unit;
-    const std::int64_t priority = unit.job->terms.priority;
+    const std::int64_t priority = unit.terms->priority;
     const auto lostWorkIfTaken = [&](const Allocation& run) { return run.borrowed && !run.guaranteed && run.priority >= priority && run.placedAt >= unit.waitingSince ? run.lostWork : -1.0; };
     const auto plan = planEviction(snapshot, request, lostWorkIfTaken, this->maxLostWork(candidate, now) / maxLostWorkFraction);
     if (!plan || plan->victims.empty())
--- a/src/tasks/task_planner_reports.cc
+++ b/src/tasks/task_planner_reports.cc
@@ -21,7 +21,7 @@
 
 void TaskPlanner::reportPlaced(const Unit& unit, Millis now)
 {
-    const std::int64_t priority = unit.job->terms.priority;
+    const std::int64_t priority = unit.terms->priority;
     if (unit.key.index != wholeGang && unit.run == 1 && priority > 0) {
         ++this->placedTaskCounts[{ unit.key.job, unit.key.occurrence, unit.key.step }];
         return;
@@ -66,7 +66,7 @@
     if (!oldest || now - oldest->waitingSince < minReportedWait)
         return;
     this->lastWaitReportAt = now;
-    const std::string& service = oldest->job->terms.service;
+    const std::string& service = oldest->terms->service;
     std::string resourcesText = "no snapshot of its service";
     if (const auto snapshot = snapshots.find(service); snapshot != snapshots.end()) {
         const Snapshot::AvailableMembers offered = snapshot->second.countAvailableMembers(this->requestOf(*oldest));
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -207,7 +207,7 @@
     for (auto& [id, active] : this->jobs) {
         active.guaranteed = false;
         this->updatePaths(active, now);
-        if (active.job->terms.priority == 0 && !isFinal(active.state))
+        if (active.terms->priority == 0 && !isFinal(active.state))
             urgent.push_back(&active);
     }
     std::sort(urgent.begin(), urgent.end(), [](const ActiveJob* a, const ActiveJob* b) { return a->job->acceptedAt < b->job->acceptedAt; });
@@ -227,7 +227,7 @@
     constexpr double demandHalfLife = 4000;
     double present = 0;
     for (const auto& [key, unit] : this->units) {
-        if (unit.job->terms.priority == 0 && unit.job->terms.service == service)
+        if (unit.terms->priority == 0 && this->serviceOf(unit) == service)
             present += static_cast<double>(unit.members() * unit.step().perTask.accelerators);
     }
     DecayingDemand& demanded = this->recentUrgentDemand[service];
@@ -249,7 +249,7 @@
     allocation.stops = unit.evictionCount;
     allocation.placedAt = unit.placedAt;
     allocation.borrowed = unit.borrows && unit.evictionCount == 0;
-    allocation.priority = std::min(unit.job->terms.priority, unit.rankedPriority);
+    allocation.priority = std::min(unit.terms->priority, unit.rankedPriority);
     allocation.guaranteed = this->jobs.at(unit.key.job).guaranteed;
     return allocation;
 }
@@ -341,7 +341,7 @@
     request.maxPerWorker = step.maxPerWorker;
     request.excludedWorkers = &unit.excludedWorkers;
     request.expectedRunTime = this->expectedRunTime(unit);
-    request.urgent = unit.job->terms.priority == 0;
+    request.urgent = unit.terms->priority == 0;
     return request;
 }
 
@@ -364,7 +364,7 @@
         const Job& job = *active.job;
         QueueKeyInputs demand;
         demand.guaranteed = active.guaranteed;
-        demand.priority = job.terms.priority;
+        demand.priority = active.terms->priority;
         demand.waitingSince = now - (wall - (job.repeats > 0 ? job.dueAt(key.occurrence) : job.acceptedAt));
         demand.remainingRunTime = this->expectedRunTime(unit);
         demand.criticalPath = this->forecastOf(unit).work;
@@ -410,7 +410,7 @@
             unit.waitReason = WaitReason::BehindSibling;
             continue; // All units of a step make the same request, so this one would fail too.
         }
-        const std::string& service = unit.job->terms.service;
+        const std::string& service = unit.terms->service;
         auto snapshot = snapshots.find(service);
         if (snapshot == snapshots.end()) {
             snapshot = snapshots.emplace(service, this->makeSnapshot(service, now)).first;
@@ -425,7 +425,7 @@
             request.isolatedWorkers = isolation.empty() ? nullptr : &isolation;
         }
         std::set<std::string> allowed;
-        const bool hasPolicy = this->options.hasAdviceService && unit.job->terms.advice.ticketValidity > 0;
+        const bool hasPolicy = this->options.hasAdviceService && unit.terms->advice.ticketValidity > 0;
         if (hasPolicy) {
             allowed = this->allowedWorkers(this->adviceByStep[{ unit.key.job, unit.key.occurrence, unit.key.step }], snapshot->second, now);
             request.allowedWorkers = &allowed;
--- a/src/tasks/task_planner_speeds.cc
+++ b/src/tasks/task_planner_speeds.cc
@@ -155,7 +155,7 @@
 {
     if (!this->workerSpeeds.areHeterogeneous())
         return SpeedPreference::None;
-    const auto demand = this->recentUrgentDemand.find(candidate.unit->job->terms.service);
+    const auto demand = this->recentUrgentDemand.find(candidate.unit->terms->service);
     const bool urgentExpected = demand != this->recentUrgentDemand.end() && demand->second.accelerators >= 1;
     return speedPreferenceFor({ request.urgent, urgentExpected, request.expectedRunTime, candidate.queueKey.latestStart + request.expectedRunTime - now });
 }
@@ -214,13 +214,13 @@
     std::map<std::string, Snapshot> snapshots;
     std::vector<UnitKey> unitsToMove;
     for (const auto& [key, unit] : this->units) {
-        const bool canMove = unit.state == UnitState::Running && unit.job->terms.priority == 0 && !unit.stopping && !unit.moved && !unit.suspect && !unit.inherited && !unit.step().longRunning && unit.job->terms.advice.ticketValidity == 0;
+        const bool canMove = unit.state == UnitState::Running && unit.terms->priority == 0 && !unit.stopping && !unit.moved && !unit.suspect && !unit.inherited && !unit.step().longRunning && unit.terms->advice.ticketValidity == 0;
         if (!canMove || (this->jobs.at(key.job).guaranteed && now > acceptanceOf(unit, now, wall) + maxGuaranteedMoveDelay))
             continue;
         const double speed = speedToMoveFor(this->outlookOf(unit, now, wall), now);
         if (speed == 0)
             continue;
-        const std::string& service = unit.job->terms.service;
+        const std::string& service = unit.terms->service;
         auto snapshot = snapshots.find(service);
         if (snapshot == snapshots.end())
             snapshot = snapshots.emplace(service, this->makeSnapshot(service, now)).first;
--- a/src/tasks/task_planner_violations.cc
+++ b/src/tasks/task_planner_violations.cc
@@ -49,7 +49,7 @@
     for (const auto& [key, unit] : this->units) {
         if ((unit.state == UnitState::Waiting) != this->waitingUnits.contains(key))
             problems.push_back("the set of waiting units disagrees with the unit's state: " + key.job);
-        if (this->urgentWaitingUnits.contains(key) != (unit.state == UnitState::Waiting && unit.job->terms.priority == 0))
+        if (this->urgentWaitingUnits.contains(key) != (unit.state == UnitState::Waiting && unit.terms->priority == 0))
             problems.push_back("the set of urgent waiting units disagrees with the unit: " + key.job);
         if (this->isolatedUnits.contains(key) && (unit.state != UnitState::Running || !unit.suspect))
             problems.push_back("an isolated unit that is not running or not suspect: " + key.job);
--- a/src/tasks/testing/overload_test.cc
+++ b/src/tasks/testing/overload_test.cc
@@ -221,11 +221,12 @@
     void oldLoadRecordsDoNotCount()
     {
         LoadTable table;
+        const QueueTerms q { .queue = "q" };
         CPPUNIT_ASSERT(!table.apply("job/1", "{}", 1, 1000) && table.apply("load/q", encodeLoad({ 3000, 500000 }), 5, 1000));
-        CPPUNIT_ASSERT(table.find("q", 6000, 505000) && !table.find("q", 6001, 505000) && !table.find("q", 1001, 505001));
+        CPPUNIT_ASSERT(table.find(q, 6000, 505000) && !table.find(q, 6001, 505000) && !table.find(q, 1001, 505001));
         table.apply("load/q", "", 7, 1000);
         table.apply("load/q", encodeLoad({ 3000, 500000 }), 6, 1000);
-        CPPUNIT_ASSERT(!table.find("q", 1000, 500000));
+        CPPUNIT_ASSERT(!table.find(q, 1000, 500000));
     }
 };
 
--- a/src/tasks/testing/task_planner_random_test.cc
+++ b/src/tasks/testing/task_planner_random_test.cc
@@ -4,6 +4,7 @@
 
 #include "tasks/testing/virtual_site.h"
 
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdio>
 #include <cstdlib>
@@ -39,6 +40,11 @@
 constexpr std::size_t fewEnds = 2;
 constexpr std::size_t usualEnds = 500;
 
+// Simulations with seeds from here on include queues that are sent to another service or removed.
+constexpr std::uint64_t firstRouteSeed = 5'000'000;
+constexpr std::uint64_t routeSeedCount = 10;
+constexpr int workersOfSecondService = 6;
+
 // The first and the last seed; RATTAN_SEEDS=FIRST-LAST selects others.
 std::pair<std::uint64_t, std::uint64_t> seedRange()
 {
@@ -53,11 +59,12 @@
 class Simulation {
 public:
     explicit Simulation(std::uint64_t seed)
-        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1, .maxRecordBytes = seed >= firstSplitSeed && seed < firstPartialListSeed ? smallRecordBytes : usualRecordBytes, .maxEndsPerReport = seed >= firstPartialListSeed ? fewEnds : usualEnds })
+        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1, .maxRecordBytes = seed >= firstSplitSeed && seed < firstPartialListSeed ? smallRecordBytes : usualRecordBytes, .maxEndsPerReport = seed >= firstPartialListSeed && seed < firstRouteSeed ? fewEnds : usualEnds, .workersOfSecondService = seed >= firstRouteSeed ? workersOfSecondService : 0 })
         , random(seed * 7919)
         , hasPolicies(seed >= firstPolicySeed && seed < firstCrashSeed)
         , hasCrashes(seed >= firstCrashSeed && seed < firstSplitSeed)
         , hasSplitRecords(seed >= firstSplitSeed && seed < firstPartialListSeed)
+        , hasRoutes(seed >= firstRouteSeed)
     {
     }
 
@@ -123,6 +130,10 @@
 
     void injectFault()
     {
+        if (this->hasRoutes && this->randomBelow(4) == 0) {
+            const std::array<std::string, 3> services { "s", "t", "" };
+            this->site.sendQueue(fmt::format("q{}", this->randomBelow(3)), services.at(static_cast<std::size_t>(this->randomBelow(3))), this->randomBelow(3));
+        }
         if (this->hasCrashes) {
             this->site.resize(this->randomWorker(), this->randomBelow(2) == 0 ? Resources { 128000, 512000, 8 } : Resources { 64000, 256000, 5 });
             if (this->randomBelow(8) == 0)
@@ -175,6 +186,7 @@
     bool hasPolicies;
     bool hasCrashes;
     bool hasSplitRecords;
+    bool hasRoutes;
 };
 
 // Runs one simulation. Returns an empty text if all invariants held; otherwise the first violation,
@@ -201,6 +213,7 @@
     CPPUNIT_TEST(invariantsHoldWithWorkerCrashes);
     CPPUNIT_TEST(invariantsHoldWithSplitRecords);
     CPPUNIT_TEST(invariantsHoldWithPartialLists);
+    CPPUNIT_TEST(invariantsHoldWithChangedRoutes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -237,6 +250,14 @@
         }
     }
 
+    void invariantsHoldWithChangedRoutes()
+    {
+        for (std::uint64_t seed = firstRouteSeed; seed < firstRouteSeed + routeSeedCount; ++seed) {
+            const std::string problem = simulate(seed, "");
+            CPPUNIT_ASSERT_MESSAGE(problem, problem.empty());
+        }
+    }
+
     void invariantsHoldWithPolicies()
     {
         for (std::uint64_t seed = firstPolicySeed; seed < firstPolicySeed + policySeedCount; ++seed) {
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -35,7 +35,7 @@
     planning.hasAdviceService = true;
     planning.maxRecordBytes = this->options.maxRecordBytes;
     this->planner = std::make_unique<TaskPlanner>(planning, this->table, this->plans, this->now, this->now);
-    this->planner->applyCatalog(this->catalog);
+    this->planner->applyCatalog(this->planningCatalog);
     this->planner->setEvacuatedDomains(this->evacuatedDomains, true, this->now);
     this->planner->workersListed(this->workerDescriptions(), this->now);
 }
@@ -49,6 +49,14 @@
 void VirtualSite::submit(Job job)
 {
     job.acceptedAt = this->now;
+    for (const Queue& queue : this->catalog->queues) {
+        if (queue.terms.queue == job.terms.queue) {
+            job.terms.service = queue.terms.service;
+            job.terms.priority = queue.terms.priority;
+            job.terms.version = queue.terms.version;
+        }
+    }
+    this->servicesOfQueue[job.terms.queue].insert(job.terms.service);
     this->jobs[job.id] = job;
     this->write(formatKey({ RecordKind::Job, job.id }), encodeJob(job));
     if (this->planner)
@@ -63,6 +71,30 @@
         this->planner->jobCancelled(id, this->now);
 }
 
+void VirtualSite::sendQueue(const std::string& queue, const std::string& service, std::optional<std::int64_t> priority)
+{
+    auto changed = std::make_shared<Catalog>(*this->catalog);
+    ++changed->version;
+    std::erase_if(changed->queues, [&](const Queue& known) { return known.terms.queue == queue; });
+    for (auto& [id, job] : this->jobs) {
+        if (service.empty() || job.terms.queue != queue)
+            continue;
+        job.terms.service = service;
+        job.terms.priority = priority.value_or(job.terms.priority);
+        if (changed->queueFor(queue, "/") == nullptr)
+            changed->queues.push_back({ .host = queue, .pathPrefix = "/", .terms = job.terms });
+    }
+    for (Queue& known : changed->queues)
+        known.terms.version = changed->version;
+    this->servicesOfQueue[queue].insert(service);
+    this->catalog = changed;
+    if (this->hidesConfigurations)
+        return;
+    this->planningCatalog = this->catalog;
+    if (this->planner)
+        this->planner->applyCatalog(this->planningCatalog);
+}
+
 void VirtualSite::run(Millis until)
 {
     while (this->now < until) {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -49,6 +49,7 @@
     bool longPolls { false }; // Workers hold waiting polls until a run ends; otherwise each is answered after 100 ms.
     std::size_t maxRecordBytes { 262144 }; // A batch with a larger record is refused for good.
     std::size_t maxEndsPerReport { 500 }; // Further ends are listed once these are acknowledged.
+    int workersOfSecondService { 0 }; // The last ones; they belong to service "t" and all others to "s".
     Millis calmAfterFault { 0 }; // Lost work is checked from this time after the last fault; 0: one lease and a second.
 };
 
@@ -85,7 +86,7 @@
         auto entries = std::make_shared<Catalog>();
         entries->workspaces.push_back({ "a", 24 });
         entries->workspaces.push_back({ "b", 16 });
-        this->catalog = entries;
+        this->catalog = this->planningCatalog = entries;
     }
 
     Millis now { 1000 };
@@ -112,6 +113,14 @@
 
     void cancel(const std::string& id);
 
+    // Publishes a configuration that sends the queue to a service, or removes it if that is empty.
+    // Jobs that are submitted later are accepted under it. Queues that were never sent keep the
+    // terms of each job.
+    void sendQueue(const std::string& queue, const std::string& service, std::optional<std::int64_t> priority = std::nullopt);
+
+    // While set, planners get none of the configurations that are published.
+    void hideConfigurations(bool hides) { this->hidesConfigurations = hides; }
+
     void setPartitioned(const std::string& id, bool isPartitioned) { this->workers.at(id).isPartitioned = isPartitioned; }
     void setDomainPartitioned(const std::string& domain, bool isPartitioned);
 
@@ -219,6 +228,8 @@
     // The worker that runs the given task of the job's first step, or empty if none does.
     std::string hostOf(const std::string& job, std::int64_t index) const;
 
+    const std::string& serviceOf(const std::string& worker) const { return this->workers.at(worker).service; }
+
     // The work of a task, in milliseconds on a worker of speed 1. It is the same for each of its runs.
     double workOf(const TaskRef&) const;
 
@@ -259,6 +270,7 @@
     };
 
     struct Worker {
+        std::string service;
         Millis born { 1 };
         Resources capacity;
         std::string rack;
@@ -283,7 +295,7 @@
     };
 
     void addWorker(const std::string& id);
-    void addWorker(const std::string& id, const std::string& rack);
+    void addWorker(const std::string& id, const std::string& rack, const std::string& service);
     void dropRuns(Worker&, const std::string& id);
 
     std::vector<WorkerDescription> workerDescriptions() const;
@@ -406,6 +418,9 @@
     Millis lastFaultAt { 0 };
     LostWorkDetector lostWorkDetector;
     std::shared_ptr<const Catalog> catalog;
+    std::shared_ptr<const Catalog> planningCatalog; // The one that planners get.
+    bool hidesConfigurations { false };
+    std::map<std::string, std::set<std::string>> servicesOfQueue; // All that it was ever sent to.
     std::map<std::string, Worker> workers;
     std::map<std::string, Job> jobs;
     std::map<std::string, Millis> finishTimes;
--- a/src/tasks/testing/virtual_site_lost_work.cc
+++ b/src/tasks/testing/virtual_site_lost_work.cc
@@ -59,7 +59,7 @@
         constexpr int failureLimit = 2; // After this many failures the planner may stop using the worker.
         const bool isSuspect = !view.strict && (worker.wasStalled || worker.consecutiveFailures >= failureLimit);
         if (!worker.leaving && !this->evacuatedDomains.contains(worker.rack) && !isSuspect)
-            view.workers.push_back({ id, "s", worker.rack, { "k", worker.rack }, free, std::move(running) });
+            view.workers.push_back({ id, worker.service, worker.rack, { "k", worker.rack }, free, std::move(running) });
     }
     for (const auto& [id, job] : this->jobs) {
         // For jobs that also depend on advice, the site cannot determine whether they should run.
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -112,7 +112,7 @@
         Worker& crashedWorker = this->workers.at(id);
         crashedWorker.replaced = true;
         const std::string replacementId = fmt::format("w{:02}", this->workers.size());
-        this->addWorker(replacementId, crashedWorker.rack);
+        this->addWorker(replacementId, crashedWorker.rack, crashedWorker.service);
         this->workers.at(replacementId).born = this->now;
         this->publishWorkers();
     });
@@ -149,12 +149,13 @@
 {
     constexpr int workersPerRack = 4;
     const std::size_t number = this->workers.size();
-    this->addWorker(id, fmt::format("r{}", this->options.racks > 0 ? number % static_cast<std::size_t>(this->options.racks) : number / workersPerRack));
+    this->addWorker(id, fmt::format("r{}", this->options.racks > 0 ? number % static_cast<std::size_t>(this->options.racks) : number / workersPerRack), static_cast<int>(number) < this->options.workers - this->options.workersOfSecondService ? "s" : "t");
 }
 
-void VirtualSite::addWorker(const std::string& id, const std::string& rack)
+void VirtualSite::addWorker(const std::string& id, const std::string& rack, const std::string& service)
 {
     Worker worker;
+    worker.service = service;
     worker.capacity = this->options.workerCapacity;
     worker.rack = rack;
     if (!this->options.speeds.empty())
@@ -171,7 +172,7 @@
         WorkerDescription description;
         description.incarnation = { id, worker.born };
         description.address = id;
-        description.service = std::string("s"); // GCC 12 gives a false warning if a one-letter literal is assigned.
+        description.service = worker.service;
         description.rack = worker.rack;
         description.domain = worker.rack; // Each rack is a separate failure domain.
         description.labels = { "k", worker.rack };
@@ -259,6 +260,8 @@
     const Job& job = this->jobs.at(task.job);
     const Step& step = this->stepOf(task);
     this->checkCapacity(order, worker);
+    if (!this->servicesOfQueue.at(job.terms.queue).contains(worker.service))
+        this->reportViolation("on a service to which its queue was never sent", order);
     for (const auto& [id, other] : this->workers) {
         for (const auto& [ref, run] : other.running) {
             if (ref.task == task)
