Weigh forwarded answers by the newest known configuration

Cause: an instance that knows of a newer configuration than it has refuses by itself, but weighed the answer of the next peer by the version in use. A peer without the newer configuration was believed.

Change: the answer is weighed, when it arrives, by the newest version known to exist, and so is the own one. An answer names the version that let its request in, a refusal the newest one known. A request that the instance can't check by the newest version carries it, and an older peer refuses it, so that a revoked key doesn't work through that peer.

--- a/src/instance/caller_protocol.h
+++ b/src/instance/caller_protocol.h
@@ -29,6 +29,7 @@
     Millis timeout { 0 }; // How long the caller waits; 0 if unknown.
     std::string body;
     bool forwarded { false }; // Whether another instance forwarded it.
+    std::int64_t configurationVersion { 0 }; // The oldest version that may decide a forwarded request; 0 for any.
 };
 
 enum class Outcome {
@@ -54,7 +55,7 @@
     std::int64_t pending { 0 };
     Millis retryAfter { 0 };
     std::string message; // Human-readable.
-    std::int64_t configurationVersion { 0 }; // The version that the answer is based on, for the instance that forwarded the request; 0 if unknown.
+    std::int64_t configurationVersion { 0 }; // The version that the answer is based on, or of a refusal the newest one known, for the instance that forwarded the request; 0 if unknown.
     std::string domain; // The failure domain of the instance that answered, for the instance that forwarded the request; empty if unknown.
     bool canPeerHelp { false }; // Whether a peer may have a better answer, so that the request may be forwarded. True for every refusal of the gateway except that of an overload, and for answers from data that may be outdated.
 };
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -77,6 +77,7 @@
     this->requestForwarder.setPeerObserver([this](const CallerAnswer& answer) {
         const bool reachesStore = answer.outcome != Outcome::NotNow && answer.outcome != Outcome::Unknown;
         this->readiness.peerAnswered(answer.domain, reachesStore, this->clock.now());
+        this->gateway.requireConfigurationVersion(answer.configurationVersion);
     });
 }
 
@@ -223,6 +224,7 @@
 
 void ControlLoop::answerCallers()
 {
+    this->requestForwarder.configurationSeen(this->gateway.newestConfigurationVersion());
     for (GatewayAnswer& answered : this->gateway.takeAnswers()) {
         const auto found = this->unansweredRequests.find(answered.ticket);
         if (found == this->unansweredRequests.end())
@@ -233,10 +235,9 @@
             continue;
         }
         this->metrics.count("rattan_relayed_total", { { "for_want_of", std::string(nameOf(answered.answer.outcome)) } });
-        answered.answer.configurationVersion = this->catalog->version;
+        found->second.request.configurationVersion = this->gateway.requiredOfPeers();
         const Millis forwardedAt = this->clock.now();
         this->requestForwarder.forward(found->second.request, answered.answer, answered.waitTime, [this, answered, forwardedAt](const CallerAnswer& answer) {
-            this->gateway.requireConfigurationVersion(answer.configurationVersion);
             if (answered.isProvisional && answer.outcome == Outcome::Unknown)
                 return; // The gateway still tries to resolve the request.
             if (answered.isProvisional)
@@ -262,7 +263,8 @@
     if (!isStateReply)
         logEvent(events::callerAnswered, { { "outcome", nameOf(outcome) }, { "job", answered.jobId }, { "waited_ms", answered.waitTime }, { "configuration", this->catalog->version }, { "why", answered.answer.message } });
     CallerAnswer answer = answered.answer;
-    answer.configurationVersion = found->second.request.forwarded ? this->catalog->version : 0;
+    if (!found->second.request.forwarded)
+        answer.configurationVersion = 0;
     answer.domain = found->second.request.forwarded ? this->settings.domain : "";
     found->second.answer.set_value(std::move(answer));
     this->unansweredRequests.erase(found);
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -50,12 +50,12 @@
 
 void Gateway::handleRequest(std::uint64_t ticket, const CallerRequest& request, Millis now, Millis wallTime)
 {
-    WaitingRequest waiting { .request = request, .jobId = request.path.substr(request.path.rfind('/') + 1), .receivedAt = now, .readUpTo = now };
+    WaitingRequest waiting { .request = request, .jobId = request.path.substr(request.path.rfind('/') + 1), .configurationVersion = this->catalog->version, .receivedAt = now, .readUpTo = now };
     waiting.deadline = now + this->answerTimeOf(request.timeout);
     waiting.callerDeadline = request.timeout > 0 ? now + request.timeout : 0;
     if (!this->hasConfiguration || !this->jobsLoaded)
         return this->refuse(ticket, waiting, RefusalCause::LocalState, "this instance has just started", now);
-    if (this->catalog->version < this->minConfigurationVersion)
+    if (this->catalog->version < std::max(this->minConfigurationVersion, request.configurationVersion))
         return this->refuse(ticket, waiting, RefusalCause::LocalState, "a newer configuration is in force elsewhere", now);
     // While the store is unreachable, this instance may have missed the configuration version
     // that added a queue or a key. A final "no such queue" would make the caller give up.
@@ -269,7 +269,7 @@
         if (!this->shouldAskPeer(waiting, now))
             continue;
         waiting.peerAsked = true;
-        const CallerAnswer unknown { .outcome = Outcome::Unknown, .message = "the store does not serve this instance", .canPeerHelp = true };
+        const CallerAnswer unknown { .outcome = Outcome::Unknown, .message = "the store does not serve this instance", .configurationVersion = waiting.configurationVersion, .canPeerHelp = true };
         this->answers.push_back({ ticket, unknown, waiting.jobId, now - waiting.receivedAt, true });
     }
 }
@@ -466,6 +466,7 @@
 
 void Gateway::answer(std::uint64_t ticket, const WaitingRequest& waiting, CallerAnswer answer, Millis now)
 {
+    answer.configurationVersion = answer.outcome == Outcome::NotNow ? this->newestConfigurationVersion() : waiting.configurationVersion;
     this->answers.push_back({ ticket, std::move(answer), waiting.jobId, now - waiting.receivedAt });
 }
 
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -99,8 +99,16 @@
     // Reports that another instance answered a forwarded request based on this configuration
     // version. Until this version is read here, requests are refused: an older configuration
     // may lack a queue that was served a moment ago, and its caller would get "no such queue".
+    // So is a forwarded request that comes with a newer version than the one in use.
     void requireConfigurationVersion(std::int64_t version) { this->minConfigurationVersion = std::max(this->minConfigurationVersion, version); }
 
+    // The newest configuration version that is known to exist, in use here or not.
+    std::int64_t newestConfigurationVersion() const { return std::max(this->catalog->version, this->minConfigurationVersion); }
+
+    // The version that a peer must have to decide a request, or 0 if this instance has the newest one
+    // and has checked the request by it. A peer with an older one could accept a revoked key.
+    std::int64_t requiredOfPeers() const { return this->catalog->version < this->newestConfigurationVersion() ? this->newestConfigurationVersion() : 0; }
+
     // Reports that the job table contains every record that was appended before `confirmedAt`.
     void jobsConfirmed(Millis confirmedAt, Millis now);
     void jobsReadFailed(Millis now) { this->jobsReadFailedAt = now; }
@@ -170,6 +178,7 @@
         AwaitedEvent awaited { AwaitedEvent::RecordStored };
         std::string jobId;
         std::string recordKey; // Key of the record that has to be durable; empty if there is none.
+        std::int64_t configurationVersion { 0 }; // By which the request was let in.
         Millis receivedAt { 0 };
         Millis readUpTo { 0 }; // For AwaitedEvent::JobsConfirmed.
         Millis deadline { 0 };
--- a/src/instance/request_forwarder.cc
+++ b/src/instance/request_forwarder.cc
@@ -43,6 +43,7 @@
     CallerRequest forwardedRequest = request;
     forwardedRequest.forwarded = true;
     forwardedRequest.timeout = this->remainingTime(request, waitTime);
+    this->configurationSeen(ownAnswer.configurationVersion);
     http::Call call = this->protocol.encodeRequest(forwardedRequest);
     call.address = peer;
     call.purpose = "callers_relayed";
@@ -53,13 +54,15 @@
     const std::string jobId = request.path.substr(request.path.rfind('/') + 1);
     this->client.send(std::move(call), [this, peer, kind, jobId, ownAnswer, handler = std::move(handler)](const http::Reply& reply) {
         const std::optional<CallerAnswer> peerAnswer = reply.error ? std::nullopt : this->protocol.parseAnswer(kind, reply);
-        const CallerAnswer answer = mergeForwardedAnswer(kind, ownAnswer, peerAnswer, reply);
+        if (peerAnswer)
+            this->configurationSeen(peerAnswer->configurationVersion);
+        const CallerAnswer answer = mergeForwardedAnswer({ kind, this->newestConfigurationVersion }, ownAnswer, peerAnswer, reply);
         if (peerAnswer) {
             this->peers.markReachable(peer);
             if (this->peerObserver)
                 this->peerObserver(*peerAnswer);
             if (kind != RequestKind::State)
-                logEvent(events::requestForwarded, { { "job", jobId }, { "peer", peer }, { "own", nameOf(ownAnswer.outcome) }, { "own_configuration", ownAnswer.configurationVersion }, { "other", nameOf(peerAnswer->outcome) }, { "other_configuration", peerAnswer->configurationVersion }, { "transmissions", reply.transmissions }, { "told", nameOf(answer.outcome) } });
+                logEvent(events::requestForwarded, { { "job", jobId }, { "peer", peer }, { "own", nameOf(ownAnswer.outcome) }, { "own_configuration", ownAnswer.configurationVersion }, { "newest_configuration", this->newestConfigurationVersion }, { "other", nameOf(peerAnswer->outcome) }, { "other_configuration", peerAnswer->configurationVersion }, { "transmissions", reply.transmissions }, { "told", nameOf(answer.outcome) } });
             return handler(answer);
         }
         this->peers.markUnreachable(peer, this->clock.now());
--- a/src/instance/request_forwarder.h
+++ b/src/instance/request_forwarder.h
@@ -20,6 +20,8 @@
 #include "instance/caller_protocol.h"
 #include "instance/forwarding_peers.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <string>
@@ -39,6 +41,11 @@
     // Reports that the instance at this address holds the newest claim.
     void plannerSeen(const std::string& address) { this->peers.plannerSeen(address); }
 
+    // Reports that this configuration version exists. Answers that are based on an older one are
+    // not believed, whichever version is in use here, also if it is reported only after the request
+    // was forwarded.
+    void configurationSeen(std::int64_t version) { this->newestConfigurationVersion = std::max(this->newestConfigurationVersion, version); }
+
     void setPeerObserver(PeerObserver observer) { this->peerObserver = std::move(observer); }
 
     // Sets the time after which no answer of another instance is awaited. Used at shutdown.
@@ -63,6 +70,7 @@
     const Clock& clock;
     ForwardingPeers peers;
     PeerObserver peerObserver;
+    std::int64_t newestConfigurationVersion { 0 };
     Millis answerDeadline { std::numeric_limits<Millis>::max() };
 };
 
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -60,6 +60,8 @@
     CPPUNIT_TEST(unreadRecordsAreBounded);
     CPPUNIT_TEST(configurationVersionNeverDecreases);
     CPPUNIT_TEST(configurationOlderThanOnPeersIsNotUsed);
+    CPPUNIT_TEST(forwardedRequestIsNotDecidedByOlderConfiguration);
+    CPPUNIT_TEST(answerNamesVersionThatDecidedIt);
     CPPUNIT_TEST(stateRequestWaitsForEndOfRunningJob);
     CPPUNIT_TEST(stateRequestReportsRunningAfterWait);
     CPPUNIT_TEST(stateRequestDoesNotWaitWithoutStore);
@@ -514,6 +516,31 @@
         this->expect(2, Outcome::NoSuchQueue);
     }
 
+    // Guards against a revoked key that works once more through a peer with an older configuration.
+    void forwardedRequestIsNotDecidedByOlderConfiguration()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, this->gateway->requiredOfPeers());
+        this->gateway->handleRequest(1, { .kind = RequestKind::Submit, .host = "h", .path = "/p/" + testJobId, .apiKey = "key", .timeout = 3000, .body = "job", .forwarded = true, .configurationVersion = 2 }, startTime, startTime);
+        this->expect(1, Outcome::NotNow);
+        this->request(2, RequestKind::Submit, startTime); // Others are decided by what was read here.
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        this->gateway->requireConfigurationVersion(2);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, this->gateway->requiredOfPeers());
+    }
+
+    // Guards against an answer that is weighed by a configuration that was read after its request
+    // was let in.
+    void answerNamesVersionThatDecidedIt()
+    {
+        this->request(1, RequestKind::Submit, startTime);
+        this->gateway->configurationUpdated(this->catalogWith(2, "other"));
+        this->gateway->appendCompleted({ this->gateway->takeRecords(100, 1 << 20).at(0).key }, AppendStatus::Appended, startTime);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 1 }, this->gateway->takeAnswers().at(0).answer.configurationVersion);
+        this->gateway->requireConfigurationVersion(3);
+        this->request(2, RequestKind::State, startTime, "/nowhere/");
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, this->gateway->takeAnswers().at(0).answer.configurationVersion);
+    }
+
     // A caller polls just when its job ends, and the planner's record arrives some tens of
     // milliseconds later. With an immediate "running" the caller would see the end only after its
     // next pause, and a job that ended in time would appear to be late.
--- a/src/instance/testing/request_forwarder_test.cc
+++ b/src/instance/testing/request_forwarder_test.cc
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(requestIsForwardedOnlyIfPeerCanHelp);
     CPPUNIT_TEST(peerRefusalDoesNotReplaceUnknownOutcome);
     CPPUNIT_TEST(peerDenialFromOlderConfigurationIsIgnored);
+    CPPUNIT_TEST(denialFromConfigurationReplacedMeanwhileIsIgnored);
     CPPUNIT_TEST(peerAcceptanceWithOlderConfigurationIsKept);
     CPPUNIT_TEST(unknownPeerOutcomeIsNotReplacedByRefusal);
     CPPUNIT_TEST(rejectionOfResentRequestIsUnknown);
@@ -106,6 +107,18 @@
             CPPUNIT_ASSERT(this->forward(denial, ownAnswer).outcome == Outcome::NotNow);
     }
 
+    // Guards against denials, by this instance or the other one, by a configuration that turned out to
+    // be replaced while the request was forwarded.
+    void denialFromConfigurationReplacedMeanwhileIsIgnored()
+    {
+        for (const Outcome ownAnswer : { Outcome::NotNow, Outcome::NoSuchQueue, Outcome::State }) {
+            for (const Outcome denial : { Outcome::NotNow, Outcome::NoSuchQueue, Outcome::UnknownKey, Outcome::State }) {
+                this->versionSeenMeanwhile = 8;
+                CPPUNIT_ASSERT(this->forward(denial, forwardableAnswer(ownAnswer)).outcome == Outcome::NotNow);
+            }
+        }
+    }
+
     // Guards against a refusal of a job that the other instance stored, and that then runs.
     void peerAcceptanceWithOlderConfigurationIsKept()
     {
@@ -191,6 +204,7 @@
     {
         std::optional<CallerAnswer> result;
         this->forwarder->forward(request, ownAnswer, 0, [&](const CallerAnswer& answer) { result = answer; });
+        this->forwarder->configurationSeen(this->versionSeenMeanwhile);
         constexpr int maxIterations = 2000;
         for (int i = 0; i < maxIterations && !result; ++i)
             this->client->run(10ms);
@@ -201,6 +215,7 @@
     FakeCallerProtocol protocol;
     SystemClock clock;
     std::string receivedBody;
+    std::int64_t versionSeenMeanwhile { 0 };
     std::optional<http::Server> server;
     std::optional<http::AsyncClient> client;
     std::optional<RequestForwarder> forwarder;
