Deny nothing by a configuration that may be outdated

Cause: "no such queue" and "unknown key" are final for callers. An instance that can't reach the store marked such a denial for a peer, but gave it all the same if no peer was left. An instance that had read the record of a job accepted under a newer configuration denied the queue of that very job until it had read the configuration.

Change: both are refusals now. Records of jobs carry the version, and report it to the gateway.

--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -40,6 +40,8 @@
     const auto change = this->jobs.apply(record.key, record.value, record.offset, now);
     if (!change)
         return;
+    if (const tasks::JobEntry* entry = this->jobs.find(change->job); entry && entry->job)
+        this->gateway.configurationSeen(entry->job->terms.version);
     this->gateway.jobChanged(change->job, now);
     if (this->leadership)
         this->leadership->jobChanged(*change, now, this->clock.wall());
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -57,12 +57,9 @@
         return this->refuse(ticket, waiting, RefusalCause::LocalState, "this instance has just started", now);
     if (this->catalog->version < std::max(this->minConfigurationVersion, request.configurationVersion))
         return this->refuse(ticket, waiting, RefusalCause::LocalState, "a newer configuration is in force elsewhere", now);
-    // While the store is unreachable, this instance may have missed the configuration version
-    // that added a queue or a key. A final "no such queue" would make the caller give up.
-    const bool isPossiblyOutdated = !this->isStoreReachable(now);
     const tasks::Queue* queue = this->catalog->queueFor(request.host, request.path);
     if (!queue)
-        return this->answer(ticket, waiting, { .outcome = Outcome::NoSuchQueue, .canPeerHelp = isPossiblyOutdated }, now);
+        return this->deny(ticket, waiting, Outcome::NoSuchQueue, now);
     std::string workspace;
     if (!queue->allowsAnonymous) {
         // Otherwise a revoked key would keep working here until this instance reads the
@@ -71,7 +68,7 @@
             return this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "the operators' configuration cannot be read at present", now);
         const std::string* keyWorkspace = this->catalog->workspaceFor(request.apiKey);
         if (!keyWorkspace)
-            return this->answer(ticket, waiting, { .outcome = Outcome::UnknownKey, .canPeerHelp = isPossiblyOutdated }, now);
+            return this->deny(ticket, waiting, Outcome::UnknownKey, now);
         workspace = *keyWorkspace;
     } else if (const std::string* keyWorkspace = this->catalog->workspaceFor(request.apiKey)) {
         workspace = *keyWorkspace;
@@ -448,6 +445,17 @@
     this->answer(ticket, waiting, { .outcome = isPossiblyDone ? Outcome::Unknown : Outcome::NotNow, .retryAfter = this->retryDelay(waiting, cause, now), .message = std::move(why), .canPeerHelp = !waiting.peerAsked }, now);
 }
 
+// Callers take a denial for final. While the store is unreachable, or a newer configuration is in
+// force, the version that added the queue or the key may be unread here.
+void Gateway::deny(std::uint64_t ticket, const WaitingRequest& waiting, Outcome denial, Millis now)
+{
+    if (!this->isStoreReachable(now))
+        return this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "the operators' configuration cannot be read at present", now);
+    if (this->catalog->version < this->newestConfigurationVersion())
+        return this->refuse(ticket, waiting, RefusalCause::LocalState, "a newer configuration is in force elsewhere", now);
+    this->answer(ticket, waiting, { .outcome = denial }, now);
+}
+
 Millis Gateway::retryDelay(const WaitingRequest& waiting, RefusalCause cause, Millis now) const
 {
     const Millis timeLeft = waiting.callerDeadline > 0 ? std::max<Millis>(waiting.callerDeadline - now, 1) : 0;
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -102,8 +102,12 @@
     // So is a forwarded request that comes with a newer version than the one in use.
     void requireConfigurationVersion(std::int64_t version) { this->minConfigurationVersion = std::max(this->minConfigurationVersion, version); }
 
+    // Reports that a job was accepted under this configuration version. Until it is read here, nothing
+    // is denied by an older one: it may lack the queue of that very job.
+    void configurationSeen(std::int64_t version) { this->seenConfigurationVersion = std::max(this->seenConfigurationVersion, version); }
+
     // The newest configuration version that is known to exist, in use here or not.
-    std::int64_t newestConfigurationVersion() const { return std::max(this->catalog->version, this->minConfigurationVersion); }
+    std::int64_t newestConfigurationVersion() const { return std::max({ this->catalog->version, this->minConfigurationVersion, this->seenConfigurationVersion }); }
 
     // The version that a peer must have to decide a request, or 0 if this instance has the newest one
     // and has checked the request by it. A peer with an older one could accept a revoked key.
@@ -215,6 +219,7 @@
     bool isAwaited(const std::string& recordKey) const;
     bool canAnswer(const WaitingRequest&, const tasks::JobEntry&) const;
     void answer(std::uint64_t ticket, const WaitingRequest&, CallerAnswer, Millis now);
+    void deny(std::uint64_t ticket, const WaitingRequest&, Outcome, Millis now);
     void refuseOverload(std::uint64_t ticket, const WaitingRequest&, Millis now);
     void refuse(std::uint64_t ticket, const WaitingRequest&, RefusalCause, std::string why, Millis now);
     Millis retryDelay(const WaitingRequest&, RefusalCause, Millis now) const;
@@ -229,6 +234,7 @@
     std::shared_ptr<const tasks::Catalog> catalog;
     bool hasConfiguration { false };
     std::int64_t minConfigurationVersion { 0 };
+    std::int64_t seenConfigurationVersion { 0 };
     Millis answerDeadline { std::numeric_limits<Millis>::max() };
     bool jobsLoaded { false };
     StoreContact contact;
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(unreadRecordsAreBounded);
     CPPUNIT_TEST(configurationVersionNeverDecreases);
     CPPUNIT_TEST(configurationOlderThanOnPeersIsNotUsed);
+    CPPUNIT_TEST(outdatedConfigurationDeniesNothing);
     CPPUNIT_TEST(forwardedRequestIsNotDecidedByOlderConfiguration);
     CPPUNIT_TEST(answerNamesVersionThatDecidedIt);
     CPPUNIT_TEST(stateRequestWaitsForEndOfRunningJob);
@@ -409,6 +410,24 @@
         CPPUNIT_ASSERT(canPeerHelp(startTime + 1500, knownQueue, "other key"));
     }
 
+    // Guards against final denials by a configuration that may be outdated, where no peer helps: the
+    // store is out of reach, or a job was accepted under a newer version.
+    void outdatedConfigurationDeniesNothing()
+    {
+        this->request(1, RequestKind::Submit, startTime + 1500, "/q/" + testJobId);
+        this->expect(1, Outcome::NotNow);
+        this->request(2, RequestKind::Cancel, startTime + 1500, "/p/" + testJobId, "other key");
+        this->expect(2, Outcome::NotNow);
+        this->gateway->configurationSeen(2);
+        this->request(3, RequestKind::State, startTime, "/q/" + testJobId);
+        this->expect(3, Outcome::NotNow);
+        this->request(4, RequestKind::State, startTime, "/p/"); // Nothing is denied.
+        this->expect(4, Outcome::Pending);
+        this->gateway->configurationUpdated(this->catalogWith(2, "key"));
+        this->request(5, RequestKind::State, startTime, "/q/" + testJobId);
+        this->expect(5, Outcome::NoSuchQueue);
+    }
+
     // An instance is cut off from the store while an operator revokes a key. Its callers could
     // use the key for as long as the cut lasts.
     void revokedKeysExpireWithoutConfigurationReads()
