Ask the next peer if one refuses a forwarded request

Cause: a request was passed on to the newest planner only. If the store turns that one away too, it is gone, or its configuration is older, the caller got a refusal or a wait of a second although an earlier planner serves.

Change: a peer that certainly did nothing, and says that another one may help, has an older configuration, or was never reached, is followed by the next one, at most three within the caller's time. What may have been done ends the search, as before. Peers tell whether another one can help; a refusal for overload, which holds everywhere, is passed on at once.

--- a/src/instance/forwarded_answer.cc
+++ b/src/instance/forwarded_answer.cc
@@ -4,8 +4,6 @@
 
 namespace {
 
-    bool isDone(const CallerAnswer& answer) { return answer.outcome == Outcome::Accepted || answer.outcome == Outcome::Cancelled; }
-
     // This instance's answer, or a refusal if a newer configuration has become known since.
     CallerAnswer currentAnswer(const CallerAnswer& ownAnswer, std::int64_t newestVersion)
     {
@@ -35,6 +33,8 @@
 
 } // namespace
 
+bool isDone(const CallerAnswer& answer) { return answer.outcome == Outcome::Accepted || answer.outcome == Outcome::Cancelled; }
+
 CallerAnswer mergeForwardedAnswer(const ForwardedRequest& request, const CallerAnswer& ownAnswer, const std::optional<CallerAnswer>& peerAnswer, const http::Reply& reply)
 {
     if (peerAnswer)
--- a/src/instance/forwarded_answer.h
+++ b/src/instance/forwarded_answer.h
@@ -16,6 +16,9 @@
 
 namespace rattan::instance {
 
+// Whether the request was carried out, which stands whatever configuration it was decided by.
+bool isDone(const CallerAnswer&);
+
 struct ForwardedRequest {
     RequestKind kind { RequestKind::Other };
     std::int64_t newestConfigurationVersion { 0 }; // That is known to this instance.
--- a/src/instance/forwarding_peers.cc
+++ b/src/instance/forwarding_peers.cc
@@ -14,10 +14,10 @@
         this->peers.pop_back();
 }
 
-std::optional<std::string> ForwardingPeers::choose(Millis now) const
+std::optional<std::string> ForwardingPeers::choose(Millis now, const std::set<std::string>& asked) const
 {
     for (const Peer& peer : this->peers) {
-        if (peer.address != this->ownAddress && now >= peer.avoidedUntil)
+        if (peer.address != this->ownAddress && now >= peer.avoidedUntil && !asked.contains(peer.address))
             return peer.address;
     }
     return std::nullopt;
--- a/src/instance/forwarding_peers.h
+++ b/src/instance/forwarding_peers.h
@@ -15,6 +15,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace rattan::instance {
@@ -28,8 +29,9 @@
 
     void plannerSeen(const std::string& address);
 
-    // The reachable instance that planned most recently, or nothing. Never this instance.
-    std::optional<std::string> choose(Millis now) const;
+    // The reachable instance that planned most recently, or nothing. Never this instance, and none
+    // of `asked`.
+    std::optional<std::string> choose(Millis now, const std::set<std::string>& asked = {}) const;
 
     void markUnreachable(const std::string& address, Millis now);
     void markReachable(const std::string& address);
--- a/src/instance/request_forwarder.h
+++ b/src/instance/request_forwarder.h
@@ -12,7 +12,9 @@
 // retry in a second, or get job states from before the cut, while an urgent job can afford a
 // delay of 1.5 s. The symptom is refusals on some instances only.
 //
-// A request is forwarded at most once: the instance that receives it answers it. Forwarding
+// The instance that receives a forwarded request answers it, and never forwards it. If it did
+// nothing and another one may, because it too lacks the store or the newest configuration, the
+// next peer is asked, within the caller's time. Forwarding
 // never weakens an answer: if the outcome of a request is unknown here, a refusal of the
 // other instance does not turn it into "not run". Handlers run on the client's thread.
 
@@ -24,6 +26,9 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -63,13 +68,27 @@
     void forward(const CallerRequest&, const CallerAnswer& ownAnswer, Millis waitTime, Handler);
 
 private:
+    // A request whose handler was not called yet.
+    struct ForwardedCall {
+        CallerRequest request;
+        CallerAnswer ownAnswer;
+        Millis deadline { 0 };
+        std::set<std::string> askedPeers;
+        Handler handler;
+    };
+
     Millis remainingTime(const CallerRequest&, Millis waitTime) const;
+    void askNextPeer(std::uint64_t id);
+    void handleReply(std::uint64_t id, const std::string& peer, const http::Reply&);
+    bool shouldAskNextPeer(const ForwardedCall&, const std::optional<CallerAnswer>& peerAnswer, const http::Reply&) const;
 
     http::AsyncClient& client;
     const CallerProtocol& protocol;
     const Clock& clock;
     ForwardingPeers peers;
     PeerObserver peerObserver;
+    std::map<std::uint64_t, ForwardedCall> forwardedCalls; // As many requests as wait; up to five times their size.
+    std::uint64_t lastCallId { 0 };
     std::int64_t newestConfigurationVersion { 0 };
     Millis answerDeadline { std::numeric_limits<Millis>::max() };
 };
--- a/src/instance/testing/request_forwarder_test.cc
+++ b/src/instance/testing/request_forwarder_test.cc
@@ -28,7 +28,7 @@
     {
         for (const Outcome outcome : { Outcome::Accepted, Outcome::Cancelled, Outcome::Unknown, Outcome::NotNow, Outcome::State, Outcome::UnknownKey, Outcome::NoSuchQueue }) {
             if (reply.body == nameOf(outcome))
-                return CallerAnswer { .outcome = outcome, .message = "from the other" };
+                return CallerAnswer { .outcome = outcome, .message = "from the other", .canPeerHelp = outcome == Outcome::NotNow };
         }
         return std::nullopt;
     }
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(unreachablePeerIsAvoided);
     CPPUNIT_TEST(unreadablePeerAnswerIsUnknown);
     CPPUNIT_TEST(previousPlannerIsTriedNext);
+    CPPUNIT_TEST(nextPeerIsAskedIfOneCannotHelp);
     CPPUNIT_TEST(nothingIsForwardedPastShutdownDeadline);
     CPPUNIT_TEST_SUITE_END();
 
@@ -184,6 +185,25 @@
         CPPUNIT_ASSERT(peers.choose(2100) == "second");
     }
 
+    // Guards against a refusal because the first peer is as cut off as this instance, is gone, or has
+    // an older configuration, while another one serves the request.
+    void nextPeerIsAskedIfOneCannotHelp()
+    {
+        const CallerRequest request { .kind = RequestKind::Submit, .path = "/accepted" };
+        const http::testing::DroppingPeer refusing({ { 200, std::string(nameOf(Outcome::NotNow)) } });
+        this->forwarder->plannerSeen(refusing.address());
+        CPPUNIT_ASSERT(this->forward(request, forwardableAnswer(Outcome::NotNow)).outcome == Outcome::Accepted);
+        const http::testing::DroppingPeer denying({ { 200, std::string(nameOf(Outcome::NoSuchQueue)) } });
+        this->forwarder->plannerSeen(this->server->address());
+        this->forwarder->plannerSeen(denying.address());
+        CallerAnswer ownAnswer = forwardableAnswer(Outcome::NotNow);
+        ownAnswer.configurationVersion = 8;
+        CPPUNIT_ASSERT(this->forward(request, ownAnswer).outcome == Outcome::Accepted);
+        this->forwarder->plannerSeen(this->server->address());
+        this->forwarder->plannerSeen("127.0.0.1:9"); // Nothing listens there.
+        CPPUNIT_ASSERT(this->forward(request, ownAnswer).outcome == Outcome::Accepted);
+    }
+
     // The other instance's answer would arrive after the caller's connection was closed.
     void nothingIsForwardedPastShutdownDeadline()
     {
