Keep the queues of waiting units when only their service changes

Cause: a change of a queue's service took each waiting unit out of the sets of waiting units and put it back, although these depend on the priority only.

Change: only a change of the priority does that.

--- a/src/tasks/task_planner_terms.cc
+++ b/src/tasks/task_planner_terms.cc
@@ -72,7 +72,7 @@
         unit.terms = active.terms;
         if (changesService)
             unit.fitsTwiceSince = unit.passedOverSince = 0; // Counted on the former service's workers.
-        if (unit.state != UnitState::Waiting)
+        if (unit.state != UnitState::Waiting || former->priority == active.terms->priority)
             continue;
         this->dequeue(unit.key);
         this->enqueue(unit);
