Tell the forwarder of a new configuration when it is read

Cause: the forwarder learned the newest known version once per turn of the loop. A configuration and a peer's answer that are read in one pass were weighed by the version before: a denial by the older configuration was believed just after the newer one had come into use. Found by reading.

Change: reading a configuration, or a job accepted under one, reports the version to the gateway and to the forwarder at once.

No test plays the loop itself; the forwarder's part is denialFromConfigurationReplacedMeanwhileIsIgnored.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -224,7 +224,6 @@
 
 void ControlLoop::answerCallers()
 {
-    this->requestForwarder.configurationSeen(this->gateway.newestConfigurationVersion());
     for (GatewayAnswer& answered : this->gateway.takeAnswers()) {
         const auto found = this->unansweredRequests.find(answered.ticket);
         if (found == this->unansweredRequests.end())
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -123,6 +123,11 @@
     void stepLeadership(Millis now, Millis wallTime);
     void endTerm(const char* why);
     void handleJobRecord(const StoreRecord&, Millis now);
+    void configurationSeen(std::int64_t version)
+    {
+        this->gateway.configurationSeen(version);
+        this->requestForwarder.configurationSeen(version);
+    }
     void handleConfigurationRecord(const StoreRecord&, Millis now);
     void handleClaimRecord(const StoreRecord&, Millis now);
     void publishGauges(Millis now);
--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -41,7 +41,7 @@
     if (!change)
         return;
     if (const tasks::JobEntry* entry = this->jobs.find(change->job); entry && entry->job)
-        this->gateway.configurationSeen(entry->job->terms.version);
+        this->configurationSeen(entry->job->terms.version);
     this->gateway.jobChanged(change->job, now);
     if (this->leadership)
         this->leadership->jobChanged(*change, now, this->clock.wall());
@@ -63,6 +63,7 @@
     const bool isNewer = parsed.value->version > this->catalog->version;
     this->catalog = std::make_shared<const tasks::Catalog>(std::move(*parsed.value));
     this->gateway.configurationUpdated(this->catalog);
+    this->configurationSeen(this->catalog->version);
     if (this->leadership)
         this->leadership->applyCatalog(this->catalog);
     if (isNewer)
