--- a/src/instance/request_forwarder.h
+++ b/src/instance/request_forwarder.h
@@ -13,10 +13,10 @@
 // delay of 1.5 s. The symptom is refusals on some instances only.
 //
 // The instance that receives a forwarded request answers it, and never forwards it. If it did
-// nothing and another one may, because it too lacks the store or the newest configuration, the
-// next peer is asked, within the caller's time. Forwarding
-// never weakens an answer: if the outcome of a request is unknown here, a refusal of the
-// other instance does not turn it into "not run". Handlers run on the client's thread.
+// nothing because it too lacks the store or the newest configuration, the next peer is asked, within
+// the caller's time; at most three are. Forwarding never weakens an answer: if the outcome of a
+// request is unknown here, a refusal of the other instance does not turn it into "not run". Handlers
+// run on the client's thread.
 
 #include "http/async_client.h"
 #include "instance/caller_protocol.h"
@@ -87,7 +87,7 @@
     const Clock& clock;
     ForwardingPeers peers;
     PeerObserver peerObserver;
-    std::map<std::uint64_t, ForwardedCall> forwardedCalls; // As many requests as wait; up to five times their size.
+    std::map<std::uint64_t, ForwardedCall> forwardedCalls; // By id; at most one for each unanswered request.
     std::uint64_t lastCallId { 0 };
     std::int64_t newestConfigurationVersion { 0 };
     Millis answerDeadline { std::numeric_limits<Millis>::max() };
