Reword comments on forwarded answers and on queues that move

Read again as a newcomer: which answers are discarded, what the version in a request and in a waiting request means, and why a removed queue keeps its terms. Comments only.

--- a/src/instance/caller_protocol.h
+++ b/src/instance/caller_protocol.h
@@ -29,7 +29,7 @@
     Millis timeout { 0 }; // How long the caller waits; 0 if unknown.
     std::string body;
     bool forwarded { false }; // Whether another instance forwarded it.
-    std::int64_t configurationVersion { 0 }; // The oldest version that may decide a forwarded request; 0 for any.
+    std::int64_t configurationVersion { 0 }; // Of a forwarded request: an instance with an older version refuses it; 0 for none.
 };
 
 enum class Outcome {
--- a/src/instance/forwarded_answer.h
+++ b/src/instance/forwarded_answer.h
@@ -19,7 +19,7 @@
 // Whether the request was carried out, which stands whatever configuration it was decided by.
 bool isDone(const CallerAnswer&);
 
-// What an answer to the request is weighed by.
+// The properties of a forwarded request that decide between the two answers.
 struct ForwardedRequest {
     RequestKind kind { RequestKind::Other };
     std::int64_t newestConfigurationVersion { 0 }; // That is known to this instance.
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -99,7 +99,6 @@
     // Reports that another instance answered a forwarded request based on this configuration
     // version. Until this version is read here, requests are refused: an older configuration
     // may lack a queue that was served a moment ago, and its caller would get "no such queue".
-    // So is a forwarded request that comes with a newer version than the one in use.
     void requireConfigurationVersion(std::int64_t version) { this->minConfigurationVersion = std::max(this->minConfigurationVersion, version); }
 
     // Reports that a job was accepted under this configuration version. Until it is read here, nothing
@@ -182,7 +181,7 @@
         AwaitedEvent awaited { AwaitedEvent::RecordStored };
         std::string jobId;
         std::string recordKey; // Key of the record that has to be durable; empty if there is none.
-        std::int64_t configurationVersion { 0 }; // By which the request was let in.
+        std::int64_t configurationVersion { 0 }; // The version by which its queue and key were checked.
         Millis receivedAt { 0 };
         Millis readUpTo { 0 }; // For AwaitedEvent::JobsConfirmed.
         Millis deadline { 0 };
--- a/src/instance/request_forwarder.h
+++ b/src/instance/request_forwarder.h
@@ -46,9 +46,8 @@
     // Reports that the instance at this address holds the newest claim.
     void plannerSeen(const std::string& address) { this->peers.plannerSeen(address); }
 
-    // Reports that this configuration version exists. Answers that are based on an older one are
-    // not believed, whichever version is in use here, also if it is reported only after the request
-    // was forwarded.
+    // Reports that this configuration version exists, in use here or not. Answers based on an older
+    // version are discarded if they arrive later, unless the request was carried out.
     void configurationSeen(std::int64_t version) { this->newestConfigurationVersion = std::max(this->newestConfigurationVersion, version); }
 
     void setPeerObserver(PeerObserver observer) { this->peerObserver = std::move(observer); }
--- a/src/tasks/task_planner_terms.cc
+++ b/src/tasks/task_planner_terms.cc
@@ -3,8 +3,8 @@
 // they come from: the catalog, the record of another job of the queue, or the progress recorded by
 // the previous planner. So a planner with an old catalog never sends a queue back.
 //
-// A run goes on at the service where it is. Its task changes the service when it starts again. A
-// queue that the catalog no longer has keeps its last terms, since its jobs were accepted.
+// A run continues on its service, and its task moves to the queue's service when it restarts. A queue
+// that the catalog no longer has keeps its last terms, so that its accepted jobs still run.
 
 #include "tasks/task_planner.h"
 
@@ -27,7 +27,7 @@
     this->pacer.markChanged();
 }
 
-// Returns whether other jobs of the queue have to be updated.
+// Remembers terms that are newer than the catalog. Returns whether other jobs of the queue need them.
 bool TaskPlanner::learnTerms(const std::shared_ptr<const QueueTerms>& terms)
 {
     if (terms->version <= this->catalog->version)
