Keep units only for tasks that run and some that wait

What callers saw: a job of 6.5 KB, 100 steps of 100,000 tasks, was accepted; 15 s later each instance that planned had 4 GB. The job is in the store, so that an instance which started again ended in the same way.

Cause: when a step began, the planner made a unit of about 1 KB for each of its tasks, and when a job was accepted, it began every occurrence that was due.

Change: a job has units for the tasks that were started and for at most 2,000 that wait, 30,000 of all jobs together. Each step that has begun keeps up to 16, since the tasks of another step may have no worker. More are added when half of them have started. Occurrences that are due begin in the same way, with at most 4,096 open steps of a job. The invariants still account for each task: it has a unit, is done, or is counted as left.

--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -107,7 +107,9 @@
 };
 
 struct StepState {
-    std::int64_t unitsLeft { 0 }; // Units that aren't done; set when the step starts.
+    std::int64_t unitsLeft { 0 }; // Units that aren't done, whether they exist yet or not; set when the step starts.
+    std::int64_t unitsAdded { 0 }; // The tasks before this index have units or are done. Of the others, only those that an earlier planner has started have units.
+    std::int64_t waitingUnits { 0 };
     bool started { false };
     bool done { false };
     std::vector<SpeedEstimator::Sample> progressSamples; // Of tasks that ended and were not compared yet; a few at most.
@@ -133,6 +135,8 @@
     std::int64_t nextOccurrence { 0 }; // The first one that has not started.
     std::map<std::int64_t, Occurrence> occurrences; // Started and not done.
     std::set<std::int64_t> doneOutOfOrder;
+    std::int64_t waitingUnits { 0 };
+    bool hasTasksWithoutUnit { false }; // In steps that have started.
     bool guaranteed { false }; // The job is within its workspace's guarantee.
     Millis idleSince { 0 }; // Since when nothing of it runs although a task is ready, or 0.
     Millis heldReportedAt { 0 }; // When the run that keeps it idle was last logged.
--- a/src/tasks/task_planner.cc
+++ b/src/tasks/task_planner.cc
@@ -1,5 +1,6 @@
-// The life cycle of jobs and their units: takeover from records, begin, completion, failure and
-// cancellation. The other subjects are in task_planner_workers.cc (reports of workers and
+// The life cycle of jobs and their units: takeover from records, completion, failure and
+// cancellation. The other subjects are in task_planner_units.cc (which tasks have units),
+// _workers.cc (reports of workers and
 // runs), _leases.cc, _incarnations.cc (restarted workers), _crashes.cc (tasks that crash workers),
 // _polls.cc, _rounds.cc (placement), _evictions.cc, _preferences.cc (what is given up by
 // idle jobs), _idle.cc (jobs of which nothing runs), _terms.cc (changes of queues), _advice.cc,
@@ -114,7 +115,10 @@
         active.doneOutOfOrder.insert(number);
     }
     for (const UnitProgress& progress : plan.units) {
-        Unit* unit = this->find({ active.job->id, progress.occurrence, progress.step, progress.index });
+        const UnitKey key { active.job->id, progress.occurrence, progress.step, progress.index };
+        Unit* unit = this->find(key);
+        if (!unit)
+            unit = this->addStartedUnit(active, key, now);
         if (!unit)
             continue;
         unit->run = progress.state == UnitState::Done ? runsBeforeLostNumber : progress.run;
@@ -188,75 +192,6 @@
         this->finishJob(id, JobState::Cancelled, "cancelled by its caller", now);
 }
 
-void TaskPlanner::beginDueOccurrences(ActiveJob& active, Millis now, Millis wall)
-{
-    const Job& job = *active.job;
-    while (active.nextOccurrence < job.occurrences()) {
-        if (job.repeats > 0 && job.dueAt(active.nextOccurrence) > wall)
-            return;
-        this->beginOccurrence(active, active.nextOccurrence, now);
-        ++active.nextOccurrence;
-    }
-}
-
-void TaskPlanner::beginOccurrence(ActiveJob& active, std::int64_t number, Millis now)
-{
-    Occurrence& occurrence = active.occurrences[number];
-    occurrence.steps.resize(active.job->steps.size());
-    this->beginReadySteps(active, number, now);
-}
-
-void TaskPlanner::beginReadySteps(ActiveJob& active, std::int64_t number, Millis now)
-{
-    Occurrence& occurrence = active.occurrences.at(number);
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-        StepState& state = occurrence.steps[i];
-        const Step& step = active.job->steps[i];
-        bool ready = !state.started;
-        for (const std::int64_t earlier : step.dependsOn)
-            ready = ready && occurrence.steps[static_cast<std::size_t>(earlier)].done;
-        if (!ready)
-            continue;
-        state.started = true;
-        const auto stepIndex = static_cast<std::int64_t>(i);
-        const std::int64_t first = step.gang ? wholeGang : 0;
-        const std::int64_t end = step.gang ? 0 : step.count;
-        for (std::int64_t index = first; index < end; ++index) {
-            if (occurrence.doneUnits.contains({ stepIndex, index }))
-                continue;
-            ++state.unitsLeft;
-            this->addUnit(active, { active.job->id, number, stepIndex, index }, now);
-        }
-        // No unit is left if an earlier planner completed them all; then later steps may begin.
-        state.done = state.unitsLeft == 0;
-    }
-}
-
-void TaskPlanner::enqueue(const Unit& unit)
-{
-    this->waitingUnits.insert(unit.key);
-    if (unit.terms->priority == 0)
-        this->urgentWaitingUnits.insert(unit.key);
-}
-
-void TaskPlanner::dequeue(const UnitKey& key)
-{
-    this->waitingUnits.erase(key);
-    this->urgentWaitingUnits.erase(key);
-}
-
-void TaskPlanner::addUnit(ActiveJob& active, const UnitKey& key, Millis now)
-{
-    Unit& unit = this->units[key];
-    unit.key = key;
-    unit.job = active.job;
-    unit.terms = active.terms;
-    unit.waitingSince = now;
-    unit.idleSince = now;
-    this->enqueue(unit);
-    this->pacer.markChanged();
-}
-
 void TaskPlanner::completeUnit(const UnitKey& key, Millis now)
 {
     const auto found = this->units.find(key);
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -170,6 +170,13 @@
     void beginDueOccurrences(ActiveJob&, Millis now, Millis wall);
     void beginOccurrence(ActiveJob&, std::int64_t occurrence, Millis now);
     void beginReadySteps(ActiveJob&, std::int64_t occurrence, Millis now);
+    std::int64_t minWaitingUnits(const ActiveJob&) const;
+    bool hasRoom(const ActiveJob&, std::int64_t parts) const;
+    bool mayBeginOccurrence(const ActiveJob&) const;
+    bool needsUnits(const ActiveJob&) const;
+    void addNeededUnits(ActiveJob&, Millis now);
+    void addUnits(ActiveJob&, std::int64_t occurrence, std::size_t step, Millis now);
+    Unit* addStartedUnit(ActiveJob&, const UnitKey&, Millis now);
     void addUnit(ActiveJob&, const UnitKey&, Millis now);
     void completeUnit(const UnitKey&, Millis now);
     static Millis restartDelay(int shortRuns);
@@ -185,6 +192,7 @@
     void abandonRun(const Unit&, Millis now);
     void enqueue(const Unit&);
     void dequeue(const UnitKey&);
+    void countWaiting(const UnitKey&, std::int64_t change);
 
     // The terms of queues. See task_planner_terms.cc.
     bool learnTerms(const std::shared_ptr<const QueueTerms>&);
@@ -373,7 +381,7 @@
     std::shared_ptr<const Catalog> catalog;
     std::map<std::string, std::shared_ptr<const QueueTerms>, std::less<>> queueTerms; // Of the catalog, or of a job that was accepted under a newer version.
     std::map<std::string, ActiveJob> jobs;
-    std::map<UnitKey, Unit> units; // Of jobs that are not final.
+    std::map<UnitKey, Unit> units; // Of jobs that are not final, for the tasks that have one.
     std::set<UnitKey> waitingUnits;
     std::set<UnitKey> urgentWaitingUnits; // The waiting units of the highest priority.
     std::set<UnitKey> exhaustedUnits; // Units with too many crashes; their jobs fail at the next step.
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -35,8 +35,11 @@
     this->failExhaustedJobs(now);
     this->updateIdleJobs(now);
     for (auto& [id, active] : this->jobs) {
-        if (!isFinal(active.state))
-            this->beginDueOccurrences(active, now, wall);
+        if (isFinal(active.state))
+            continue;
+        if (this->needsUnits(active))
+            this->addNeededUnits(active, now);
+        this->beginDueOccurrences(active, now, wall);
     }
     const RoundKind kind = this->pacer.next(now, !this->urgentWaitingUnits.empty());
     this->round = { .kind = kind };
@@ -59,7 +62,11 @@
     if (!this->isBatchPending)
         next = std::min(next, this->recordDueAt);
     for (const auto& [id, active] : this->jobs) {
-        if (!isFinal(active.state) && active.nextOccurrence < active.job->occurrences())
+        if (isFinal(active.state))
+            continue;
+        if (this->needsUnits(active))
+            return now;
+        if (this->mayBeginOccurrence(active))
             next = std::min(next, now + std::max<Millis>(active.job->dueAt(active.nextOccurrence) - wall, 0));
     }
     next = std::min(next, this->nextSurvivalCheck(now));
--- a/src/tasks/task_planner_violations.cc
+++ b/src/tasks/task_planner_violations.cc
@@ -110,10 +110,19 @@
     const auto number = static_cast<std::int64_t>(index);
     if (std::any_of(left.begin(), left.end(), [&](std::int64_t unit) { return occurrence.doneUnits.contains({ number, unit }); }))
         return "a completed unit still exists";
-    const auto done = std::distance(occurrence.doneUnits.lower_bound({ number, wholeGang }), occurrence.doneUnits.lower_bound({ number + 1, wholeGang }));
-    if (static_cast<std::int64_t>(left.size()) + done != (step.gang ? 1 : step.count))
+    // Before the first task without a unit each task has one or is done; from there on, those that
+    // have none and aren't done are counted as left.
+    const std::int64_t units = step.gang ? 1 : step.count;
+    const auto isBefore = [&](std::int64_t unit) { return step.gang ? state.unitsAdded > 0 : unit < state.unitsAdded; };
+    const auto doneBegin = occurrence.doneUnits.lower_bound({ number, wholeGang });
+    const auto doneEnd = occurrence.doneUnits.lower_bound({ number + 1, wholeGang });
+    const auto doneBefore = std::count_if(doneBegin, doneEnd, [&](const auto& unit) { return isBefore(unit.second); });
+    const auto leftBefore = std::count_if(left.begin(), left.end(), isBefore);
+    if (leftBefore + doneBefore != state.unitsAdded)
         return "a unit neither exists nor is completed";
-    const auto count = static_cast<std::int64_t>(left.size());
+    if (state.unitsAdded < units && !active.hasTasksWithoutUnit)
+        return "a task without a unit would never get one";
+    const std::int64_t count = units - std::distance(doneBegin, doneEnd);
     return state.unitsLeft != count || state.done != (count == 0) ? "a step counts its units incorrectly" : "";
 }
 
