Bound the memory of all bodies together

Bodies of 1 GB were read to their end.

Cause: no number bounded the product of connections and bodies. Each connection kept up to 512 KB, whatever the configuration allows; a body then existed up to five times (ulfius, the request, the queue, the waiting request, the forwarder), and the allocator kept what the threads had freed, in an arena each.

Change: bodies above 8 KB share an eighth of the machine's memory (limits.memory_mb), counted from the announced size. ulfius has no callback while it reads a body, so a guard at its allocation of the body refuses one that is over the limit of the configuration in force, or finds no room. The request is then answered by its head and the connection closed: a job that was accepted before is still confirmed, one that may be stored gets "unknown", and only one that certainly isn't gets 413 or 503 with Retry-After. A large body in transfer for 2 s gives way to others. The number of connections follows the machine's memory and descriptors, at most 400 as before.

--- a/src/http/answer.h
+++ b/src/http/answer.h
@@ -12,10 +12,18 @@
 
 namespace rattan::http {
 
+// Why a body was not read to its end.
+enum class BodyRefusal {
+    None,
+    TooLarge, // It is larger than the server's limit, as announced or as sent.
+    NoMemory, // The bodies of other requests use the memory for bodies.
+};
+
 struct Request {
     std::string method;
     std::string path;
-    std::string body;
+    std::string body; // Empty if it was refused.
+    BodyRefusal bodyRefusal { BodyRefusal::None };
     std::string peer; // IP address of the caller.
     std::map<std::string, std::string> headers; // Names in lower case.
     std::map<std::string, std::string> parameters; // From the path, by the names in the route pattern, and from the query.
--- a/src/http/open_connections.cc
+++ b/src/http/open_connections.cc
@@ -11,13 +11,14 @@
     const std::lock_guard lock(this->mutex);
     if (this->isClosing)
         shutdown(socket, SHUT_RD);
-    return this->connections.emplace_back(OpenConnection { socket });
+    return this->connections.emplace_back(OpenConnection { .socket = socket, .waitingSince = this->clock.now() });
 }
 
 void OpenConnections::markRequestStarted(OpenConnection& connection)
 {
     const std::lock_guard lock(this->mutex);
     connection.stage = RequestStage::Reading;
+    connection.waitingSince = this->clock.now();
 }
 
 void OpenConnections::markRequestRead(OpenConnection& connection)
@@ -26,10 +27,40 @@
     connection.stage = RequestStage::Answering;
 }
 
+void OpenConnections::markLargeBody(OpenConnection& connection)
+{
+    const std::lock_guard lock(this->mutex);
+    connection.holdsLargeBody = true;
+}
+
+// What has arrived is still read, so a complete request is answered. Its caller must not lose it to
+// clients that send none.
+void OpenConnections::close(OpenConnection& connection)
+{
+    connection.isClosing = true;
+    shutdown(connection.socket, SHUT_RD);
+}
+
+void OpenConnections::closeSlowestLargeBody(Millis minTime)
+{
+    const std::lock_guard lock(this->mutex);
+    OpenConnection* chosen = nullptr;
+    for (OpenConnection& candidate : this->connections) {
+        const bool isSending = candidate.stage == RequestStage::Reading && candidate.holdsLargeBody && !candidate.isClosing;
+        if (isSending && (!chosen || candidate.waitingSince < chosen->waitingSince))
+            chosen = &candidate;
+    }
+    if (!chosen || this->clock.now() - chosen->waitingSince < minTime)
+        return;
+    close(*chosen);
+}
+
 void OpenConnections::markRequestFinished(OpenConnection& connection)
 {
     const std::lock_guard lock(this->mutex);
     connection.stage = RequestStage::None;
+    connection.waitingSince = this->clock.now();
+    connection.holdsLargeBody = false;
     if (this->isClosing)
         shutdown(connection.socket, SHUT_RD);
 }
--- a/src/http/open_connections.h
+++ b/src/http/open_connections.h
@@ -34,6 +34,9 @@
 struct OpenConnection {
     int socket;
     RequestStage stage { RequestStage::None };
+    Millis waitingSince { 0 }; // When it was opened, its request was started, or its last one was finished.
+    bool isClosing { false }; // Its read side was shut down.
+    bool holdsLargeBody { false }; // A body that takes part of a shared budget.
 };
 
 class OpenConnections {
@@ -42,8 +45,13 @@
     void markRequestStarted(OpenConnection&);
     void markRequestRead(OpenConnection&);
     void markRequestFinished(OpenConnection&);
+    void markLargeBody(OpenConnection&); // Until its request is finished.
     void remove(OpenConnection&);
 
+    // Closes the connection that has been sending a large body for longest, if that is `minTime`
+    // milliseconds or more.
+    void closeSlowestLargeBody(Millis minTime);
+
     // Shuts down the idle connections now, and every other one when its request ends.
     void closeWhenIdle();
 
@@ -56,11 +64,13 @@
 
 private:
     std::int64_t count(RequestStage minStage) const;
+    static void close(OpenConnection&);
 
+    const SystemClock clock;
     mutable std::mutex mutex;
     std::condition_variable changed;
     std::list<OpenConnection> connections; // Bounded by the connection limit of the server.
-    bool isClosing { false };
+    bool isClosing { false }; // All are.
 };
 
 } // namespace rattan::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,9 +10,16 @@
 //
 // Each connection has its own thread, on which handlers run and can block; there are at
 // most maxConnections of them. An exception in a handler is answered with 500 and does
-// not end the process. A path without a route is answered with 404, a route without the
-// method with 405, and a body above the limit with 413, each with the JSON error of
-// http/answer.h. Handlers must return within the limit given to stop(): they are not
+// not end the process. A path without a route is answered with 404, and a route without the
+// method with 405, each with the JSON error of http/answer.h.
+//
+// Memory: a connection takes about 64 KB, and a body of up to smallBodyBytes. Larger bodies share
+// bodyBudgetBytes, counted from the announced size if there is one. A body above its limit or
+// without room in the budget is not read to its end: the request is answered by the handler of
+// refused bodies, or else with 413 or 503, and the connection is closed.
+// A large body that has been in transfer for seconds gives way to one that finds no room.
+//
+// Handlers must return within the limit given to stop(): they are not
 // interrupted, and stop() returns only after them. Add routes before start().
 
 #include "base/clock.h"
@@ -22,6 +29,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,6 +39,9 @@
 struct ServerOptions {
     std::string address { "127.0.0.1:0" }; // IP:PORT; port 0 selects a free port.
     std::int64_t maxBodyBytes { 1 << 20 };
+    std::function<std::int64_t()> currentMaxBodyBytes; // If set, the limit at present; 0 for maxBodyBytes. Any thread.
+    std::size_t smallBodyBytes { 8 << 10 };
+    std::size_t bodyBudgetBytes { std::numeric_limits<std::size_t>::max() };
     std::int64_t maxConnections { 512 };
     std::int64_t idleTimeoutSeconds { 60 }; // Connections without traffic are closed after this time.
     std::int64_t stopTimeoutSeconds { 10 }; // Longest time that stop() waits for requests in progress.
@@ -41,7 +52,7 @@
     std::int64_t interrupted { 0 }; // Requests that were read completely but not answered within the limit.
 };
 
-using Handler = std::function<Answer(const Request&)>;
+using Handler = std::function<Answer(Request)>;
 
 class Server {
 public:
@@ -55,6 +66,10 @@
     // Handles every request whose path has no route, instead of the answer 404.
     void fallback(Handler);
 
+    // Handles every request whose body is refused, instead of the answer 413 or 503. The body is
+    // empty, and Request::bodyRefusal tells why.
+    void refusedBodies(Handler);
+
     // Fails with Unavailable if the server cannot listen on the address.
     Result<void> start();
 
@@ -72,7 +87,13 @@
     const std::string& address() const { return this->options.address; }
 
     // Calls the handler of a pattern as the server does; for tests of handlers.
-    Answer handle(const std::string& pattern, const Request&) const;
+    Answer handle(const std::string& pattern, Request) const;
+
+    // Answers a request whose body is refused.
+    Answer handleRefusal(Request) const;
+
+    std::int64_t maxBodyBytes() const;
+    const ServerOptions& limits() const { return this->options; }
 
 private:
     struct Native;
@@ -80,6 +101,7 @@
     ServerOptions options;
     std::map<std::string, std::map<std::string, Handler>> routes; // By pattern, then by method.
     Handler fallbackHandler;
+    Handler refusalHandler;
     std::atomic<bool> draining { false };
     std::unique_ptr<Native> native;
 };
--- a/src/http/testing/open_connections_test.cc
+++ b/src/http/testing/open_connections_test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(OpenConnectionsTest);
     CPPUNIT_TEST(connectionClosesWhenItsRequestEnds);
     CPPUNIT_TEST(requestsAreCountedByStage);
+    CPPUNIT_TEST(slowLargeBodyGivesWay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +70,22 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, connections.requestsBeingAnswered());
     }
 
+    // Guards against unfinished bodies that keep the memory for bodies from others.
+    void slowLargeBodyGivesWay()
+    {
+        OpenConnections connections;
+        OpenConnection& large = connections.add(this->pairs[0][0]);
+        OpenConnection& small = connections.add(this->pairs[1][0]);
+        connections.markRequestStarted(small);
+        connections.markRequestStarted(large);
+        connections.markLargeBody(large);
+        connections.closeSlowestLargeBody(60000);
+        CPPUNIT_ASSERT(!this->isReadClosed(0));
+        connections.closeSlowestLargeBody(0);
+        CPPUNIT_ASSERT(this->isReadClosed(0));
+        CPPUNIT_ASSERT(!this->isReadClosed(1));
+    }
+
 private:
     bool isReadClosed(std::size_t pair) const
     {
--- a/src/http/testing/server_test.cc
+++ b/src/http/testing/server_test.cc
@@ -23,6 +23,10 @@
     CPPUNIT_TEST(stopEndsDespiteUnfinishedRequest);
     CPPUNIT_TEST(stopEndsDespiteUnreadAnswer);
     CPPUNIT_TEST(halfClosedConnectionIsAnswered);
+    CPPUNIT_TEST(bodyOverTheLimitIsRefusedBeforeItsEnd);
+    CPPUNIT_TEST(refusedBodyIsAnsweredByItsHead);
+    CPPUNIT_TEST(largeBodiesShareABudget);
+    CPPUNIT_TEST(bodiesWithinTheLimitArriveWhole);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,6 +177,74 @@
         }
     }
 
+    // Guards against bodies that are read to their end although they are refused.
+    void bodyOverTheLimitIsRefusedBeforeItsEnd()
+    {
+        Server server({ .maxBodyBytes = 1000 });
+        server.route("POST", "/jobs", [](const Request&) { return Answer { 200, "{}" }; });
+        CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
+        for (const std::string framing : { "Content-Length: 1000000000\r\n\r\nx", "Transfer-Encoding: chunked\r\n\r\n40000000\r\n" }) {
+            RawCaller caller(server.address());
+            caller.send("POST /jobs HTTP/1.1\r\nHost: test\r\n" + framing + std::string(1001, 'x'));
+            CPPUNIT_ASSERT_EQUAL(413, caller.readAnswer());
+            CPPUNIT_ASSERT_EQUAL(0, caller.readAnswer());
+        }
+    }
+
+    // Guards against a rejection of what was done before: the head says what is asked for.
+    void refusedBodyIsAnsweredByItsHead()
+    {
+        Server server({ .currentMaxBodyBytes = [] { return 10; } });
+        server.refusedBodies([](const Request& request) {
+            const bool isHead = request.path == "/jobs" && request.header("x-api-key") == "k" && request.body.empty() && request.bodyRefusal == BodyRefusal::TooLarge;
+            return Answer { isHead ? 202 : 500, "{}" };
+        });
+        CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
+        CPPUNIT_ASSERT_EQUAL(202, Client().send({ .method = "POST", .address = server.address(), .path = "/jobs", .body = std::string(11, 'x'), .headers = { { "X-Api-Key", "k" } } }).status);
+    }
+
+    // Guards against memory that grows with the number of connections, and against small requests
+    // that are refused for the bodies of others.
+    void largeBodiesShareABudget()
+    {
+        Server server({ .maxBodyBytes = 20000, .smallBodyBytes = 100, .bodyBudgetBytes = 25000 });
+        server.route("POST", "/jobs", [](const Request& request) { return Answer { 200, std::to_string(request.body.size()) }; });
+        CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
+        const std::string head = "POST /jobs HTTP/1.1\r\nHost: test\r\nContent-Length: 20000\r\n";
+        RawCaller first(server.address());
+        first.send(head + "Expect: 100-continue\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(100, first.readAnswer());
+        first.send(std::string(10000, 'x'));
+        int status = 200; // Until the server has read a part of the first body.
+        while (status == 200) {
+            RawCaller second(server.address());
+            second.send(head + "\r\n" + std::string(20000, 'x'));
+            status = second.readAnswer();
+        }
+        CPPUNIT_ASSERT_EQUAL(503, status);
+        CPPUNIT_ASSERT_EQUAL(200, Client().send({ .method = "POST", .address = server.address(), .path = "/jobs", .body = std::string(100, 'x') }).status);
+        first.send(std::string(10000, 'x'));
+        CPPUNIT_ASSERT_EQUAL(200, first.readAnswer());
+        RawCaller third(server.address());
+        third.send(head + "\r\n" + std::string(20000, 'x'));
+        CPPUNIT_ASSERT_EQUAL(200, third.readAnswer());
+    }
+
+    // Guards against bodies that lose bytes, or requests that keep those of an earlier one.
+    void bodiesWithinTheLimitArriveWhole()
+    {
+        Server server({ .maxBodyBytes = 300000, .bodyBudgetBytes = 200000 });
+        server.route("POST", "/jobs", [](const Request& request) { return Answer { 200, request.body }; });
+        CPPUNIT_ASSERT(!attemptVoid([&] { return server.start(); }));
+        Client client;
+        for (const std::size_t size : { std::size_t { 300000 }, std::size_t { 0 }, std::size_t { 1 }, std::size_t { 8192 }, std::size_t { 8193 }, std::size_t { 100000 } }) {
+            std::string body(size, ' ');
+            for (std::size_t i = 0; i < size; ++i)
+                body[i] = static_cast<char>('a' + i * i % 23);
+            CPPUNIT_ASSERT(client.send({ .method = "POST", .address = server.address(), .path = "/jobs", .body = body }).body == body);
+        }
+    }
+
 private:
     // Returns after the server has read the header of a request with a body of four bytes.
     static void sendHead(RawCaller& caller)
--- /dev/null
+++ b/src/instance/caller_limits.cc
@@ -0,0 +1,28 @@
+#include "instance/caller_limits.h"
+
+#include <algorithm>
+
+namespace rattan::instance {
+
+namespace {
+
+    constexpr std::int64_t bytesPerMegabyte = 1 << 20;
+    constexpr std::int64_t connectionBytes = 64 << 10; // Of its thread, buffer and small body.
+    constexpr std::int64_t minConnections = 16;
+    constexpr std::int64_t maxConnections = 400;
+    constexpr std::int64_t connectionMemoryShare = 8;
+    constexpr std::int64_t bodyMemoryShare = 8;
+    constexpr std::int64_t descriptorShare = 4; // The others are for the store, workers, other instances and files.
+
+} // namespace
+
+CallerLimits callerLimits(const InstanceSettings& settings)
+{
+    const std::int64_t memory = settings.memoryMegabytes * bytesPerMegabyte;
+    CallerLimits limits;
+    limits.maxConnections = std::clamp(std::min(memory / connectionMemoryShare / connectionBytes, settings.maxDescriptors / descriptorShare), minConnections, maxConnections);
+    limits.bodyBudgetBytes = static_cast<std::size_t>(memory / bodyMemoryShare);
+    return limits;
+}
+
+} // namespace rattan::instance
--- /dev/null
+++ b/src/instance/caller_limits.h
@@ -0,0 +1,25 @@
+#pragma once
+
+// How much of an instance's memory callers may use. Pure: the same settings give the same limits.
+//
+//     const CallerLimits limits = callerLimits(settings);
+//
+// Of the machine's memory, an eighth is for connections, an eighth for bodies, which exist twice for
+// a moment. The rest is for the instance's own work. See
+// "What callers may use" in docs/PLATFORM.md.
+
+#include "instance/settings.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace rattan::instance {
+
+struct CallerLimits {
+    std::int64_t maxConnections { 400 };
+    std::size_t bodyBudgetBytes { 0 }; // Of all bodies above 8 KB together.
+};
+
+CallerLimits callerLimits(const InstanceSettings&);
+
+} // namespace rattan::instance
--- a/src/instance/caller_protocol.h
+++ b/src/instance/caller_protocol.h
@@ -27,7 +27,8 @@
     std::string path;
     std::string apiKey; // Empty if none was sent.
     Millis timeout { 0 }; // How long the caller waits; 0 if unknown.
-    std::string body;
+    std::string body; // Empty if it was refused.
+    http::BodyRefusal bodyRefusal { http::BodyRefusal::None };
     bool forwarded { false }; // Whether another instance forwarded it.
     std::int64_t configurationVersion { 0 }; // Of a forwarded request: an instance with an older version refuses it; 0 for none.
 };
@@ -64,7 +65,7 @@
 public:
     virtual ~CallerProtocol() = default;
 
-    virtual CallerRequest parseRequest(const http::Request&) const = 0;
+    virtual CallerRequest parseRequest(http::Request) const = 0;
 
     // Parses the job in the body. The gateway sets its id, workspace and terms.
     virtual Result<tasks::Job> parseJob(const std::string& body) const = 0;
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -69,6 +69,9 @@
 
     CallerAnswer handleRequest(CallerRequest);
 
+    // The limit of the configuration in use, in bytes, or 0 if there is none. From any thread.
+    std::int64_t maxBodyBytes() const { return this->bodyLimit; }
+
     // Whether the load balancer should send new connections to this instance.
     bool isReady() const { return this->ready && !this->draining; }
 
@@ -161,6 +164,7 @@
     tasks::EvacuatedDomains evacuatedDomains;
 
     BoundedQueue<QueuedRequest> requestQueue;
+    std::atomic<std::int64_t> bodyLimit { 0 };
     std::map<std::uint64_t, UnansweredRequest> unansweredRequests;
     std::uint64_t lastTicket { 0 };
     bool appendInFlight { false };
--- a/src/instance/control_loop_streams.cc
+++ b/src/instance/control_loop_streams.cc
@@ -63,6 +63,7 @@
     const bool isNewer = parsed.value->version > this->catalog->version;
     this->catalog = std::make_shared<const tasks::Catalog>(std::move(*parsed.value));
     this->gateway.configurationUpdated(this->catalog);
+    this->bodyLimit = this->catalog->maxBodyBytes;
     this->configurationSeen(this->catalog->version);
     if (this->leadership)
         this->leadership->applyCatalog(this->catalog);
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -20,6 +20,12 @@
     // is read up to a later time, a record that was not read was never stored.
     constexpr Millis maxAppendDelay = 15000;
 
+    // What a waiting request keeps of itself. Its body may be large and is not needed any more.
+    CallerRequest headOf(const CallerRequest& request)
+    {
+        return { .kind = request.kind, .bodyRefusal = request.bodyRefusal, .forwarded = request.forwarded };
+    }
+
 } // namespace
 
 Gateway::Gateway(GatewayOptions options, const CallerProtocol& protocol, const tasks::JobTable& jobs)
@@ -50,7 +56,7 @@
 
 void Gateway::handleRequest(std::uint64_t ticket, const CallerRequest& request, Millis now, Millis wallTime)
 {
-    WaitingRequest waiting { .request = request, .jobId = request.path.substr(request.path.rfind('/') + 1), .configurationVersion = this->catalog->version, .receivedAt = now, .readUpTo = now };
+    WaitingRequest waiting { .request = headOf(request), .jobId = request.path.substr(request.path.rfind('/') + 1), .configurationVersion = this->catalog->version, .receivedAt = now, .readUpTo = now };
     waiting.deadline = now + this->answerTimeOf(request.timeout);
     waiting.callerDeadline = request.timeout > 0 ? now + request.timeout : 0;
     if (!this->hasConfiguration || !this->jobsLoaded)
@@ -85,7 +91,7 @@
         return this->refuse(ticket, waiting, RefusalCause::Busy, "too many requests wait", now);
     switch (request.kind) {
     case RequestKind::Submit:
-        return this->submit(ticket, std::move(waiting), *queue, std::move(workspace), now, wallTime);
+        return this->submit(ticket, std::move(waiting), request.body, *queue, std::move(workspace), now, wallTime);
     case RequestKind::Cancel:
         return this->cancel(ticket, std::move(waiting), now);
     case RequestKind::State:
@@ -95,14 +101,17 @@
     }
 }
 
-void Gateway::submit(std::uint64_t ticket, WaitingRequest waiting, const tasks::Queue& queue, std::string workspace, Millis now, Millis wallTime)
+void Gateway::submit(std::uint64_t ticket, WaitingRequest waiting, const std::string& body, const tasks::Queue& queue, std::string workspace, Millis now, Millis wallTime)
 {
     waiting.recordKey = tasks::formatKey({ RecordKind::Job, waiting.jobId });
     if (this->jobs.find(waiting.jobId) || this->storedRecords.contains(waiting.recordKey))
         return this->answer(ticket, waiting, { .outcome = Outcome::Accepted }, now);
-    if (this->catalog->maxBodyBytes > 0 && static_cast<std::int64_t>(waiting.request.body.size()) > this->catalog->maxBodyBytes)
-        return this->answer(ticket, waiting, { .outcome = Outcome::TooLarge }, now);
-    Attempt<tasks::Job> job = attempt([&] { return this->protocol.parseJob(waiting.request.body); });
+    if (waiting.request.bodyRefusal == http::BodyRefusal::NoMemory)
+        return this->refuse(ticket, waiting, RefusalCause::Busy, "too many large bodies are being read", now);
+    const bool isTooLarge = this->catalog->maxBodyBytes > 0 && static_cast<std::int64_t>(body.size()) > this->catalog->maxBodyBytes;
+    if (isTooLarge || waiting.request.bodyRefusal == http::BodyRefusal::TooLarge)
+        return this->answer(ticket, waiting, { .outcome = this->isPossiblyStored(waiting.recordKey) ? Outcome::Unknown : Outcome::TooLarge, .message = "the body is too large" }, now);
+    Attempt<tasks::Job> job = attempt([&] { return this->protocol.parseJob(body); });
     if (!job.value)
         return this->answer(ticket, waiting, { .outcome = Outcome::Malformed, .message = job.error.message }, now);
     if (now < this->refusesSubmissionsUntil)
@@ -474,6 +483,9 @@
 
 void Gateway::answer(std::uint64_t ticket, const WaitingRequest& waiting, CallerAnswer answer, Millis now)
 {
+    // A peer needs the body of a submission.
+    if (waiting.request.kind == RequestKind::Submit && waiting.request.bodyRefusal != http::BodyRefusal::None)
+        answer.canPeerHelp = false;
     answer.configurationVersion = answer.outcome == Outcome::NotNow ? this->newestConfigurationVersion() : waiting.configurationVersion;
     this->answers.push_back({ ticket, std::move(answer), waiting.jobId, now - waiting.receivedAt });
 }
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -28,7 +28,7 @@
 // here. Outcome::Unknown is given only at the deadline.
 //
 // Limits: at most `maxWaitingRequests` requests wait at the same time. Further requests are
-// refused immediately, and so are submissions while `maxUnreadRecords` records have not been
+// refused immediately, as are submissions whose body was not read, and submissions while `maxUnreadRecords` records have not been
 // read back yet, and cancels of unknown jobs while `maxUnknownCancels` of them are kept. Each
 // request is answered within its caller's timeout.
 
@@ -177,7 +177,7 @@
     };
 
     struct WaitingRequest {
-        CallerRequest request;
+        CallerRequest request; // Without the body.
         AwaitedEvent awaited { AwaitedEvent::RecordStored };
         std::string jobId;
         std::string recordKey; // Key of the record that has to be durable; empty if there is none.
@@ -205,7 +205,7 @@
     };
 
     Millis answerTimeOf(Millis callerTimeout) const;
-    void submit(std::uint64_t ticket, WaitingRequest, const tasks::Queue&, std::string workspace, Millis now, Millis wallTime);
+    void submit(std::uint64_t ticket, WaitingRequest, const std::string& body, const tasks::Queue&, std::string workspace, Millis now, Millis wallTime);
     void cancel(std::uint64_t ticket, WaitingRequest, Millis now);
     void answerUnknownCancel(std::uint64_t ticket, const WaitingRequest&, Millis now);
     void settleDurableCancel(const std::string& jobId);
--- a/src/instance/program.cc
+++ b/src/instance/program.cc
@@ -5,11 +5,14 @@
 
 #include "base/stop_signal.h"
 #include "http/server.h"
+#include "instance/caller_limits.h"
 #include "instance/events.h"
 #include "instance/shutdown_schedule.h"
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <thread>
+#include <utility>
 
 namespace rattan::instance {
 
@@ -18,11 +21,13 @@
     constexpr int badSettingsExitCode = 2;
     constexpr int startFailedExitCode = 1;
 
-    constexpr std::int64_t maxBodyBytes = 512 * 1024; // The operators' configuration allows less and is checked first.
-    constexpr std::int64_t maxCallerConnections = 400; // Each has a thread of about 60 KB: 24 MB.
+    constexpr std::int64_t maxBodyBytes = 512 * 1024; // Until the operators' configuration is read, or if it has no limit.
     constexpr std::int64_t maxProbeConnections = 16; // For the load balancer and the metrics collector.
+    constexpr std::int64_t maxProbeBodyBytes = 4096; // Their requests have none.
     constexpr std::int64_t callerIdleSeconds = 20; // Longer than the idle time that the operators' configuration allows callers.
 
+    constexpr int maxAllocatorArenas = 2; // One is enough for a core; the other one keeps the control loop from waiting.
+
     constexpr Millis pollInterval = 20;
     constexpr Millis probesCloseTimeout = 100; // Their answers are immediate.
 
@@ -34,16 +39,23 @@
         return answer;
     }
 
+    http::ServerOptions callerServerOptions(const InstanceSettings& settings, const ControlLoop& loop)
+    {
+        const CallerLimits limits = callerLimits(settings);
+        return { .address = settings.callerAddress, .maxBodyBytes = maxBodyBytes, .currentMaxBodyBytes = [&loop] { return loop.maxBodyBytes(); }, .bodyBudgetBytes = limits.bodyBudgetBytes, .maxConnections = limits.maxConnections, .idleTimeoutSeconds = callerIdleSeconds };
+    }
+
     class InstanceProgram {
     public:
         InstanceProgram(InstanceSettings settings, Protocols protocols)
             : settings(std::move(settings))
             , protocols(protocols)
             , loop(this->settings, protocols, this->clock, this->metrics)
-            , callerServer({ .address = this->settings.callerAddress, .maxBodyBytes = maxBodyBytes, .maxConnections = maxCallerConnections, .idleTimeoutSeconds = callerIdleSeconds })
-            , probeServer({ .address = this->settings.readyAddress, .maxConnections = maxProbeConnections, .idleTimeoutSeconds = callerIdleSeconds })
+            , callerServer(callerServerOptions(this->settings, this->loop))
+            , probeServer({ .address = this->settings.readyAddress, .maxBodyBytes = maxProbeBodyBytes, .maxConnections = maxProbeConnections, .idleTimeoutSeconds = callerIdleSeconds })
         {
-            this->callerServer.fallback([this](const http::Request& request) { return this->serve(request); });
+            this->callerServer.fallback([this](http::Request request) { return this->serve(std::move(request)); });
+            this->callerServer.refusedBodies([this](http::Request request) { return this->serve(std::move(request)); });
             this->probeServer.route("GET", "/readyz", [this](const http::Request&) { return readiness(this->loop); });
             this->probeServer.route("GET", "/metrics", [this](const http::Request&) {
                 return http::Answer { .status = 200, .body = this->metrics.prometheusText(), .contentType = "text/plain; version=0.0.4" };
@@ -67,9 +79,9 @@
         }
 
     private:
-        http::Answer serve(const http::Request& request)
+        http::Answer serve(http::Request request)
         {
-            return this->protocols.callers.encode(this->loop.handleRequest(this->protocols.callers.parseRequest(request)));
+            return this->protocols.callers.encode(this->loop.handleRequest(this->protocols.callers.parseRequest(std::move(request))));
         }
 
         void reload(const ReadSettings& readSettings)
@@ -115,6 +127,8 @@
 
 int runInstance(const ReadSettings& readSettings, Protocols protocols)
 {
+    // By default there are eight for each core, and each keeps what the connections' threads have freed.
+    mallopt(M_ARENA_MAX, maxAllocatorArenas);
     const StopSignal signals(true);
     const Attempt<InstanceSettings> settings = attempt([&] { return readSettings(); });
     if (!settings.value) {
--- a/src/instance/settings.h
+++ b/src/instance/settings.h
@@ -26,6 +26,8 @@
     Millis stopGrace { 6000 }; // Time from the stop signal until the process is killed.
     Millis statusRetention { 120000 }; // How long the state of an ended job can be queried.
     double processorCores { 1 }; // Processor time that this process may use, in cores.
+    std::int64_t memoryMegabytes { 260 }; // Memory that this process may use.
+    std::int64_t maxDescriptors { 4100 }; // Descriptors that this process may have open.
     double linkMegabitsPerSecond { 1000 }; // Bandwidth of the machine's network link.
 };
 
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -21,7 +21,7 @@
 // Parses every body except "bad" as a job with one step, since the gateway ignores the content.
 class FakeCallerProtocol final : public CallerProtocol {
 public:
-    CallerRequest parseRequest(const http::Request&) const override { return {}; }
+    CallerRequest parseRequest(http::Request) const override { return {}; }
     Result<tasks::Job> parseJob(const std::string& body) const override
     {
         if (body == "bad")
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(submissionsFromBeforeALongSuspensionAreRefused);
     CPPUNIT_TEST(overloadIsRefusedTruthfully);
     CPPUNIT_TEST(guaranteedJobsAreAdmittedInAnOverload);
+    CPPUNIT_TEST(refusedBodiesAreAnsweredTruthfully);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -662,7 +663,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, this->gateway->takeRecords(100, 1 << 20).size());
     }
 
+    // Guards against a rejection of a job that runs, because its body was not read this time.
+    void refusedBodiesAreAnsweredTruthfully()
+    {
+        for (const auto refusal : { http::BodyRefusal::TooLarge, http::BodyRefusal::NoMemory }) {
+            const bool isTooLarge = refusal == http::BodyRefusal::TooLarge;
+            this->setUp();
+            this->requestWithout(1, refusal, "/nowhere/" + testJobId);
+            this->expect(1, Outcome::NoSuchQueue);
+            this->requestWithout(2, refusal);
+            const auto answers = this->gateway->takeAnswers();
+            CPPUNIT_ASSERT(answers.at(0).answer.outcome == (isTooLarge ? Outcome::TooLarge : Outcome::NotNow));
+            CPPUNIT_ASSERT(!answers.at(0).answer.canPeerHelp); // The peer would get no body.
+            this->request(3, RequestKind::Submit, startTime);
+            this->requestWithout(4, refusal); // The append of request 3 is due.
+            this->expect(4, Outcome::Unknown);
+            this->gateway->takeRecords(100, 1 << 20);
+            this->gateway->appendCompleted({ testJobKey }, AppendStatus::Appended, startTime + 5);
+            this->expect(3, Outcome::Accepted);
+            this->requestWithout(5, refusal);
+            this->expect(5, Outcome::Accepted);
+        }
+    }
+
 private:
+    void requestWithout(std::uint64_t ticket, http::BodyRefusal refusal, const std::string& path = "/p/" + testJobId)
+    {
+        this->gateway->handleRequest(ticket, { .kind = RequestKind::Submit, .host = "h", .path = path, .apiKey = "key", .timeout = 3000, .bodyRefusal = refusal }, startTime, startTime);
+    }
+
     void reportLoad(Millis now) { CPPUNIT_ASSERT(this->gateway->loadRecordRead({ "load/q", tasks::encodeLoad({ 8000, now }), 1000 }, now)); }
 
     std::shared_ptr<const tasks::Catalog> catalogWith(std::int64_t version, const std::string& key) const
--- a/src/instance/testing/request_forwarder_test.cc
+++ b/src/instance/testing/request_forwarder_test.cc
@@ -16,7 +16,7 @@
 // Requests carry only their path, and answers only the name of an outcome.
 class FakeCallerProtocol final : public CallerProtocol {
 public:
-    CallerRequest parseRequest(const http::Request&) const override { return {}; }
+    CallerRequest parseRequest(http::Request) const override { return {}; }
     Result<tasks::Job> parseJob(const std::string&) const override { return tasks::Job {}; }
     bool isJobId(std::string_view) const override { return true; }
     http::Answer encode(const CallerAnswer&) const override { return {}; }
