Accept one request with a large body in each turn of the loop

What callers saw: while 60 large bodies waited, the control loop parsed them in one turn and was taken for 3 s. Other requests, leases and readiness waited.

Cause: the loop accepted all queued requests in each turn, whatever they cost, and parsed bodies whose callers had given up.

One that waits past its caller's deadline is not parsed.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -72,6 +72,7 @@
     , relaySelector({ this->settings.processorCores, this->settings.linkMegabitsPerSecond })
     , catalog(std::make_shared<tasks::Catalog>())
     , requestQueue(maxQueuedRequests)
+    , largeRequestQueue(maxQueuedLargeRequests)
     , trafficReport(metrics)
 {
     this->requestForwarder.setPeerObserver([this](const CallerAnswer& answer) {
@@ -114,9 +115,18 @@
 
 CallerAnswer ControlLoop::handleRequest(CallerRequest request)
 {
-    QueuedRequest queued { .request = std::move(request), .answer = {} };
+    const Millis timeout = request.timeout > 0 ? request.timeout : defaultCallerTimeout;
+    QueuedRequest queued { .request = std::move(request), .answer = {}, .callerDeadline = this->clock.now() + timeout };
     std::future<CallerAnswer> answer = queued.answer.get_future();
-    if (this->stopping || !this->requestQueue.tryPush(std::move(queued)))
+    // NOLINTBEGIN(bugprone-use-after-move): tryPush() moves the request only if it succeeds.
+    const bool isLarge = queued.request.body.size() > maxSmallBodyBytes;
+    const bool isQueued = isLarge && this->largeRequestQueue.tryPush(std::move(queued));
+    if (isLarge && !isQueued) {
+        queued.request.body = {};
+        queued.request.bodyRefusal = http::BodyRefusal::NoMemory;
+    }
+    // NOLINTEND(bugprone-use-after-move)
+    if (!isQueued && (this->stopping || !this->requestQueue.tryPush(std::move(queued))))
         return { .outcome = Outcome::NotNow, .retryAfter = 1000, .message = "too many requests wait" };
     this->client.wake();
     return answer.get();
@@ -130,7 +140,7 @@
         const std::uint64_t timeoutsAtStart = this->client.timedOutCalls();
         this->step();
         const Millis now = this->clock.now();
-        const Millis wait = std::clamp<Millis>(this->nextWake(now, this->clock.wall()) - now, 0, maxLoopWait);
+        const Millis wait = this->largeRequestQueue.size() > 0 ? 0 : std::clamp<Millis>(this->nextWake(now, this->clock.wall()) - now, 0, maxLoopWait);
         this->client.run(std::chrono::milliseconds(wait));
         const Millis overrun = this->clock.now() - startedAt - wait;
         if (overrun < slowIterationThreshold)
@@ -140,9 +150,11 @@
         logEvent(events::slowIteration, { { "late_ms", overrun }, { "round_ms", now - startedAt }, { "leads", this->leadership ? 1 : 0 }, { "processor_ms", used.processorTime }, { "preempted", used.involuntarySwitches }, { "major_faults", used.majorFaults }, { "timed_out", this->client.timedOutCalls() - timeoutsAtStart } });
     }
     this->endTerm("the program stops");
-    this->requestQueue.close();
-    while (auto queued = this->requestQueue.pop())
-        queued->answer.set_value({ .outcome = Outcome::NotNow, .retryAfter = 1000, .message = "this instance stops" });
+    for (BoundedQueue<QueuedRequest>* queue : { &this->requestQueue, &this->largeRequestQueue }) {
+        queue->close();
+        while (auto queued = queue->pop())
+            queued->answer.set_value({ .outcome = Outcome::NotNow, .retryAfter = 1000, .message = "this instance stops" });
+    }
     this->answerAll({ .outcome = Outcome::Unknown, .message = "this instance stops" });
 }
 
@@ -201,11 +213,24 @@
     while (this->requestQueue.size() > 0) {
         std::optional<QueuedRequest> queued = this->requestQueue.popFor(std::chrono::milliseconds(0));
         if (!queued)
-            return;
-        const std::uint64_t ticket = ++this->lastTicket;
-        this->gateway.handleRequest(ticket, queued->request, now, wallTime);
-        this->unansweredRequests.emplace(ticket, UnansweredRequest { std::move(queued->answer), std::move(queued->request) });
+            break;
+        this->acceptRequest(std::move(*queued), now, wallTime);
     }
+    if (this->largeRequestQueue.size() == 0)
+        return;
+    std::optional<QueuedRequest> queued = this->largeRequestQueue.popFor(std::chrono::milliseconds(0));
+    if (!queued)
+        return;
+    if (now < queued->callerDeadline)
+        return this->acceptRequest(std::move(*queued), now, wallTime);
+    queued->answer.set_value({ .outcome = Outcome::Unknown, .message = "too many requests with large bodies wait" });
+}
+
+void ControlLoop::acceptRequest(QueuedRequest queued, Millis now, Millis wallTime)
+{
+    const std::uint64_t ticket = ++this->lastTicket;
+    this->gateway.handleRequest(ticket, queued.request, now, wallTime);
+    this->unansweredRequests.emplace(ticket, UnansweredRequest { std::move(queued.answer), std::move(queued.request) });
 }
 
 // Applies the settings that can change at runtime. Addresses cannot change before a restart,
--- a/src/instance/control_loop.h
+++ b/src/instance/control_loop.h
@@ -10,8 +10,10 @@
 //     loop.drain(clock.now() + 5000);                    // resign, and answer all requests by then
 //     loop.stop();
 //
-// Callers' threads pass requests through a bounded queue. When it is full, a request is
-// refused immediately.
+// Callers' threads pass requests through two bounded queues: one iteration accepts all small
+// requests, and one of those with a large body, which takes milliseconds to parse. When the queue
+// of small requests is full, a request is refused immediately; when the other one is, the body is
+// dropped, and the request is refused by its head.
 
 #include "base/bounded_queue.h"
 #include "base/datagram_socket.h"
@@ -84,6 +86,7 @@
     struct QueuedRequest {
         CallerRequest request;
         std::promise<CallerAnswer> answer;
+        Millis callerDeadline { 0 }; // When the caller gives up.
     };
 
     // A request whose caller's thread waits for the answer of the loop.
@@ -96,6 +99,7 @@
     void step();
     void applyNewSettings();
     void acceptRequests(Millis now, Millis wallTime);
+    void acceptRequest(QueuedRequest, Millis now, Millis wallTime);
     void answerCallers();
     void answerCaller(const GatewayAnswer&);
     void answerAll(const CallerAnswer&);
@@ -164,6 +168,7 @@
     tasks::EvacuatedDomains evacuatedDomains;
 
     BoundedQueue<QueuedRequest> requestQueue;
+    BoundedQueue<QueuedRequest> largeRequestQueue;
     std::atomic<std::int64_t> bodyLimit { 0 };
     std::map<std::uint64_t, UnansweredRequest> unansweredRequests;
     std::uint64_t lastTicket { 0 };
