Close the longest waiting connection for a new one

What callers saw: 400 silent connections, or 400 with a body that never ends, kept all other callers out for 20 s. New connections were accepted and closed at once.

Cause: a connection kept its slot until it was idle for 20 s, and a byte now and then kept it for good.

Change: when seven eighths of the connections are open, each new one closes the one that has waited longest for its client, to begin a request or to send the rest of one; connections that have had an answer come last. Only its read side is shut down, so that a request that has arrived is answered. A caller sends its request at once and is among the youngest; a request that is being answered is never closed.

--- a/src/http/open_connections.cc
+++ b/src/http/open_connections.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <sys/socket.h>
+#include <utility>
 
 namespace rattan::http {
 
@@ -11,6 +12,8 @@
     const std::lock_guard lock(this->mutex);
     if (this->isClosing)
         shutdown(socket, SHUT_RD);
+    else if (this->connections.size() - this->closing >= this->maxOpen)
+        this->closeLongestWaiting();
     return this->connections.emplace_back(OpenConnection { .socket = socket, .waitingSince = this->clock.now() });
 }
 
@@ -41,6 +44,21 @@
     shutdown(connection.socket, SHUT_RD);
 }
 
+void OpenConnections::closeLongestWaiting()
+{
+    OpenConnection* chosen = nullptr;
+    for (OpenConnection& candidate : this->connections) {
+        if (candidate.isClosing || candidate.stage == RequestStage::Answering)
+            continue;
+        if (!chosen || std::pair(candidate.hasAnswered, candidate.waitingSince) < std::pair(chosen->hasAnswered, chosen->waitingSince))
+            chosen = &candidate;
+    }
+    if (!chosen)
+        return;
+    close(*chosen);
+    ++this->closing;
+}
+
 void OpenConnections::closeSlowestLargeBody(Millis minTime)
 {
     const std::lock_guard lock(this->mutex);
@@ -53,11 +71,13 @@
     if (!chosen || this->clock.now() - chosen->waitingSince < minTime)
         return;
     close(*chosen);
+    ++this->closing;
 }
 
 void OpenConnections::markRequestFinished(OpenConnection& connection)
 {
     const std::lock_guard lock(this->mutex);
+    connection.hasAnswered = connection.hasAnswered || connection.stage == RequestStage::Answering;
     connection.stage = RequestStage::None;
     connection.waitingSince = this->clock.now();
     connection.holdsLargeBody = false;
@@ -68,6 +88,7 @@
 void OpenConnections::remove(OpenConnection& connection)
 {
     const std::lock_guard lock(this->mutex);
+    this->closing -= connection.isClosing ? 1 : 0;
     this->connections.remove_if([&](const OpenConnection& other) { return &other == &connection; });
     this->changed.notify_all();
 }
--- a/src/http/open_connections.h
+++ b/src/http/open_connections.h
@@ -14,12 +14,18 @@
 //
 // A connection is closed by shutting down its read side: a request that has arrived by
 // then is still read and answered, and a later request is not read at all. Its caller can
-// distinguish this from a request that was interrupted. Thread-safe.
+// distinguish this from a request that was interrupted.
+//
+// Beyond `maxOpen` connections, each new one closes the one that has waited longest for its
+// client: to begin a request, or to send the rest of one. Connections that have had an answer are
+// closed last. Otherwise clients that send nothing would keep all others out. Thread-safe.
 
 #include "base/clock.h"
 
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <mutex>
 
@@ -35,12 +41,18 @@
     int socket;
     RequestStage stage { RequestStage::None };
     Millis waitingSince { 0 }; // When it was opened, its request was started, or its last one was finished.
+    bool hasAnswered { false }; // Whether it had a complete request.
     bool isClosing { false }; // Its read side was shut down.
     bool holdsLargeBody { false }; // A body that takes part of a shared budget.
 };
 
 class OpenConnections {
 public:
+    explicit OpenConnections(std::size_t maxOpen = std::numeric_limits<std::size_t>::max())
+        : maxOpen(maxOpen)
+    {
+    }
+
     OpenConnection& add(int socket);
     void markRequestStarted(OpenConnection&);
     void markRequestRead(OpenConnection&);
@@ -64,12 +76,15 @@
 
 private:
     std::int64_t count(RequestStage minStage) const;
+    void closeLongestWaiting();
     static void close(OpenConnection&);
 
+    const std::size_t maxOpen;
     const SystemClock clock;
     mutable std::mutex mutex;
     std::condition_variable changed;
     std::list<OpenConnection> connections; // Bounded by the connection limit of the server.
+    std::size_t closing { 0 }; // Connections that are being closed for others.
     bool isClosing { false }; // All are.
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -47,8 +47,9 @@
 
     // What the connections of a server share.
     struct Shared {
-        Shared(const Server& server, std::size_t bodyBudgetBytes)
+        Shared(const Server& server, std::size_t maxUndisturbedConnections, std::size_t bodyBudgetBytes)
             : server(server)
+            , connections(maxUndisturbedConnections)
             , bodies(bodyBudgetBytes)
         {
         }
@@ -310,7 +311,8 @@
     if (colon == std::string::npos || inet_pton(AF_INET, host.c_str(), &bindAddress.sin_addr) != 1)
         return fail(ErrorCode::BadInput, "http.start", this->options.address, "expected an IPv4 address and a port");
     const auto requestedPort = static_cast<std::uint16_t>(std::stoi(this->options.address.substr(colon + 1)));
-    this->native->shared.emplace(*this, this->options.bodyBudgetBytes);
+    const bool makesRoom = this->options.spareConnections > 0;
+    this->native->shared.emplace(*this, makesRoom ? static_cast<std::size_t>(std::max<std::int64_t>(this->options.maxConnections - this->options.spareConnections, 1)) : std::numeric_limits<std::size_t>::max(), this->options.bodyBudgetBytes);
     detail::installBodyGuards();
     this->draining = false;
     for (int attempt = 0; attempt < maxPortAttempts; ++attempt) {
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -16,7 +16,8 @@
 // Memory: a connection takes about 64 KB, and a body of up to smallBodyBytes. Larger bodies share
 // bodyBudgetBytes, counted from the announced size if there is one. A body above its limit or
 // without room in the budget is not read to its end: the request is answered by the handler of
-// refused bodies, or else with 413 or 503, and the connection is closed.
+// refused bodies, or else with 413 or 503, and the connection is closed. When all connections but
+// spareConnections are open, each new one closes the one that has waited longest for its client.
 // A large body that has been in transfer for seconds gives way to one that finds no room.
 //
 // Handlers must return within the limit given to stop(): they are not
@@ -43,6 +44,7 @@
     std::size_t smallBodyBytes { 8 << 10 };
     std::size_t bodyBudgetBytes { std::numeric_limits<std::size_t>::max() };
     std::int64_t maxConnections { 512 };
+    std::int64_t spareConnections { 0 }; // 0: nothing is closed for a new connection, which is closed itself.
     std::int64_t idleTimeoutSeconds { 60 }; // Connections without traffic are closed after this time.
     std::int64_t stopTimeoutSeconds { 10 }; // Longest time that stop() waits for requests in progress.
 };
--- a/src/http/testing/open_connections_test.cc
+++ b/src/http/testing/open_connections_test.cc
@@ -12,6 +12,7 @@
     CPPUNIT_TEST_SUITE(OpenConnectionsTest);
     CPPUNIT_TEST(connectionClosesWhenItsRequestEnds);
     CPPUNIT_TEST(requestsAreCountedByStage);
+    CPPUNIT_TEST(longestWaitingConnectionMakesRoom);
     CPPUNIT_TEST(slowLargeBodyGivesWay);
     CPPUNIT_TEST_SUITE_END();
 
@@ -70,6 +71,27 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, connections.requestsBeingAnswered());
     }
 
+    // Guards against clients that send nothing and keep all others out.
+    void longestWaitingConnectionMakesRoom()
+    {
+        OpenConnections connections(2);
+        OpenConnection& served = connections.add(this->pairs[0][0]);
+        connections.markRequestStarted(served);
+        connections.markRequestRead(served);
+        connections.markRequestFinished(served);
+        OpenConnection& silent = connections.add(this->pairs[1][0]);
+        connections.add(this->pairs[2][0]);
+        CPPUNIT_ASSERT(!this->isReadClosed(0));
+        CPPUNIT_ASSERT(this->isReadClosed(1));
+        CPPUNIT_ASSERT(!this->isReadClosed(2));
+        connections.remove(silent);
+        connections.markRequestStarted(served);
+        connections.markRequestRead(served);
+        connections.add(this->pairs[3][0]);
+        CPPUNIT_ASSERT(!this->isReadClosed(0));
+        CPPUNIT_ASSERT(this->isReadClosed(2));
+    }
+
     // Guards against unfinished bodies that keep the memory for bodies from others.
     void slowLargeBodyGivesWay()
     {
@@ -93,7 +115,7 @@
         return recv(this->pairs.at(pair)[0], &byte, 1, MSG_DONTWAIT) == 0;
     }
 
-    std::array<std::array<int, 2>, 3> pairs {};
+    std::array<std::array<int, 2>, 4> pairs {};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OpenConnectionsTest);
--- a/src/instance/caller_limits.cc
+++ b/src/instance/caller_limits.cc
@@ -13,6 +13,7 @@
     constexpr std::int64_t connectionMemoryShare = 8;
     constexpr std::int64_t bodyMemoryShare = 8;
     constexpr std::int64_t descriptorShare = 4; // The others are for the store, workers, other instances and files.
+    constexpr std::int64_t spareShare = 8;
 
 } // namespace
 
@@ -21,6 +22,7 @@
     const std::int64_t memory = settings.memoryMegabytes * bytesPerMegabyte;
     CallerLimits limits;
     limits.maxConnections = std::clamp(std::min(memory / connectionMemoryShare / connectionBytes, settings.maxDescriptors / descriptorShare), minConnections, maxConnections);
+    limits.spareConnections = limits.maxConnections / spareShare;
     limits.bodyBudgetBytes = static_cast<std::size_t>(memory / bodyMemoryShare);
     return limits;
 }
--- a/src/instance/caller_limits.h
+++ b/src/instance/caller_limits.h
@@ -17,6 +17,7 @@
 
 struct CallerLimits {
     std::int64_t maxConnections { 400 };
+    std::int64_t spareConnections { 50 }; // Of these, kept for new connections.
     std::size_t bodyBudgetBytes { 0 }; // Of all bodies above 8 KB together.
 };
 
--- a/src/instance/program.cc
+++ b/src/instance/program.cc
@@ -42,7 +42,7 @@
     http::ServerOptions callerServerOptions(const InstanceSettings& settings, const ControlLoop& loop)
     {
         const CallerLimits limits = callerLimits(settings);
-        return { .address = settings.callerAddress, .maxBodyBytes = maxBodyBytes, .currentMaxBodyBytes = [&loop] { return loop.maxBodyBytes(); }, .bodyBudgetBytes = limits.bodyBudgetBytes, .maxConnections = limits.maxConnections, .idleTimeoutSeconds = callerIdleSeconds };
+        return { .address = settings.callerAddress, .maxBodyBytes = maxBodyBytes, .currentMaxBodyBytes = [&loop] { return loop.maxBodyBytes(); }, .bodyBudgetBytes = limits.bodyBudgetBytes, .maxConnections = limits.maxConnections, .spareConnections = limits.spareConnections, .idleTimeoutSeconds = callerIdleSeconds };
     }
 
     class InstanceProgram {
--- a/src/instance/testing/caller_limits_test.cc
+++ b/src/instance/testing/caller_limits_test.cc
@@ -17,6 +17,7 @@
     {
         const CallerLimits limits = callerLimits({});
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 400 }, limits.maxConnections);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 50 }, limits.spareConnections);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 260 << 20 } / 8, limits.bodyBudgetBytes);
     }
 
@@ -25,7 +26,8 @@
     {
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 128 }, callerLimits({ .memoryMegabytes = 64 }).maxConnections);
         CPPUNIT_ASSERT_EQUAL(std::int64_t { 100 }, callerLimits({ .maxDescriptors = 400 }).maxConnections);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t { 16 }, callerLimits({ .memoryMegabytes = 0, .maxDescriptors = 0 }).maxConnections);
+        const CallerLimits least = callerLimits({ .memoryMegabytes = 0, .maxDescriptors = 0 });
+        CPPUNIT_ASSERT(least.maxConnections > least.spareConnections && least.spareConnections > 0);
     }
 };
 
