Bound the memory of all jobs together

What callers saw: nothing yet; found by adding up what callers can make a process hold. A body of 11 KB may have 1,000 steps, each of which takes a unit and a state of 1 KB in the process that plans, and the number of jobs had no bound.

Cause: a submission was refused for the time that work would wait, never for the memory that jobs take, and jobs within a guarantee not at all.

Change: the job table counts about what its jobs take, 1 KB for each, its record, and 1 KB for each step until it has ended. Above a quarter of the machine's memory submissions are refused with 503 and Retry-After, or as unknown where an earlier attempt may be stored. Ordinary jobs take 2 to 4 KB: 65 MB are some 20,000 that have not ended. The metric rattan_job_bytes shows the sum.

Measured: by the unit test only.

--- a/src/instance/caller_limits.cc
+++ b/src/instance/caller_limits.cc
@@ -12,6 +12,7 @@
     constexpr std::int64_t maxConnections = 400;
     constexpr std::int64_t connectionMemoryShare = 8;
     constexpr std::int64_t bodyMemoryShare = 8;
+    constexpr std::int64_t jobMemoryShare = 4;
     constexpr std::int64_t descriptorShare = 4; // The others are for the store, workers, other instances and files.
     constexpr std::int64_t spareShare = 8;
 
@@ -24,6 +25,7 @@
     limits.maxConnections = std::clamp(std::min(memory / connectionMemoryShare / connectionBytes, settings.maxDescriptors / descriptorShare), minConnections, maxConnections);
     limits.spareConnections = limits.maxConnections / spareShare;
     limits.bodyBudgetBytes = static_cast<std::size_t>(memory / bodyMemoryShare);
+    limits.maxJobBytes = static_cast<std::size_t>(memory / jobMemoryShare);
     return limits;
 }
 
--- a/src/instance/caller_limits.h
+++ b/src/instance/caller_limits.h
@@ -5,7 +5,7 @@
 //     const CallerLimits limits = callerLimits(settings);
 //
 // Of the machine's memory, an eighth is for connections, an eighth for bodies, which exist twice for
-// a moment. The rest is for the instance's own work. See
+// a moment, and a quarter for the jobs that are kept. The rest is for the instance's own work. See
 // "What callers may use" in docs/PLATFORM.md.
 
 #include "instance/settings.h"
@@ -19,6 +19,7 @@
     std::int64_t maxConnections { 400 };
     std::int64_t spareConnections { 50 }; // Of these, kept for new connections.
     std::size_t bodyBudgetBytes { 0 }; // Of all bodies above 8 KB together.
+    std::size_t maxJobBytes { 0 }; // Of all jobs together, as the job table counts them.
 };
 
 CallerLimits callerLimits(const InstanceSettings&);
--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -6,6 +6,7 @@
 
 #include "base/random.h"
 #include "base/thread_usage.h"
+#include "instance/caller_limits.h"
 #include "instance/claim_record.h"
 #include "instance/control_loop_limits.h"
 #include "instance/events.h"
@@ -47,6 +48,7 @@
         constexpr double maxAgeShare = 0.8; // Of the time after which a revoked key must be rejected.
         GatewayOptions options;
         options.maxSuspension = settings.statusRetention;
+        options.maxJobBytes = callerLimits(settings).maxJobBytes;
         options.maxConfigurationAge = static_cast<Millis>(static_cast<double>(settings.keyExpiry) * maxAgeShare);
         return options;
     }
@@ -344,6 +346,7 @@
     this->nextGaugesAt = now + gaugesInterval;
     this->metrics.set("rattan_configuration_version", {}, static_cast<double>(this->catalog->version));
     this->metrics.set("rattan_leads", {}, this->leadership ? 1 : 0);
+    this->metrics.set("rattan_job_bytes", {}, static_cast<double>(this->jobs.heldBytes()));
     this->metrics.set("rattan_requests_waiting", {}, static_cast<double>(this->gateway.waitingCount()));
     this->trafficReport.publish(this->client.traffic(), now);
     constexpr double millisPerSecond = 1000;
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -120,6 +120,8 @@
         return this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "the store is out of reach", now);
     if (this->unresolvedRecords.size() + this->storedRecords.size() >= this->options.maxUnreadRecords)
         return this->refuse(ticket, waiting, RefusalCause::Busy, "too many records are yet to be read back", now);
+    if (this->jobs.heldBytes() >= this->options.maxJobBytes)
+        return this->refuse(ticket, waiting, RefusalCause::Busy, "the jobs that wait use all memory for jobs", now);
     // A job within its workspace's guarantee never waits behind others.
     const bool mayBeGuaranteed = queue.terms.priority == 0 && this->catalog->guaranteedAcceleratorsOf(workspace) > 0;
     const tasks::QueueLoad* load = mayBeGuaranteed ? nullptr : this->loads.find(queue.terms, now, wallTime);
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(overloadIsRefusedTruthfully);
     CPPUNIT_TEST(guaranteedJobsAreAdmittedInAnOverload);
     CPPUNIT_TEST(refusedBodiesAreAnsweredTruthfully);
+    CPPUNIT_TEST(memoryOfJobsIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -686,6 +687,28 @@
         }
     }
 
+    // Guards against small jobs that take all memory together.
+    void memoryOfJobsIsBounded()
+    {
+        this->gateway.emplace(GatewayOptions { .maxJobBytes = 4000 }, this->protocol, this->table);
+        this->gateway->configurationUpdated(this->catalogWith(1, "key"));
+        this->confirmReads(startTime);
+        tasks::Job job;
+        job.steps.resize(3);
+        this->table.apply("job/0000000000000001", tasks::encodeJob(job), this->offset++, startTime);
+        CPPUNIT_ASSERT(this->table.heldBytes() > 4000);
+        this->request(1, RequestKind::Submit, startTime);
+        this->expect(1, Outcome::NotNow);
+        this->request(2, RequestKind::Submit, startTime, "/p/0000000000000001");
+        this->expect(2, Outcome::Accepted);
+        this->table.apply("state/0000000000000001", tasks::encodeState(JobState::Completed), this->offset++, startTime);
+        CPPUNIT_ASSERT(this->table.heldBytes() < 4000);
+        this->request(3, RequestKind::Submit, startTime);
+        CPPUNIT_ASSERT(this->gateway->takeAnswers().empty());
+        this->table.apply("job/0000000000000001", "", this->offset++, startTime);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, this->table.heldBytes());
+    }
+
 private:
     void requestWithout(std::uint64_t ticket, http::BodyRefusal refusal, const std::string& path = "/p/" + testJobId)
     {
--- a/src/tasks/job_table.cc
+++ b/src/tasks/job_table.cc
@@ -2,6 +2,20 @@
 
 namespace rattan::tasks {
 
+namespace {
+
+    constexpr std::size_t jobBytes = 1024;
+    constexpr std::size_t stepBytes = 1024; // Of its state and of the unit that it has at least. See task_planner_units.cc.
+
+} // namespace
+
+std::size_t JobEntry::heldBytes() const
+{
+    if (!this->job)
+        return 0;
+    return jobBytes + this->recordBytes + (isFinal(this->visibleState()) ? 0 : this->job->steps.size() * stepBytes);
+}
+
 JobState JobEntry::visibleState() const
 {
     if (isFinal(this->state))
@@ -24,12 +38,15 @@
     const auto found = this->entries.try_emplace(parsed.value->job).first;
     JobEntry& entry = found->second;
     this->cancelOnlyEntries -= entry.isCancelOnly() ? 1 : 0;
+    this->allHeldBytes -= entry.heldBytes();
     const std::int64_t lastJobOffset = entry.jobOffset;
     std::optional<Change> change = this->applyTo(entry, *parsed.value, value, offset, now);
     if (kind == RecordKind::Job && value.empty() && offset > lastJobOffset)
         this->entries.erase(found);
-    else
+    else {
         this->cancelOnlyEntries += entry.isCancelOnly() ? 1 : 0;
+        this->allHeldBytes += entry.heldBytes();
+    }
     return change;
 }
 
@@ -54,6 +71,7 @@
         if (entry.job)
             return std::nullopt; // The job was submitted again; the first submission counts.
         entry.job = std::make_shared<const Job>(std::move(*job.value));
+        entry.recordBytes = value.size();
         entry.finalSince = 0; // A cancel that was read before is reported to callers from now on.
     } else {
         const Attempt<JobState> state = attempt([&] { return decodeState(value); });
--- a/src/tasks/job_table.h
+++ b/src/tasks/job_table.h
@@ -9,6 +9,7 @@
 
 #include "tasks/records.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +25,7 @@
     std::int64_t jobOffset { -1 };
     std::int64_t cancelOffset { -1 };
     std::int64_t stateOffset { -1 };
+    std::size_t recordBytes { 0 }; // Of the record of the job.
     Millis finalSince { 0 }; // The local time at which a final state was first read, or 0.
 
     // The state that is reported to callers.
@@ -31,6 +33,9 @@
 
     // Whether the job was cancelled and no submission of it was read.
     bool isCancelOnly() const { return !this->job && this->cancelled; }
+
+    // About what the job takes in memory, in the process that plans.
+    std::size_t heldBytes() const;
 };
 
 // A bound for the leases of a worker, by the clock of this process: its record was written before it
@@ -68,6 +73,9 @@
     // The number of jobs that were cancelled and of which no submission was read.
     std::size_t cancelOnlyCount() const { return this->cancelOnlyEntries; }
 
+    // About what all jobs take in memory, in the process that plans.
+    std::size_t heldBytes() const { return this->allHeldBytes; }
+
     // The number of accepted jobs of a queue of which no task has started.
     std::int64_t pending(std::string_view queue) const;
 
@@ -82,6 +90,7 @@
 
     std::map<std::string, JobEntry, std::less<>> entries;
     std::size_t cancelOnlyEntries { 0 };
+    std::size_t allHeldBytes { 0 };
     std::map<std::string, KnownLeaseLimit, std::less<>> limits; // By worker id.
     std::int64_t unreadableRecords { 0 };
 };
