--- a/src/tasks/job_table.cc
+++ b/src/tasks/job_table.cc
@@ -13,7 +13,10 @@
 {
     if (!this->job)
         return 0;
-    return jobBytes + this->recordBytes + (isFinal(this->visibleState()) ? 0 : this->job->steps.size() * stepBytes);
+    std::size_t bytes = jobBytes + this->recordBytes;
+    for (const Step& step : this->job->steps)
+        bytes += step.dependsOn.capacity() * sizeof(step.dependsOn.front()) + (isFinal(this->visibleState()) ? 0 : stepBytes);
+    return bytes;
 }
 
 JobState JobEntry::visibleState() const
