Close connections whose answers are not read for one that is new

What callers saw: nothing yet; found by reading. A client that sends requests and never reads an answer fills the buffers of its connection. Its thread then waits to send, a stage in which no connection was closed for a new one.

Cause: the server knew that a request was complete, but not whether it was being answered or its answer written.

Change: sending an answer is a stage of its own. After 2 s in it a connection may be closed for a new one; a request that is being answered still never is.

Measured: by the unit test only.

--- a/src/http/open_connections.cc
+++ b/src/http/open_connections.cc
@@ -7,6 +7,13 @@
 
 namespace rattan::http {
 
+namespace {
+
+    // A caller that reads gets its answer within a few round trips.
+    constexpr Millis maxSendTime = 2000;
+
+} // namespace
+
 OpenConnection& OpenConnections::add(int socket)
 {
     const std::lock_guard lock(this->mutex);
@@ -30,6 +37,13 @@
     connection.stage = RequestStage::Answering;
 }
 
+void OpenConnections::markAnswerReady(OpenConnection& connection)
+{
+    const std::lock_guard lock(this->mutex);
+    connection.stage = RequestStage::Sending;
+    connection.waitingSince = this->clock.now();
+}
+
 void OpenConnections::markLargeBody(OpenConnection& connection)
 {
     const std::lock_guard lock(this->mutex);
@@ -41,14 +55,17 @@
 void OpenConnections::close(OpenConnection& connection)
 {
     connection.isClosing = true;
-    shutdown(connection.socket, SHUT_RD);
+    shutdown(connection.socket, connection.stage == RequestStage::Sending ? SHUT_RDWR : SHUT_RD);
 }
 
 void OpenConnections::closeLongestWaiting()
 {
+    const Millis now = this->clock.now();
     OpenConnection* chosen = nullptr;
     for (OpenConnection& candidate : this->connections) {
-        if (candidate.isClosing || candidate.stage == RequestStage::Answering)
+        const bool isAnswerUnread = candidate.stage == RequestStage::Sending && now - candidate.waitingSince >= maxSendTime;
+        const bool waits = candidate.stage == RequestStage::None || candidate.stage == RequestStage::Reading || isAnswerUnread;
+        if (candidate.isClosing || !waits)
             continue;
         if (!chosen || std::pair(candidate.hasAnswered, candidate.waitingSince) < std::pair(chosen->hasAnswered, chosen->waitingSince))
             chosen = &candidate;
@@ -77,7 +94,7 @@
 void OpenConnections::markRequestFinished(OpenConnection& connection)
 {
     const std::lock_guard lock(this->mutex);
-    connection.hasAnswered = connection.hasAnswered || connection.stage == RequestStage::Answering;
+    connection.hasAnswered = connection.hasAnswered || connection.stage == RequestStage::Sending;
     connection.stage = RequestStage::None;
     connection.waitingSince = this->clock.now();
     connection.holdsLargeBody = false;
--- a/src/http/open_connections.h
+++ b/src/http/open_connections.h
@@ -7,6 +7,7 @@
 //     OpenConnection& connection = connections.add(socket);
 //     connections.markRequestStarted(connection);   // the request line was read
 //     connections.markRequestRead(connection);      // the complete request was read
+//     connections.markAnswerReady(connection);      // the answer is known
 //     connections.markRequestFinished(connection);  // the answer was written, or the request failed
 //     connections.remove(connection);               // before its socket is closed
 //     connections.closeWhenIdle();                  // closes each connection when it has no request
@@ -17,8 +18,8 @@
 // distinguish this from a request that was interrupted.
 //
 // Beyond `maxOpen` connections, each new one closes the one that has waited longest for its
-// client: to begin a request, or to send the rest of one. Connections that have had an answer are
-// closed last. Otherwise clients that send nothing would keep all others out. Thread-safe.
+// client: to begin a request, to send the rest of one, or for seconds to read its answer.
+// Connections that have had an answer are closed last. Otherwise clients that send nothing would keep all others out. Thread-safe.
 
 #include "base/clock.h"
 
@@ -35,14 +36,15 @@
     None,
     Reading,
     Answering,
+    Sending, // The answer is being written.
 };
 
 struct OpenConnection {
     int socket;
     RequestStage stage { RequestStage::None };
-    Millis waitingSince { 0 }; // When it was opened, its request was started, or its last one was finished.
-    bool hasAnswered { false }; // Whether it had a complete request.
-    bool isClosing { false }; // Its read side was shut down.
+    Millis waitingSince { 0 }; // When it was opened, its request was started, its answer was ready, or its last request was finished.
+    bool hasAnswered { false }; // Whether an answer was sent on it.
+    bool isClosing { false }; // It was shut down for another one.
     bool holdsLargeBody { false }; // A body that takes part of a shared budget.
 };
 
@@ -56,6 +58,7 @@
     OpenConnection& add(int socket);
     void markRequestStarted(OpenConnection&);
     void markRequestRead(OpenConnection&);
+    void markAnswerReady(OpenConnection&);
     void markRequestFinished(OpenConnection&);
     void markLargeBody(OpenConnection&); // Until its request is finished.
     void remove(OpenConnection&);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -142,6 +142,8 @@
             return result;
         }
 
+        void finish() { this->shared->connections.markAnswerReady(*this->connection); }
+
         void end()
         {
             detail::endGuard();
@@ -219,6 +221,7 @@
         } catch (const std::exception& exception) {
             writeAnswer(errorAnswer({ ErrorCode::Internal, "http.handler", peer, exception.what(), {} }), to);
         }
+        currentRequest.finish();
         if (endpoint->server->isDraining())
             u_map_put(to->map_header, "Connection", "close");
         return U_CALLBACK_COMPLETE;
--- a/src/http/testing/open_connections_test.cc
+++ b/src/http/testing/open_connections_test.cc
@@ -78,6 +78,7 @@
         OpenConnection& served = connections.add(this->pairs[0][0]);
         connections.markRequestStarted(served);
         connections.markRequestRead(served);
+        connections.markAnswerReady(served);
         connections.markRequestFinished(served);
         OpenConnection& silent = connections.add(this->pairs[1][0]);
         connections.add(this->pairs[2][0]);
@@ -90,6 +91,9 @@
         connections.add(this->pairs[3][0]);
         CPPUNIT_ASSERT(!this->isReadClosed(0));
         CPPUNIT_ASSERT(this->isReadClosed(2));
+        connections.markAnswerReady(served);
+        connections.add(this->pairs[2][1]);
+        CPPUNIT_ASSERT(!this->isReadClosed(0)); // Its answer was ready only now.
     }
 
     // Guards against unfinished bodies that keep the memory for bodies from others.
