Make room for the load balancer's checks

What callers saw: 16 silent connections at the address of the readiness checks kept the load balancer out for 20 s, so that it took the instance out of rotation.

--- a/src/instance/program.cc
+++ b/src/instance/program.cc
@@ -23,6 +23,7 @@
 
     constexpr std::int64_t maxBodyBytes = 512 * 1024; // Until the operators' configuration is read, or if it has no limit.
     constexpr std::int64_t maxProbeConnections = 16; // For the load balancer and the metrics collector.
+    constexpr std::int64_t spareProbeConnections = 4;
     constexpr std::int64_t maxProbeBodyBytes = 4096; // Their requests have none.
     constexpr std::int64_t callerIdleSeconds = 20; // Longer than the idle time that the operators' configuration allows callers.
 
@@ -52,7 +53,7 @@
             , protocols(protocols)
             , loop(this->settings, protocols, this->clock, this->metrics)
             , callerServer(callerServerOptions(this->settings, this->loop))
-            , probeServer({ .address = this->settings.readyAddress, .maxBodyBytes = maxProbeBodyBytes, .maxConnections = maxProbeConnections, .idleTimeoutSeconds = callerIdleSeconds })
+            , probeServer({ .address = this->settings.readyAddress, .maxBodyBytes = maxProbeBodyBytes, .maxConnections = maxProbeConnections, .spareConnections = spareProbeConnections, .idleTimeoutSeconds = callerIdleSeconds })
         {
             this->callerServer.fallback([this](http::Request request) { return this->serve(std::move(request)); });
             this->callerServer.refusedBodies([this](http::Request request) { return this->serve(std::move(request)); });
