Entry: bound the memory of all bodies, and make room for new callers

Cause: rattan-entry took up to 2 MB on each of 512 connections, 1 GB together, and kept silent connections for a minute.

Not measured: no test plays crowds against this program.

--- a/src/entry/options.cc
+++ b/src/entry/options.cc
@@ -16,7 +16,8 @@
     settings.address("otlp", &options.otlp, "Address of an OTLP/HTTP collector for spans.");
     settings.choice("log-level", &options.logLevel, { "debug", "info", "warning", "error" }, "Lowest level that is logged.");
     settings.number("body-limit", &options.bodyLimit, 1024, 16777216, "bytes", "Largest body taken from a caller.");
-    settings.number("connection-limit", &options.connectionLimit, 8, 10000, "connections", "Connections of callers open at once.");
+    settings.number("body-memory", &options.bodyMemory, 65536, 4294967296, "bytes", "Memory for all bodies above 8 KB together; a larger body is read if it is the only one.");
+    settings.number("connection-limit", &options.connectionLimit, 8, 10000, "connections", "Connections of callers open at once. The last eighth is for new ones, which close those that wait longest for their callers.");
     settings.number("waiting-limit", &options.waitingLimit, 1, 10000, "requests", "Requests that wait for an executor at once.");
     settings.number("deadline-limit-ms", &options.deadlineLimitMs, 100, 600000, "ms", "Longest deadline a caller may ask for.");
     settings.number("claim-window-ms", &options.claimWindowMs, 1000, 86400000, "ms",
--- a/src/entry/options.h
+++ b/src/entry/options.h
@@ -22,6 +22,7 @@
     std::string otlp;
     std::string logLevel { "info" };
     std::int64_t bodyLimit { 2097152 };
+    std::int64_t bodyMemory { 67108864 };
     std::int64_t connectionLimit { 512 };
     std::int64_t waitingLimit { 256 };
     std::int64_t deadlineLimitMs { 60000 };
--- a/src/entry/program.cc
+++ b/src/entry/program.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+    constexpr std::int64_t spareShare = 8; // Of the connections.
+
     constexpr std::chrono::milliseconds plannerTimeout(1000);
     constexpr std::chrono::milliseconds logTimeout(1500);
     constexpr std::chrono::milliseconds listTimeout(1000);
@@ -53,7 +55,7 @@
     , tickets(this->incarnation, ticketLimits(given), this->clock)
     , requests(this->config, this->forwarder, this->claims, this->tickets, this->otherTickets, this->metrics, this->clock, { given.deadlineLimitMs })
     , rpcServer(given.rpcListen, [this] { return kj::heap<RpcService>(this->requests, this->ticketWorkers, this->state); })
-    , server({ .address = given.listen, .maxBodyBytes = given.bodyLimit, .maxConnections = given.connectionLimit })
+    , server({ .address = given.listen, .maxBodyBytes = given.bodyLimit, .bodyBudgetBytes = static_cast<std::size_t>(given.bodyMemory), .maxConnections = given.connectionLimit, .spareConnections = given.connectionLimit / spareShare })
     , api({ given.instance, given.domain, given.operatorTokenSha256, this->config, this->planner, this->publisher, this->jobs,
           this->requests, this->tickets, this->gate, this->claims, this->state, this->metrics, this->clock })
     , spans(given.otlp, "rattan-entry", given.instance)
