--- a/src/http/body_guard.cc
+++ b/src/http/body_guard.cc
@@ -3,7 +3,6 @@
 #include <cstdlib>
 #include <mutex>
 #include <orcania.h>
-#include <ulfius.h>
 
 namespace rattan::http::detail {
 
--- a/src/http/body_guard.h
+++ b/src/http/body_guard.h
@@ -10,8 +10,7 @@
 // After a refusal ulfius ends the request without a callback and closes its connection.
 
 #include <cstddef>
-
-struct _u_request;
+#include <ulfius.h>
 
 namespace rattan::http::detail {
 
