Bound the errors that an answer names and the length of a log line

What callers saw: a body of 256 KB with 87,000 wrong dependencies was answered with all of them, 4.5 MB, which were logged too. 150 connections got no ordinary request answered and left a log of 831 MB in a minute.

Cause: JsonReader collected every error of a text, and the queue of log lines bounded their number, not their size.

Change: the first 20 errors are named, each with at most 200 bytes, and the others counted. A log line above 8 KB is cut and marked.

--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -177,19 +177,31 @@
 
 bool JsonReader::has(const std::string& name) const { return this->object.is_object() && this->object.contains(name); }
 
-void JsonReader::addError(std::string message) { this->errors.push_back(std::move(message)); }
+void JsonReader::addError(std::string message) { addTo(this->errors, this->errorCount, std::move(message)); }
+
+void JsonReader::addTo(std::vector<std::string>& messages, std::size_t& count, std::string message)
+{
+    if (++count > maxErrors)
+        return;
+    if (message.size() > maxErrorBytes)
+        message.resize(maxErrorBytes);
+    messages.push_back(std::move(message));
+}
 
 std::optional<Error> JsonReader::error() const
 {
     std::vector<std::string> messages = this->errors;
+    std::size_t count = this->errorCount;
     if (this->object.is_object() && !this->unknownFieldsAllowed) {
         for (const auto& item : this->object.items()) {
             if (!this->requestedFields.contains(item.key()))
-                messages.push_back(fmt::format("{} is not a known field", item.key()));
+                addTo(messages, count, fmt::format("{} is not a known field", item.key().substr(0, maxErrorBytes / 2)));
         }
     }
     if (messages.empty())
         return std::nullopt;
+    if (count > messages.size())
+        messages.push_back(fmt::format("and {} more", count - messages.size()));
     return Error { ErrorCode::BadInput, this->step, this->peer, fmt::format("{}", fmt::join(messages, "; ")), {} };
 }
 
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -14,8 +14,8 @@
 // The cost of parsing is bounded by the size of the text, but a text of brackets takes about 80
 // times its size in memory: for texts of untrusted senders, give JsonLimits. The parser is not
 // recursive, so deeply nested input cannot overflow the stack.
-// Fields that have the wrong type, are out of range, missing or unknown are all
-// reported together, in one BadInput error.
+// Fields that have the wrong type, are out of range, missing or unknown are
+// reported together, in one BadInput error, up to JsonReader::maxErrors of them.
 
 #include "base/error.h"
 
@@ -48,6 +48,11 @@
 // object must outlive the reader.
 class JsonReader {
 public:
+    // Further errors are only counted, and each is cut at `maxErrorBytes`: an error is sent back and
+    // logged, and a text may have as many mistakes as bytes.
+    static constexpr std::size_t maxErrors = 20;
+    static constexpr std::size_t maxErrorBytes = 200;
+
     JsonReader(const Json& object, std::string step, std::string peer = "");
 
     // Read a required field. If it is missing or invalid, an error is added and a substitute
@@ -89,11 +94,14 @@
     // required field is missing.
     const Json* find(const std::string& name, bool required);
 
+    static void addTo(std::vector<std::string>& messages, std::size_t& count, std::string message);
+
     const Json& object;
     std::string step;
     std::string peer;
     std::set<std::string> requestedFields;
     std::vector<std::string> errors;
+    std::size_t errorCount { 0 };
     bool unknownFieldsAllowed { false };
 };
 
--- a/src/base/log_writer.cc
+++ b/src/base/log_writer.cc
@@ -2,12 +2,15 @@
 
 #include <cerrno>
 #include <fmt/format.h>
+#include <string_view>
 #include <unistd.h>
 
 namespace rattan {
 
 namespace {
 
+    constexpr std::string_view cutMark = " [cut]\n";
+
     // Returns false if a write fails, for example because the reader has closed its end.
     bool writeAll(int descriptor, const std::string& text)
     {
@@ -64,6 +67,8 @@
 void LogWriter::write(const LogSource& source, std::string line)
 {
     const std::int64_t lineCount = this->countLine(source);
+    if (line.size() > this->options.maxLineBytes)
+        line = line.substr(0, this->options.maxLineBytes - cutMark.size()) + std::string(cutMark);
     const std::size_t maxQueued = lineCount > this->options.maxRareLinesPerSecond ? this->options.maxQueuedLines / 2 : this->options.maxQueuedLines;
     const bool isAccepted = lineCount <= this->options.maxLinesPerSecond && this->shared->queuedLines.size() < maxQueued;
     if (!isAccepted || !this->shared->queuedLines.tryPush(std::move(line)))
--- a/src/base/log_writer.h
+++ b/src/base/log_writer.h
@@ -7,8 +7,8 @@
 //     writer.write({ 1401, "" }, "time=...\n");
 //     writer.stop();
 //
-// There are three limits: the number of queued lines, the number of lines per second of
-// one source, and the duration of stop(). Half of the queue is reserved for sources that
+// There are four limits: the number of queued lines, the size of a line, which may quote a
+// caller, the number of lines per second of one source, and the duration of stop(). Half of the queue is reserved for sources that
 // write few lines, because these lines explain failures and must not be crowded out by
 // routine ones. Dropped lines are counted, and the count is reported in a separate log
 // line. write() is thread-safe.
@@ -37,7 +37,8 @@
 };
 
 struct LogWriterOptions {
-    std::size_t maxQueuedLines { 4000 }; // About 1 MB.
+    std::size_t maxQueuedLines { 4000 }; // Usually about 1 MB.
+    std::size_t maxLineBytes { 8192 }; // A longer line is cut.
     std::int64_t maxLinesPerSecond { 300 }; // Per source.
     std::int64_t maxRareLinesPerSecond { 30 }; // Per source; its further lines in that second may fill only half of the queue.
     std::chrono::milliseconds batchInterval { 100 }; // Lines that arrive within it are written together.
--- a/src/base/testing/json_test.cc
+++ b/src/base/testing/json_test.cc
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(limitedParseEqualsPlainParse);
     CPPUNIT_TEST(limitsAreExact);
     CPPUNIT_TEST(invalidTextsAreRejected);
+    CPPUNIT_TEST(errorsAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +74,21 @@
         CPPUNIT_ASSERT(!isParsed("[[],{},[]]", { .maxDepth = 2, .maxContainers = 3 }));
     }
 
+    // Guards against an answer that is larger than the text whose mistakes it names.
+    void errorsAreBounded()
+    {
+        Json object = Json::object();
+        for (int i = 0; i < 1000; ++i)
+            object[std::string(1000, 'x') + std::to_string(i)] = i;
+        JsonReader reader(object, "test");
+        for (int i = 0; i < 10; ++i)
+            reader.addError("wrong");
+        const std::string message = reader.error()->message;
+        CPPUNIT_ASSERT(message.find("wrong; wrong") != std::string::npos);
+        CPPUNIT_ASSERT(message.ends_with("; and 990 more"));
+        CPPUNIT_ASSERT(message.size() <= (JsonReader::maxErrors + 1) * (JsonReader::maxErrorBytes + 2));
+    }
+
     void invalidTextsAreRejected()
     {
         for (const char* text : { "", "[", "[1,]", "{\"a\"}", "[1] 2", "]", "nul" })
--- a/src/base/testing/log_writer_test.cc
+++ b/src/base/testing/log_writer_test.cc
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(lineRateOfAnEventIsLimited);
     CPPUNIT_TEST(commonVariantDoesNotUseUpBudgetOfRareOne);
     CPPUNIT_TEST(commonLinesDoNotFillQueueForRareOnes);
+    CPPUNIT_TEST(longLinesAreCut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -47,6 +48,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a\nb\n"), std::string(text.data(), static_cast<std::size_t>(size)));
     }
 
+    // Guards against lines as long as what callers send: the queue bounds only their number.
+    void longLinesAreCut()
+    {
+        LogWriter writer(this->pipeEnds[1], { .maxLineBytes = 12, .batchInterval = std::chrono::milliseconds(1) });
+        writer.write({ 1, "" }, std::string(12, 'x') + "\n");
+        writer.write({ 1, "" }, std::string(11, 'y') + "\n");
+        writer.stop();
+        std::array<char, 64> text {};
+        const ssize_t size = read(this->pipeEnds[0], text.data(), text.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("xxxxx [cut]\nyyyyyyyyyyy\n"), std::string(text.data(), static_cast<std::size_t>(size)));
+    }
+
     // Guards against a log reader that has stopped reading and blocks the threads that log. Such
     // a thread may be the one that serves callers, so all requests would stall. Lines are
     // dropped instead, and the program can still end.
