Reject a job whose record the store cannot take

What callers saw: nothing yet; found by reading. A body just within the limit can make a record larger than the store takes. The store rejects the append, and with it the records of other callers that went along.

Cause: the size of a record was bounded by that of the body only, which the record repeats beside the terms of the queue.

Change: a job whose record is larger than the store takes is rejected at once, with 413, or with "unknown" where an earlier attempt may be stored.

Measured: by the unit test only.

--- a/src/instance/control_loop.cc
+++ b/src/instance/control_loop.cc
@@ -48,6 +48,7 @@
         constexpr double maxAgeShare = 0.8; // Of the time after which a revoked key must be rejected.
         GatewayOptions options;
         options.maxSuspension = settings.statusRetention;
+        options.maxRecordBytes = settings.maxRecordBytes;
         options.maxJobBytes = callerLimits(settings).maxJobBytes;
         options.maxConfigurationAge = static_cast<Millis>(static_cast<double>(settings.keyExpiry) * maxAgeShare);
         return options;
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -138,7 +138,11 @@
     job.value->workspace = std::move(workspace);
     job.value->terms = queue.terms;
     job.value->acceptedAt = wallTime;
-    this->queueRecord(ticket, std::move(waiting), tasks::encodeJob(*job.value));
+    std::string record = tasks::encodeJob(*job.value);
+    // The store would reject it for good, and the records of other jobs in the same append with it.
+    if (waiting.recordKey.size() + record.size() >= this->options.maxRecordBytes)
+        return this->answer(ticket, waiting, { .outcome = this->isPossiblyStored(waiting.recordKey) ? Outcome::Unknown : Outcome::TooLarge, .message = "the job is larger than a record of the store" }, now);
+    this->queueRecord(ticket, std::move(waiting), std::move(record));
 }
 
 void Gateway::cancel(std::uint64_t ticket, WaitingRequest waiting, Millis now)
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -55,6 +55,7 @@
     std::size_t maxWaitingRequests { 2000 }; // About 5 KB each, including the job.
     std::size_t maxUnreadRecords { 20000 }; // Records that were or may have been appended but were not read back; about 100 bytes each. Submissions are refused above this.
     std::size_t maxJobBytes { std::numeric_limits<std::size_t>::max() }; // Of all jobs, as the job table counts them. Submissions are refused above this.
+    std::size_t maxRecordBytes { 262144 }; // Of a key and its value. A job with a larger record is rejected.
     std::size_t maxUnknownCancels { 10000 }; // Kept cancels of jobs that were never submitted; about 200 bytes each. Further ones are refused.
     Millis maxAnswerTime { 2500 }; // Callers time out after three seconds, and the answer needs time to reach them.
     Millis answerMargin { 300 }; // Part of the caller's timeout that is reserved for sending the answer; at most half of it.
--- a/src/instance/testing/gateway_test.cc
+++ b/src/instance/testing/gateway_test.cc
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(guaranteedJobsAreAdmittedInAnOverload);
     CPPUNIT_TEST(refusedBodiesAreAnsweredTruthfully);
     CPPUNIT_TEST(memoryOfJobsIsBounded);
+    CPPUNIT_TEST(jobsThatTheStoreCannotTakeAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -709,6 +710,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, this->table.heldBytes());
     }
 
+    // Guards against an append that the store rejects for good, with the jobs of other callers in it.
+    void jobsThatTheStoreCannotTakeAreRejected()
+    {
+        this->gateway.emplace(GatewayOptions { .maxRecordBytes = 50 }, this->protocol, this->table);
+        this->gateway->configurationUpdated(this->catalogWith(1, "key"));
+        this->confirmReads(startTime);
+        this->request(1, RequestKind::Submit, startTime);
+        this->expect(1, Outcome::TooLarge);
+        CPPUNIT_ASSERT(this->gateway->takeRecords(100, 1 << 20).empty());
+    }
+
 private:
     void requestWithout(std::uint64_t ticket, http::BodyRefusal refusal, const std::string& path = "/p/" + testJobId)
     {
