Count jobs that are stored and not read back against the memory for jobs

Cause: a job counts when its record is read back, so that many were accepted in between.

Change: a job counts from when its record is queued. The shares of the machine's memory are eighths: two for connections, since the machines of some deployments have 120 MB and keep the 400 connections that they had, one for bodies, three for jobs.

--- a/src/instance/caller_limits.h
+++ b/src/instance/caller_limits.h
@@ -4,9 +4,9 @@
 //
 //     const CallerLimits limits = callerLimits(settings);
 //
-// Of the machine's memory, an eighth is for connections, an eighth for bodies, which exist twice for
-// a moment, and a quarter for the jobs that are kept. The rest is for the instance's own work. See
-// "What callers may use" in docs/PLATFORM.md.
+// Of the machine's memory, two eighths are for connections, one for bodies, which exist twice for a
+// moment, and three for the jobs that are kept. The rest is for the instance's own work. See "What
+// callers may use" in docs/PLATFORM.md.
 
 #include "instance/settings.h"
 
--- a/src/instance/gateway.cc
+++ b/src/instance/gateway.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -120,7 +121,7 @@
         return this->refuse(ticket, waiting, RefusalCause::StoreUnreachable, "the store is out of reach", now);
     if (this->unresolvedRecords.size() + this->storedRecords.size() >= this->options.maxUnreadRecords)
         return this->refuse(ticket, waiting, RefusalCause::Busy, "too many records are yet to be read back", now);
-    if (this->jobs.heldBytes() >= this->options.maxJobBytes)
+    if (this->allJobBytes() >= this->options.maxJobBytes)
         return this->refuse(ticket, waiting, RefusalCause::Busy, "the jobs that wait use all memory for jobs", now);
     // A job within its workspace's guarantee never waits behind others.
     const bool mayBeGuaranteed = queue.terms.priority == 0 && this->catalog->guaranteedAcceleratorsOf(workspace) > 0;
@@ -142,6 +143,7 @@
     // The store would reject it for good, and the records of other jobs in the same append with it.
     if (waiting.recordKey.size() + record.size() >= this->options.maxRecordBytes)
         return this->answer(ticket, waiting, { .outcome = this->isPossiblyStored(waiting.recordKey) ? Outcome::Unknown : Outcome::TooLarge, .message = "the job is larger than a record of the store" }, now);
+    this->unreadJobBytes[waiting.recordKey] = tasks::heldBytesOf(*job.value, record.size(), false);
     this->queueRecord(ticket, std::move(waiting), std::move(record));
 }
 
@@ -330,6 +332,7 @@
 
 void Gateway::jobChanged(const std::string& id, Millis now)
 {
+    this->unreadJobBytes.erase(tasks::formatKey({ RecordKind::Job, id }));
     if (!this->unresolvedRecords.empty() && this->jobs.find(id))
         this->unresolvedRecords.erase(tasks::formatKey({ RecordKind::Job, id }));
     if (this->jobs.isCancelled(id))
@@ -430,10 +433,16 @@
     this->repeatRecordsInDoubt(now);
     std::erase_if(this->unresolvedRecords, [&](const auto& item) { return this->jobsConfirmedAt - item.second > maxAppendDelay; });
     std::erase_if(this->storedRecords, [&](const auto& item) { return this->jobsConfirmedAt > item.second; });
+    std::erase_if(this->unreadJobBytes, [&](const auto& item) { return !this->isPossiblyStored(item.first); });
     // A record must not be appended after all requests for it were answered.
     std::erase_if(this->records, [&](const StoreRecord& record) { return !this->isAwaited(record.key); });
 }
 
+std::size_t Gateway::allJobBytes() const
+{
+    return std::accumulate(this->unreadJobBytes.begin(), this->unreadJobBytes.end(), this->jobs.heldBytes(), [](std::size_t sum, const auto& item) { return sum + item.second; });
+}
+
 // True if the record was stored, an append of it is in flight or unresolved, or a waiting
 // request is about to append it.
 bool Gateway::isPossiblyStored(const std::string& recordKey) const
--- a/src/instance/gateway.h
+++ b/src/instance/gateway.h
@@ -225,6 +225,7 @@
     void refuse(std::uint64_t ticket, const WaitingRequest&, RefusalCause, std::string why, Millis now);
     Millis retryDelay(const WaitingRequest&, RefusalCause, Millis now) const;
     std::vector<std::pair<std::uint64_t, WaitingRequest>> takeWaiting(const std::function<bool(const WaitingRequest&)>&);
+    std::size_t allJobBytes() const;
     bool isPossiblyStored(const std::string& recordKey) const;
     bool isJobPossiblyStored(const std::string& jobId) const;
 
@@ -250,6 +251,7 @@
     std::map<std::string, InFlightRecord> inFlightRecords; // By record key; at most as many as the caller takes at once.
     std::map<std::string, RecordInDoubt> recordsInDoubt; // By record key; each has a waiting request.
     std::map<std::string, Millis> unresolvedRecords; // Time at which the outcome of an append was lost, by record key; the store may still execute it.
+    std::map<std::string, std::size_t> unreadJobBytes; // What jobs will take that may be stored and were not read back, by record key.
     std::map<std::string, Millis> storedRecords; // Time at which an append was acknowledged, by record key, until the record is read back.
     std::vector<GatewayAnswer> answers;
 };
--- a/src/tasks/job_table.cc
+++ b/src/tasks/job_table.cc
@@ -4,18 +4,16 @@
 
 namespace {
 
-    constexpr std::size_t jobBytes = 1024;
-    constexpr std::size_t stepBytes = 1024; // Of its state and of the unit that it has at least. See task_planner_units.cc.
+    constexpr std::size_t jobBytes = 512; // Without what its record has.
+    constexpr std::size_t stepBytes = 1536; // Of its state and of the unit that it has at least. See task_planner_units.cc.
 
 } // namespace
 
-std::size_t JobEntry::heldBytes() const
+std::size_t heldBytesOf(const Job& job, std::size_t recordBytes, bool hasEnded)
 {
-    if (!this->job)
-        return 0;
-    std::size_t bytes = jobBytes + this->recordBytes;
-    for (const Step& step : this->job->steps)
-        bytes += step.dependsOn.capacity() * sizeof(step.dependsOn.front()) + (isFinal(this->visibleState()) ? 0 : stepBytes);
+    std::size_t bytes = jobBytes + recordBytes;
+    for (const Step& step : job.steps)
+        bytes += step.dependsOn.size() * sizeof(step.dependsOn.front()) + (hasEnded ? 0 : stepBytes);
     return bytes;
 }
 
--- a/src/tasks/job_table.h
+++ b/src/tasks/job_table.h
@@ -18,6 +18,9 @@
 
 namespace rattan::tasks {
 
+// About what a job takes in memory, in the process that plans, with a record of this size.
+std::size_t heldBytesOf(const Job&, std::size_t recordBytes, bool hasEnded);
+
 struct JobEntry {
     std::shared_ptr<const Job> job; // Null if only other records of the job were read so far. It may be submitted later, or never.
     bool cancelled { false };
@@ -34,8 +37,7 @@
     // Whether the job was cancelled and no submission of it was read.
     bool isCancelOnly() const { return !this->job && this->cancelled; }
 
-    // About what the job takes in memory, in the process that plans.
-    std::size_t heldBytes() const;
+    std::size_t heldBytes() const { return this->job ? heldBytesOf(*this->job, this->recordBytes, isFinal(this->visibleState())) : 0; }
 };
 
 // A bound for the leases of a worker, by the clock of this process: its record was written before it
