--- a/src/base/json.h
+++ b/src/base/json.h
@@ -14,8 +14,8 @@
 // The cost of parsing is bounded by the size of the text, but a text of brackets takes about 80
 // times its size in memory: for texts of untrusted senders, give JsonLimits. The parser is not
 // recursive, so deeply nested input cannot overflow the stack.
-// Fields that have the wrong type, are out of range, missing or unknown are
-// reported together, in one BadInput error, up to JsonReader::maxErrors of them.
+// Fields that have the wrong type, are out of range, missing or unknown are reported together, in
+// one BadInput error, up to JsonReader::maxErrors of them.
 
 #include "base/error.h"
 
@@ -34,7 +34,7 @@
 // Parsing stops as soon as a limit is exceeded.
 struct JsonLimits {
     std::size_t maxDepth { std::numeric_limits<std::size_t>::max() }; // Of arrays and objects in each other.
-    std::size_t maxContainers { std::numeric_limits<std::size_t>::max() }; // Arrays and objects; each takes about 100 bytes.
+    std::size_t maxContainers { std::numeric_limits<std::size_t>::max() }; // Arrays and objects; each takes far more memory than its text.
 };
 
 // Parses `text`, and fails with BadInput unless it is exactly one JSON value. `step` and
--- a/src/base/log_writer.h
+++ b/src/base/log_writer.h
@@ -8,10 +8,10 @@
 //     writer.stop();
 //
 // There are four limits: the number of queued lines, the size of a line, which may quote a
-// caller, the number of lines per second of one source, and the duration of stop(). Half of the queue is reserved for sources that
-// write few lines, because these lines explain failures and must not be crowded out by
-// routine ones. Dropped lines are counted, and the count is reported in a separate log
-// line. write() is thread-safe.
+// caller, the number of lines per second of one source, and the duration of stop(). Half of the
+// queue is reserved for sources that write few lines, because these lines explain failures and
+// must not be crowded out by routine ones. Dropped lines are counted, and the count is reported
+// in a separate log line. write() is thread-safe.
 
 #include "base/bounded_queue.h"
 
--- a/src/http/open_connections.h
+++ b/src/http/open_connections.h
@@ -19,7 +19,8 @@
 //
 // Beyond `maxOpen` connections, each new one closes the one that has waited longest for its
 // client: to begin a request, to send the rest of one, or for seconds to read its answer.
-// Connections that have had an answer are closed last. Otherwise clients that send nothing would keep all others out. Thread-safe.
+// Connections that have had an answer are closed last. Otherwise clients that send nothing would
+// keep all others out. Thread-safe.
 
 #include "base/clock.h"
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -142,7 +142,7 @@
             return result;
         }
 
-        void finish() { this->shared->connections.markAnswerReady(*this->connection); }
+        void markAnswerReady() { this->shared->connections.markAnswerReady(*this->connection); }
 
         void end()
         {
@@ -221,7 +221,7 @@
         } catch (const std::exception& exception) {
             writeAnswer(errorAnswer({ ErrorCode::Internal, "http.handler", peer, exception.what(), {} }), to);
         }
-        currentRequest.finish();
+        currentRequest.markAnswerReady();
         if (endpoint->server->isDraining())
             u_map_put(to->map_header, "Connection", "close");
         return U_CALLBACK_COMPLETE;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -13,15 +13,17 @@
 // not end the process. A path without a route is answered with 404, and a route without the
 // method with 405, each with the JSON error of http/answer.h.
 //
-// Memory: a connection takes about 64 KB, and a body of up to smallBodyBytes. Larger bodies share
-// bodyBudgetBytes, counted from the announced size if there is one. A body above its limit or
+// Memory: a connection takes a thread, a buffer and a body of up to smallBodyBytes. Larger bodies
+// share bodyBudgetBytes, counted from the announced size if there is one. A body above its limit or
 // without room in the budget is not read to its end: the request is answered by the handler of
-// refused bodies, or else with 413 or 503, and the connection is closed. When all connections but
-// spareConnections are open, each new one closes the one that has waited longest for its client.
-// A large body that has been in transfer for seconds gives way to one that finds no room.
+// refused bodies, or else with 413 or 503, and the connection is closed. A large body that has been
+// in transfer for seconds gives way to one that finds no room.
 //
-// Handlers must return within the limit given to stop(): they are not
-// interrupted, and stop() returns only after them. Add routes before start().
+// When all connections but spareConnections are open, each new one closes the one that has waited
+// longest for its client.
+//
+// Handlers must return within the limit given to stop(): they are not interrupted, and stop()
+// returns only after them. Add routes before start().
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -94,7 +96,9 @@
     // Answers a request whose body is refused.
     Answer handleRefusal(Request) const;
 
+    // The limit of a body that is in force, in bytes.
     std::int64_t maxBodyBytes() const;
+
     const ServerOptions& limits() const { return this->options; }
 
 private:
--- a/src/instance/control_loop_limits.h
+++ b/src/instance/control_loop_limits.h
@@ -11,8 +11,8 @@
 
 inline constexpr std::size_t maxQueuedRequests = 1024; // Requests from callers' threads that the loop has not accepted yet.
 
-// The same for requests with a large body. On a quarter of a core, parsing the worst body takes
-// about 30 ms, so that the last one in the queue is answered before its caller gives up.
+// The same for requests with a large body, one of which is parsed in each iteration. The last one in
+// the queue should be answered before its caller gives up.
 inline constexpr std::size_t maxQueuedLargeRequests = 32;
 inline constexpr std::size_t maxSmallBodyBytes = 8 << 10;
 inline constexpr Millis defaultCallerTimeout = 3000; // For callers that do not send a timeout.
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -81,15 +81,15 @@
 // reservations would leave resources idle for units that are far back in the queue.
 inline constexpr int maxReservations = 16;
 
-// The number of waiting units of a job and of all jobs together; further tasks have no unit yet. A
-// unit takes about 1 KB. Each step that has begun has up to the minimum regardless of the others; if
-// the limit for all jobs is reached, a step of a job that is not urgent has one.
+// The number of waiting units of a job and of all jobs together; further tasks have no unit yet. Each
+// step that has begun has up to the minimum regardless of the others; if the limit for all jobs is
+// reached, a step of a job that is not urgent has one.
 inline constexpr std::int64_t maxJobWaitingUnits = 2000;
 inline constexpr std::int64_t maxWaitingUnits = 30'000;
 inline constexpr std::int64_t minStepWaitingUnits = 16;
 
-// The number of steps of a job in all of its occurrences that have begun and not ended. A step
-// takes about 200 bytes. The next occurrence that is due begins when an earlier one has ended.
+// The number of steps of a job in all of its occurrences that have begun and not ended. The next
+// occurrence that is due begins when an earlier one has ended.
 inline constexpr std::size_t maxOpenSteps = 4096;
 
 // The number of eviction searches per round, each over all workers and their runs. The
