Show jobs that fail although none of their runs failed

The virtual site and the soak accepted a failed job after two crashes of workers under any of its tasks, whatever their cause. Only ends "failed" are attempts, so both checks now accept crashes only of tasks that crash the workers which start them.

--- a/src/tasks/testing/crash_test.cc
+++ b/src/tasks/testing/crash_test.cc
@@ -7,6 +7,8 @@
 
 using namespace rattan;
 using namespace rattan::tasks;
+using rattan::tasks::testing::CallFate;
+using rattan::tasks::testing::CallKind;
 using rattan::tasks::testing::VirtualSite;
 
 namespace {
@@ -34,6 +36,12 @@
     CPPUNIT_TEST(otherTasksSurviveCrashingTask);
     CPPUNIT_TEST(noStartIsSentAfterItsWorkerShrank);
     CPPUNIT_TEST(stoppedTaskIsNotBlamedForCrash);
+    CPPUNIT_TEST(taskWhoseStopWasUnansweredIsNotBlamedForCrash);
+    CPPUNIT_TEST(runsLostLateAreNoAttempts);
+    CPPUNIT_TEST(runsStoppedAfterCrashesAreNoAttempts);
+    CPPUNIT_TEST(runsLostWithSilentWorkersAreNoAttempts);
+    CPPUNIT_TEST(runsLostAcrossTakeoversAreNoAttempts);
+    CPPUNIT_TEST(gangMembersLostInTurnAreNoAttempts);
     CPPUNIT_TEST(lostStartDoesNotRunOnNextIncarnation);
     CPPUNIT_TEST(repeatedStartDoesNotRunOnNextIncarnation);
     CPPUNIT_TEST(lostStartOfEndedRunDoesNotRunOnNextIncarnation);
@@ -144,6 +152,106 @@
         this->assertNoViolations(site);
     }
 
+    // Guards against a job that fails because of crashes after its runs were stopped, when the answers
+    // to the stops were lost.
+    void taskWhoseStopWasUnansweredIsNotBlamedForCrash()
+    {
+        VirtualSite site({ .seed = 58, .workers = 12, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.submit(makeJob("j", 1, wholeWorker, 8000));
+        for (int i = 1; i <= lostRuns; ++i) {
+            const std::string host = this->runUntilStarted(site, "j", i);
+            site.failNextCalls({ .kind = CallKind::Stop, .fate = CallFate::AnswerLost, .count = 1000, .worker = host });
+            site.failNextCalls({ .kind = CallKind::Poll, .fate = CallFate::Lost, .count = 1000, .worker = host });
+            site.evacuate({ rackOf(host) });
+            while (site.isBusy(host) && site.now < timeLimit)
+                site.run(site.now + 5);
+            site.restart(host);
+            site.clearCallFaults();
+            site.evacuate({});
+        }
+        this->assertCompleted(site, "j");
+    }
+
+    // Guards against a job that fails because its workers restarted a while after each of its starts.
+    void runsLostLateAreNoAttempts()
+    {
+        VirtualSite site({ .seed = 59, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.submit(makeJob("j", 1, wholeWorker, 8000));
+        this->restartHosts(site, "j", lostRuns, 2000);
+        this->assertCompleted(site, "j");
+    }
+
+    // Guards against a job that fails because its runs were stopped after some of its workers had crashed.
+    void runsStoppedAfterCrashesAreNoAttempts()
+    {
+        VirtualSite site({ .seed = 60, .workers = 8, .failures = 0 });
+        site.newPlanner();
+        site.submit(makeJob("j", 1, wholeWorker, 8000));
+        constexpr int crashes = 3;
+        this->restartHosts(site, "j", crashes, 1500);
+        constexpr int stops = 3;
+        for (int i = 1; i <= stops; ++i) {
+            const std::string host = this->runUntilStarted(site, "j", crashes + i);
+            site.leave(host);
+            while (site.isBusy(host) && site.now < timeLimit)
+                site.run(site.now + 5);
+        }
+        this->assertCompleted(site, "j");
+    }
+
+    // Guards against a job that fails because workers became unreachable and left the list under it.
+    void runsLostWithSilentWorkersAreNoAttempts()
+    {
+        VirtualSite site({ .seed = 61, .workers = 12, .failures = 0 });
+        site.newPlanner();
+        site.submit(makeJob("j", 1, wholeWorker, 8000));
+        for (int i = 1; i <= lostRuns; ++i) {
+            const std::string host = this->runUntilStarted(site, "j", i);
+            site.run(site.now + 300);
+            site.removeForGood(host);
+        }
+        this->assertCompleted(site, "j");
+    }
+
+    // Guards against a job that a new planner fails because of runs that were lost before.
+    void runsLostAcrossTakeoversAreNoAttempts()
+    {
+        VirtualSite site({ .seed = 62, .workers = 6, .failures = 0 });
+        site.newPlanner();
+        site.submit(makeJob("j", 1, wholeWorker, 8000));
+        for (int i = 1; i <= lostRuns; ++i) {
+            const std::string host = this->runUntilStarted(site, "j", i);
+            site.run(site.now + 300);
+            site.killPlanner();
+            site.restart(host);
+            site.run(site.now + 200);
+            site.newPlanner();
+        }
+        this->assertCompleted(site, "j");
+    }
+
+    // Guards against a gang that fails because the workers of several members restarted, each of them
+    // once or twice.
+    void gangMembersLostInTurnAreNoAttempts()
+    {
+        VirtualSite site({ .seed = 63, .workers = 8, .failures = 0 });
+        site.newPlanner();
+        Job gang = makeJob("j", 4, wholeWorker, 8000);
+        gang.steps.front().gang = true;
+        site.submit(gang);
+        constexpr int members = 4;
+        for (int i = 1; i <= lostRuns; ++i) {
+            while ((site.runsOf("j") < i * members || site.hostOf("j", i % members).empty()) && site.now < timeLimit)
+                site.run(site.now + 5);
+            site.run(site.now + 1500);
+            site.restart(site.hostOf("j", i % members));
+        }
+        this->assertCompleted(site, "j");
+    }
+
     // Guards against a task that runs twice: its first start was not answered and reaches the worker
     // only after the worker has restarted.
     void lostStartDoesNotRunOnNextIncarnation()
@@ -197,6 +305,38 @@
     }
 
 private:
+    static constexpr int lostRuns = 7;
+    static constexpr Millis timeLimit = 200000;
+
+    // The racks of a VirtualSite hold four workers each.
+    static std::string rackOf(const std::string& worker) { return fmt::format("r{}", std::stoi(worker.substr(1)) / 4); }
+
+    // Returns the worker of the job's only task once that run has started.
+    std::string runUntilStarted(VirtualSite& site, const std::string& job, std::int64_t run)
+    {
+        while ((site.runsOf(job) < run || site.hostOf(job, 0).empty()) && site.now < timeLimit)
+            site.run(site.now + 5);
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("run {} of {} has not started", run, job), site.now < timeLimit);
+        return site.hostOf(job, 0);
+    }
+
+    // Restarts the worker of the job's only task this long after each of the next starts.
+    void restartHosts(VirtualSite& site, const std::string& job, int times, Millis after)
+    {
+        for (int i = 1; i <= times; ++i) {
+            const std::string host = this->runUntilStarted(site, job, i);
+            site.run(site.now + after);
+            site.restart(host);
+        }
+    }
+
+    void assertCompleted(VirtualSite& site, const std::string& job)
+    {
+        site.runUntilFinished(timeLimit);
+        this->assertNoViolations(site);
+        CPPUNIT_ASSERT_EQUAL(std::string(nameOf(JobState::Completed)), std::string(nameOf(site.stateOf(job))));
+    }
+
     void assertNoViolations(const VirtualSite& site)
     {
         CPPUNIT_ASSERT_MESSAGE(site.violations.empty() ? "" : site.violations.front(), site.violations.empty());
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -167,7 +167,7 @@
     // This share of orders is executed 2 to 12 s later and not answered.
     void delayOrders(double share) { this->options.lateOrders = share; }
 
-    // The worker crashes and restarts under the same id without any runs.
+    // The worker crashes and restarts under the same id without any runs. That is no fault of theirs.
     void restart(const std::string& id);
 
     // The worker crashes, without a successor at its address.
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -298,13 +298,13 @@
         this->reportViolation("exceeds the capacity of the worker", order);
 }
 
+// Only runs that end as failed count as attempts. A run that was lost with its worker doesn't,
+// unless the task itself crashes the workers that start it.
 void VirtualSite::checkFailedJob(const std::string& id)
 {
     constexpr std::int64_t minCrashes = 2;
-    for (const auto& [task, crashed] : this->crashes) {
-        if (task.job == id && crashed >= minCrashes)
-            return;
-    }
+    if (this->crashDelays.contains(id) && this->crashCountOf(id) >= minCrashes)
+        return;
     for (const auto& [unit, runs] : this->failedRuns) {
         if (unit.job == id && static_cast<std::int64_t>(runs.size()) >= this->jobs.at(id).terms.maxAttempts)
             return;
