Log what the loss of a run proves against its task

run_lost said how a run was lost, not whether the loss counts against its task or as what. So the log could not tell a job that failed by losses without proof from one that failed by crashes with other causes (hypotheses 1 and 2 of docs/incidents/jobs-failed-by-lost-runs.md).

--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -229,7 +229,7 @@
 
     // Runs that were lost with their workers, and tasks suspected of crashing workers.
     void loseRun(Worker&, const RunRef&, RunLoss, Millis now);
-    void countCrash(const Worker&, const PlacedRun&, RunLoss, Millis now);
+    std::optional<CrashEvidence> evidenceOf(const Worker&, const PlacedRun&, RunLoss);
     void addCrash(const PlacedRun&, CrashEvidence, Millis now);
     bool hasSurvivedStart(const Unit&);
     void clearSuspicion(Unit&);
--- a/src/tasks/task_planner_crashes.cc
+++ b/src/tasks/task_planner_crashes.cc
@@ -24,7 +24,7 @@
 
 // Removes a run that is considered lost because its worker was replaced, restarted, or did not
 // answer until its lease expired. The event lets the log distinguish a crash under a task from an
-// eviction, and shows how many runs the worker had.
+// eviction, and shows how many runs the worker had and what the loss proves against the task.
 void TaskPlanner::loseRun(Worker& worker, const RunRef& ref, RunLoss loss, Millis now)
 {
     const RunRef run = ref;
@@ -33,29 +33,30 @@
         return;
     const PlacedRun placedRun = found->second;
     const std::string confirmed = placedRun.confirmedAt > 0 ? fmt::format("confirmed {} ms ago", now - placedRun.confirmedAt) : "never confirmed";
-    this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.description.incarnation.id, fmt::format("{}, {}, {} runs on its worker", nameOf(loss), confirmed, worker.placedRuns.size()));
-    this->countCrash(worker, placedRun, loss, now);
+    const std::optional<CrashEvidence> evidence = this->evidenceOf(worker, placedRun, loss);
+    this->emit(PlanEventKind::RunLost, placedRun.unit, run.run, worker.description.incarnation.id,
+        fmt::format("{}, {}, {} runs on its worker, {}", nameOf(loss), confirmed, worker.placedRuns.size(), evidence ? fmt::format("crash {}", nameOf(*evidence)) : "no crash"));
+    if (evidence)
+        this->addCrash(placedRun, *evidence, now);
     this->removeMember(worker, run, loss == RunLoss::LeaseOver ? std::optional(RunEnd::LeaseExpired) : std::nullopt, "", now);
 }
 
-// Counts a crash unless there is a better explanation: a leaving worker has left, and a worker
-// whose lease has expired may be cut off; it may have crashed only if it is not listed any more.
-// A run whose stop was answered may have been stopped without its end being read, so the
-// evidence is unproven.
-void TaskPlanner::countCrash(const Worker& worker, const PlacedRun& placedRun, RunLoss loss, Millis now)
+// What the loss of a run proves against its task, or none if there is a better explanation than a
+// crash: a leaving worker has left, and a worker whose lease has expired may be cut off; it may
+// have crashed only if it is not listed any more. A run whose stop was answered may have been
+// stopped without its end being read, so the evidence is unproven.
+std::optional<CrashEvidence> TaskPlanner::evidenceOf(const Worker& worker, const PlacedRun& placedRun, RunLoss loss)
 {
     if (worker.description.leaving || placedRun.phase == RunPhase::Recording || (loss == RunLoss::LeaseOver && worker.listed))
-        return;
+        return std::nullopt;
     const Unit* unit = this->find(placedRun.unit);
-    CrashEvidence evidence = CrashEvidence::Early;
     const bool wasStopping = placedRun.startRuledOutAt > 0;
     if (loss == RunLoss::LeaseOver || !placedRun.hasBegun || wasStopping)
-        evidence = CrashEvidence::Unproven;
-    else if (placedRun.hasSurvivedStart())
-        evidence = CrashEvidence::Late;
-    else if (unit && !unit->inherited && unit->run == placedRun.run.run && this->isolatedUnits.contains(placedRun.unit))
-        evidence = CrashEvidence::Alone;
-    this->addCrash(placedRun, evidence, now);
+        return CrashEvidence::Unproven;
+    if (placedRun.hasSurvivedStart())
+        return CrashEvidence::Late;
+    const bool wasIsolated = unit && !unit->inherited && unit->run == placedRun.run.run && this->isolatedUnits.contains(placedRun.unit);
+    return wasIsolated ? CrashEvidence::Alone : CrashEvidence::Early;
 }
 
 void TaskPlanner::addCrash(const PlacedRun& placedRun, CrashEvidence evidence, Millis now)
--- a/src/tasks/task_planner_incarnations.cc
+++ b/src/tasks/task_planner_incarnations.cc
@@ -72,8 +72,10 @@
     this->stopLateStarts(worker, now);
     // The unconfirmed runs may have started and been lost in a crash. The crash is retracted for a
     // run that is listed later.
-    for (const PlacedRun& placedRun : unconfirmed)
-        this->countCrash(worker, placedRun, RunLoss::WorkerRestarted, now);
+    for (const PlacedRun& placedRun : unconfirmed) {
+        if (const auto evidence = this->evidenceOf(worker, placedRun, RunLoss::WorkerRestarted))
+            this->addCrash(placedRun, *evidence, now);
+    }
     for (const RunRef& run : lost)
         this->loseRun(worker, run, RunLoss::WorkerRestarted, now);
     for (auto& [run, placedRun] : worker.placedRuns) {
