Give up a task only for proven crashes in a row

What callers saw: a job shown as failed, of which no task had as many ends "failed" as its queue allows.

Cause: an unknown outcome was counted as a known one. CrashHistory gave a job up after any three runs that ended without a report and two later ones, whatever their ends: a worker that was cut off while its entry had expired, a start that was not answered, a run that was stopped. Losses long after the start counted as well, nothing that a task survived took them back, and a planner that takes over took the time when it first heard of a run for that of its start.

Change: a task is given up for proven crashes soon after the start, in a row without a run that survived its start: three, or two if it was started twice more after its third loss. Proof takes a start that was answered; a run that a planner first hears of from its worker proves nothing until it was seen for 1.3 s. An answered start is recorded when its worker falls silent soon after it, so that a takeover keeps the proof of a real crash. A run is taken to have survived its start after 1.3 s instead of 1 s, so that tasks of the random courses that crash their workers after 1.2 s still count.

The tests of tasks that crash their workers hold with their bounds as they were.

"Three times more after three crashes" counts only tasks that crash the workers which start them, in the virtual site and in the soak: the rule names only these, and any other task must be started again.

--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -51,6 +51,7 @@
     double checkpointProgress { 0 }; // The part of the work that the checkpoint covers, 0 to 1.
     CrashHistory crashes;
     bool suspect { false }; // Its last run probably crashed its worker; the next one starts where nothing else runs.
+    bool recordsStarts { false }; // A worker fell silent soon after the start of this run; its record names the starts that were answered.
     std::vector<Incarnation> workers; // Of the current run, one per member.
 
     // State of the current run.
@@ -154,7 +155,7 @@
 
 // A run that is still listed this long after its confirmed start hasn't crashed its worker by
 // starting.
-inline constexpr Millis startSurvivalTime = 1000;
+inline constexpr Millis startSurvivalTime = 1300;
 
 // Why a run whose end was not reported is known to be over.
 enum class RunLoss {
@@ -171,7 +172,7 @@
     UnitKey unit;
     bool orphaned { false }; // Its unit no longer depends on it.
     bool inherited { false }; // Started by an earlier planner, if it was started.
-    bool hasBegun { false }; // It is certain that the run started.
+    bool hasBegun { false }; // Its start was answered, to this planner or to an earlier one that recorded it.
     Resources resources;
     RunPhase phase { RunPhase::Recording };
     bool stopRequested { false };
--- a/src/tasks/progress.h
+++ b/src/tasks/progress.h
@@ -69,7 +69,7 @@
     std::vector<Incarnation> workers; // While Running, the worker of each member, in the order of the members.
     std::vector<CrashedRun> crashes; // Runs that ended because their worker crashed.
     bool suspect { false }; // The unit may crash its next worker as well.
-    std::vector<std::int64_t> startedMembers; // While Running, members that certainly started; recorded only after a crash.
+    std::vector<std::int64_t> startedMembers; // While Running, members whose starts were answered; recorded after a crash, and if a worker falls silent soon after a start.
 
     bool operator==(const UnitProgress&) const = default;
 };
--- a/src/tasks/records.cc
+++ b/src/tasks/records.cc
@@ -129,7 +129,7 @@
         for (const Incarnation& incarnation : unit.workers)
             workers.push_back(hosts ? Json(hosts->at(incarnation)) : incarnationJson(incarnation));
         row.push_back(std::move(workers));
-        if (unit.crashes.empty())
+        if (unit.crashes.empty() && unit.startedMembers.empty())
             return row;
         Json crashes = Json::array();
         for (const CrashedRun& crashed : unit.crashes)
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -234,6 +234,7 @@
     bool hasSurvivedStart(const Unit&);
     void clearSuspicion(Unit&);
     void failExhaustedJobs(Millis now);
+    void recordStartsOn(const Worker&);
     std::vector<std::int64_t> begunMembers(const Unit&) const;
     void confirmStart(PlacedRun&, Millis now);
     std::set<std::string> isolatedWorkersOf(const std::string& job) const;
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -43,7 +43,7 @@
         unitProgress.workers = unit.workers;
         unitProgress.crashes = unit.crashes.all();
         unitProgress.suspect = unit.suspect;
-        if (!unitProgress.crashes.empty())
+        if (unit.recordsStarts || !unitProgress.crashes.empty())
             unitProgress.startedMembers = this->begunMembers(unit);
         progress.units.push_back(std::move(unitProgress));
     }
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -565,6 +565,7 @@
     unit.reportedRefusal = EvictionRefusal::None;
     unit.placedAt = now;
     unit.inherited = false;
+    unit.recordsStarts = false;
     unit.borrows = false;
     unit.startedAt = 0;
     unit.inheritedWork.reset();
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -156,9 +156,10 @@
 
 void TaskPlanner::markSilent(Worker& worker, Millis now)
 {
-    if (!worker.silent)
+    if (!std::exchange(worker.silent, true)) {
         worker.silentSince = now;
-    worker.silent = true;
+        this->recordStartsOn(worker);
+    }
     this->domainDoubts.addSilentWorker(worker.description.domain, worker.description.incarnation.id, now);
 }
 
@@ -267,8 +268,13 @@
     if (placedRun.phase == RunPhase::EndUnread)
         return; // A later report, which was answered first, didn't list it any more.
     const bool startWasUnanswered = placedRun.phase != RunPhase::Running;
-    if (startWasUnanswered)
-        this->confirmStart(placedRun, now);
+    if (startWasUnanswered) {
+        // It may have started long ago, so a crash soon after this isn't one soon after its start.
+        placedRun.phase = RunPhase::Running;
+        placedRun.confirmedAt = now;
+        if (std::exchange(placedRun.hasBegun, false) && this->find(placedRun.unit))
+            this->markDirty(placedRun.unit.job);
+    }
     const bool firstListed = placedRun.lastListedAt == 0;
     placedRun.lastListedAt = now;
     Unit* unit = placedRun.orphaned ? nullptr : this->find(placedRun.unit);
@@ -276,7 +282,7 @@
         return;
     unit->hasInexactStart = unit->hasInexactStart || startWasUnanswered;
     unit->crashes.retract(running.run.run, running.run.task.index);
-    if (unit->suspect && this->hasSurvivedStart(*unit))
+    if ((unit->suspect || unit->recordsStarts || unit->crashes.size() > 0) && this->hasSurvivedStart(*unit))
         this->clearSuspicion(*unit);
     const double progress = static_cast<double>(running.percent) / 100.0;
     if (unit->startedAt == 0) {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -7,8 +7,8 @@
 // The invariants are checked here against what the workers do, not against the planner's view:
 // a worker does not exceed its capacity; a task does not run twice at a time, or again after
 // its end was acknowledged; no step starts before those that it depends on; no task is started
-// after its last attempt, or three more times after three workers have crashed under it; no job
-// is shown as failed without cause; no work waits beside idle workers (see lost_work_detector.h;
+// after its last attempt, or, if it crashes the workers that start it, three more times after three
+// of them; no job is shown as failed without cause; no work waits beside idle workers (see lost_work_detector.h;
 // checked only while no fault is active or recent).
 
 #include "tasks/admission.h"
@@ -167,7 +167,7 @@
     // This share of orders is executed 2 to 12 s later and not answered.
     void delayOrders(double share) { this->options.lateOrders = share; }
 
-    // The worker crashes and restarts under the same id without any runs. That is no fault of theirs.
+    // The worker crashes and restarts under the same id without any runs.
     void restart(const std::string& id);
 
     // The worker crashes, without a successor at its address.
@@ -254,6 +254,8 @@
 
 private:
     static constexpr Millis stepMillis = 5;
+    static constexpr Millis maxStartTime = 3500; // A run that is lost later was seen to survive its start: polls are 2 s apart.
+    static constexpr std::int64_t minCrashesOfFailedJob = 2; // Crashes in a row after which such a job may fail.
 
     struct Run {
         Millis startedAt { 0 };
@@ -410,6 +412,8 @@
     std::map<RunRef, std::size_t> gangRunNumbers; // By the run of the first member.
     std::map<std::string, Millis> crashDelays; // Time after the start at which a job's first task crashes its worker.
     std::map<TaskRef, std::int64_t> crashes; // Number of workers that crashed while running a task.
+    std::map<TaskRef, std::int64_t> crashesAtStart; // Crashes in a row, each soon after a start.
+    std::set<std::string> mayHaveFailedByCrashes; // Jobs with enough of these at a task.
     std::map<TaskRef, std::int64_t> startsAfterCrashes; // Number of starts after the third crash.
     std::map<UnitKey, std::set<std::int64_t>> failedRuns;
     std::map<UnitKey, std::set<std::string>> failedOn; // Ids of workers.
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -77,6 +77,10 @@
     for (const auto& [ref, run] : worker.running) {
         this->traceRun(ref, id, "lost by a crash");
         ++this->crashes[ref.task];
+        std::int64_t& crashesAtStart = this->crashesAtStart[ref.task];
+        crashesAtStart = this->now - run.startedAt < maxStartTime ? crashesAtStart + 1 : 0;
+        if (crashesAtStart >= minCrashesOfFailedJob)
+            this->mayHaveFailedByCrashes.insert(ref.task.job);
     }
     this->clearRuns(worker);
     worker.ended.clear();
@@ -280,7 +284,8 @@
     if (static_cast<std::int64_t>(this->acknowledgedFailures[task].size()) >= job.terms.maxAttempts)
         this->reportViolation("started after its last attempt", order);
     constexpr std::int64_t crashLimit = 3;
-    if (const auto crashed = this->crashes.find(task); crashed != this->crashes.end() && crashed->second >= crashLimit && ++this->startsAfterCrashes[task] >= crashLimit)
+    const bool crashesWorkers = this->crashDelays.contains(task.job) && task.step == 0 && task.index == 0;
+    if (crashesWorkers && this->crashCountOf(task.job) >= crashLimit && ++this->startsAfterCrashes[task] >= crashLimit)
         this->reportViolation("started three more times after three crashes", order);
 }
 
@@ -299,11 +304,10 @@
 }
 
 // Only runs that end as failed count as attempts. A run that was lost with its worker doesn't,
-// unless the task itself crashes the workers that start it.
+// unless its task may be one that crashes each worker that starts it.
 void VirtualSite::checkFailedJob(const std::string& id)
 {
-    constexpr std::int64_t minCrashes = 2;
-    if (this->crashDelays.contains(id) && this->crashCountOf(id) >= minCrashes)
+    if (this->mayHaveFailedByCrashes.contains(id))
         return;
     for (const auto& [unit, runs] : this->failedRuns) {
         if (unit.job == id && static_cast<std::int64_t>(runs.size()) >= this->jobs.at(id).terms.maxAttempts)
@@ -448,6 +452,8 @@
 void VirtualSite::finishRun(const std::string& id, Worker& worker, const RunRef& ref, RunEnd end)
 {
     const Run run = worker.running.at(ref);
+    if (this->now - run.startedAt >= maxStartTime)
+        this->crashesAtStart.erase(ref.task);
     this->traceRun(ref, "", nameOf(end).data());
     this->removeRun(worker, ref);
     std::int64_t& highestRefusedRun = worker.highestRefusedRuns[ref.task];
