--- a/src/tasks/testing/crash_test.cc
+++ b/src/tasks/testing/crash_test.cc
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(runsLostWithSilentWorkersAreNoAttempts);
     CPPUNIT_TEST(runsLostAcrossTakeoversAreNoAttempts);
     CPPUNIT_TEST(runsLostSoonAfterTakeoversAreNoAttempts);
+    CPPUNIT_TEST(runWithRepeatedStartIsNotBlamedForCrash);
     CPPUNIT_TEST(gangMembersLostInTurnAreNoAttempts);
     CPPUNIT_TEST(lostStartDoesNotRunOnNextIncarnation);
     CPPUNIT_TEST(repeatedStartDoesNotRunOnNextIncarnation);
@@ -257,6 +258,27 @@
         this->assertCompleted(site, "j");
     }
 
+    // Guards against a job that fails because of a worker that restarted a while after a start that was
+    // sent twice: such a run may still start on the next incarnation, and was treated as one that had
+    // only just begun.
+    void runWithRepeatedStartIsNotBlamedForCrash()
+    {
+        VirtualSite site({ .seed = 65, .workers = 12, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.failNextCalls({ .kind = CallKind::Start, .fate = CallFate::AnswerLost });
+        site.submit(makeJob("j", 1, wholeWorker, 8000));
+        const std::string host = this->runUntilStarted(site, "j", 1);
+        site.run(site.now + 2500);
+        site.restart(host);
+        for (int i = 2; i <= 3; ++i) {
+            const std::string nextHost = this->runUntilStarted(site, "j", i);
+            site.run(site.now + 300);
+            site.restart(nextHost);
+        }
+        this->assertCompleted(site, "j");
+    }
+
     // Guards against a gang that fails because the workers of several members restarted, each of them
     // once or twice.
     void gangMembersLostInTurnAreNoAttempts()
