--- a/src/tasks/crash_history.cc
+++ b/src/tasks/crash_history.cc
@@ -1,3 +1,6 @@
+// Losses are counted by task, in the order of its runs. A run that survived its start begins the
+// count anew.
+
 #include "tasks/crash_history.h"
 
 #include <array>
@@ -8,9 +11,9 @@
 
     constexpr std::array<std::string_view, 4> evidenceNames { "unproven", "late", "early", "alone" };
 
-    constexpr int sufficientCrashes = 3;
-    constexpr int minProvenCrashes = 2;
-    constexpr std::int64_t maxRunsAfterCrashes = 2; // After as many losses as proven crashes suffice.
+    constexpr int sufficientCrashes = 3; // Proven ones.
+    constexpr int minProvenCrashes = 2; // They suffice after maxRunsAfterLosses.
+    constexpr std::int64_t maxRunsAfterLosses = 2; // The number of runs after `sufficientCrashes` losses, proven or not.
 
     // The losses of one task since a run of it survived its start.
     struct LossCounts {
@@ -34,7 +37,7 @@
         {
             if (this->proven >= sufficientCrashes)
                 return true;
-            return this->proven >= minProvenCrashes && this->all >= sufficientCrashes && lastRun - this->limitReachedAt >= maxRunsAfterCrashes;
+            return this->proven >= minProvenCrashes && this->all >= sufficientCrashes && lastRun - this->limitReachedAt >= maxRunsAfterLosses;
         }
     };
 
