Keep the proof of a crash if the next incarnation answers the stop

Cause: members of a gang on other workers report that a member ended, so its run is stopped; the crashed worker is back by then and answers the stop. That was taken for a stop that may have ended the run, so each loss was unproven, and an unproven loss no longer counts. A run that was listed before its start was answered, and one whose start may still arrive at the next incarnation, were unproven as well.

Change: a stop that is answered after the worker fell silent is no better explanation. A start of this planner is proven by the list too; only a run that it inherited isn't.

--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -172,7 +172,7 @@
     UnitKey unit;
     bool orphaned { false }; // Its unit no longer depends on it.
     bool inherited { false }; // Started by an earlier planner, if it was started.
-    bool hasBegun { false }; // Its start was answered, to this planner or to an earlier one that recorded it.
+    bool hasBegun { false }; // This planner knows that it began soon after its start was sent, or an earlier one recorded that.
     Resources resources;
     RunPhase phase { RunPhase::Recording };
     bool stopRequested { false };
--- a/src/tasks/task_planner_crashes.cc
+++ b/src/tasks/task_planner_crashes.cc
@@ -44,7 +44,8 @@
 // What the loss of a run proves against its task, or none if there is a better explanation than a
 // crash: a leaving worker has left, and a worker whose lease has expired may be cut off; it may
 // have crashed only if it is not listed any more. A run whose stop was answered may have been
-// stopped without its end being read, so the evidence is unproven.
+// stopped without its end being read, so the evidence is unproven, unless the worker had fallen silent
+// before it answered.
 std::optional<CrashEvidence> TaskPlanner::evidenceOf(const Worker& worker, const PlacedRun& placedRun, RunLoss loss)
 {
     if (worker.description.leaving || placedRun.phase == RunPhase::Recording || (loss == RunLoss::LeaseOver && worker.listed))
@@ -52,7 +53,8 @@
     const Unit* unit = this->find(placedRun.unit);
     if (placedRun.hasSurvivedStart())
         return CrashEvidence::Late;
-    const bool wasStopping = placedRun.startRuledOutAt > 0;
+    const bool nextIncarnationAnswered = worker.silent && worker.silentSince <= placedRun.startRuledOutAt;
+    const bool wasStopping = placedRun.startRuledOutAt > 0 && !nextIncarnationAnswered;
     if (loss == RunLoss::LeaseOver || !placedRun.hasBegun || wasStopping)
         return CrashEvidence::Unproven;
     const bool wasIsolated = unit && !unit->inherited && unit->run == placedRun.run.run && this->isolatedUnits.contains(placedRun.unit);
--- a/src/tasks/task_planner_incarnations.cc
+++ b/src/tasks/task_planner_incarnations.cc
@@ -62,7 +62,6 @@
         if (placedRun.phase == RunPhase::Running && !report.hasMoreEnds && !canStartLate(worker, run, now)) {
             lost.push_back(run);
         } else {
-            placedRun.hasBegun = false; // In which of the incarnations is unknown.
             unconfirmed.push_back(placedRun);
             placedRun.phase = RunPhase::Starting;
             placedRun.inherited = false;
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -268,11 +268,14 @@
     if (placedRun.phase == RunPhase::EndUnread)
         return; // A later report, which was answered first, didn't list it any more.
     const bool startWasUnanswered = placedRun.phase != RunPhase::Running;
-    if (startWasUnanswered) {
-        // It may have started long ago, so a crash soon after this isn't one soon after its start.
-        placedRun.phase = RunPhase::Running;
-        placedRun.confirmedAt = now;
-        if (std::exchange(placedRun.hasBegun, false) && this->find(placedRun.unit))
+    const bool wasRecordedAsBegun = placedRun.hasBegun;
+    if (startWasUnanswered)
+        this->confirmStart(placedRun, now);
+    // A run of an earlier planner may have started long ago, so a crash soon after this isn't one soon
+    // after its start.
+    if (startWasUnanswered && placedRun.inherited) {
+        placedRun.hasBegun = false;
+        if (wasRecordedAsBegun)
             this->markDirty(placedRun.unit.job);
     }
     const bool firstListed = placedRun.lastListedAt == 0;
