Report what is known of a step's advice with idle jobs

Change: job_idle of a job whose queue has advice names the number of allowed workers, of usable tickets and of requests, the validity of the tickets and the age of the last answer.

--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -14,6 +14,7 @@
 
 #include "tasks/progress.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -49,11 +50,20 @@
     // Returns null unless the worker may run the step and the ticket is valid until then.
     const std::string* ticketFor(const Incarnation& incarnation, Millis until) const;
 
+    // The number of allowed workers, and of those whose ticket is valid until then. For the log.
+    struct Counts {
+        std::int64_t allowed { 0 };
+        std::int64_t ticketed { 0 };
+    };
+    Counts count(Millis until) const;
+
     // True if there is no verdict, or if the worker is allowed and its ticket expires before then.
     bool needsRequest(const Incarnation& incarnation, Millis until) const;
 
     std::vector<Incarnation> requestedWorkers; // The workers in the request that is in progress.
     Millis notBefore { 0 }; // The earliest time of the next request.
+    std::int64_t requests { 0 }; // Sent so far.
+    Millis answeredAt { 0 }; // When a request was last answered, or 0.
     std::int64_t lastPass { 0 }; // The last pass over all steps in which a full round sent a request for this step.
 
 private:
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -319,6 +319,7 @@
     bool claimAdviceTurn(StepAdvice&);
     bool resolveAdvice(const Unit&, const Snapshot&, PlacementRequest&, Millis now);
     const std::string* ticketFor(const UnitKey&, const Incarnation&, Millis now) const;
+    std::string adviceText(const Unit&, Millis now) const;
     void forgetAdvice(const std::string& job);
 
     // Records, orders and events.
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -7,6 +7,7 @@
 #include "tasks/task_planner.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace rattan::tasks {
 
@@ -94,6 +95,7 @@
             stepAdvice.requestedWorkers.push_back(this->workers.at(candidates[i].worker->id).description.incarnation);
         }
         ++this->pendingAdviceRequests;
+        ++stepAdvice.requests;
         this->adviceOrders.push_back(std::move(order));
     }
     return false;
@@ -108,6 +110,7 @@
     if (found == this->adviceByStep.end() || job == this->jobs.end())
         return; // The job is final.
     StepAdvice& stepAdvice = found->second;
+    stepAdvice.answeredAt = now;
     for (const Incarnation& incarnation : stepAdvice.requestedWorkers) {
         const auto row = std::find_if(allowed.begin(), allowed.end(), [&](const AllowedWorker& worker) { return worker.id == incarnation.id; });
         if (row == allowed.end())
@@ -128,6 +131,18 @@
     found->second.notBefore = now + adviceRetryDelay;
 }
 
+// What is known of the workers that may run the unit's step, for the log; empty if its queue has no policy.
+std::string TaskPlanner::adviceText(const Unit& unit, Millis now) const
+{
+    const auto found = this->adviceByStep.find(stepOf(unit.key));
+    if (found == this->adviceByStep.end())
+        return "";
+    const StepAdvice& stepAdvice = found->second;
+    const StepAdvice::Counts counts = stepAdvice.count(now + minTicketValidity);
+    const std::string answered = stepAdvice.answeredAt > 0 ? fmt::format("the last answer {} ms ago", now - stepAdvice.answeredAt) : "no answer";
+    return fmt::format(", advice: {} workers allowed, {} with a usable ticket, tickets valid for {} ms, {} requests, {}", counts.allowed, counts.ticketed, unit.terms->advice.ticketValidity, stepAdvice.requests, answered);
+}
+
 void TaskPlanner::forgetAdvice(const std::string& job)
 {
     auto next = this->adviceByStep.lower_bound({ job, 0, 0 });
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -142,7 +142,7 @@
     const Unit& unit = this->units.lower_bound({ active.job->id, 0, 0, wholeGang })->second;
     const Millis fitsSince = this->fitsTwiceSince(active);
     const std::string unused = fitsSince > 0 ? fmt::format("fits twice in unused resources for {} ms", now - fitsSince) : "does not fit twice in unused resources";
-    this->emit(PlanEventKind::JobIdle, unit.key, unit.run, "", fmt::format("for {} ms, {}, {}, {}; idle jobs: {}", now - active.idleSince, nameOf(IdleCause::NotPlaced), nameOf(unit.waitReason), unused, countsText(this->idleCounts)));
+    this->emit(PlanEventKind::JobIdle, unit.key, unit.run, "", fmt::format("for {} ms, {}, {}, {}{}; idle jobs: {}", now - active.idleSince, nameOf(IdleCause::NotPlaced), nameOf(unit.waitReason), unused, this->adviceText(unit, now), countsText(this->idleCounts)));
 }
 
 std::string TaskPlanner::blockingRunText(const BlockingRun& blocking, Millis now) const
