Place by the verdict of the advice service, and need a ticket for the start only

Jobs stay queued beside idle workers that the service allows.

Cause: allowedWorkers() and adviceCandidates() took a ticket only if it was valid for 1,000 ms more. With a shorter validity no ticket ever is, so the worker counted as neither allowed nor denied and was asked about again: 603 requests in 44 s for six jobs, no start (job_idle: "4 workers allowed, 0 with a usable ticket, 12 requests"). A smaller constant would only move the fault to shorter tickets and slower records. What doesn't change is the verdict; only the start needs a ticket.

Change: placement, waiting, reservations and the clock of idle jobs go by the verdict. A start is sent when its record is durable and its ticket is valid for the way to the worker; otherwise the run waits for a new ticket, and its start is sent as soon as the answer arrives. Members of a gang are sent together if one request can name all their workers. Requests for such tickets go first, since their runs hold resources. If the service doesn't answer, these runs are withdrawn, and nothing is placed by verdict alone until it answers again. A start that waited isn't sent to a worker that is leaving, silent, evacuated, full or of another service by then. IdleCause::TicketPending.

Why it holds: the time between an answer and its start has only the transmission in it, neither the record nor other answers, so a ticket that can be used at all is used.

--- a/src/tasks/advice.cc
+++ b/src/tasks/advice.cc
@@ -2,12 +2,43 @@
 
 namespace rattan::tasks {
 
-const std::string* StepAdvice::ticketFor(const Incarnation& incarnation, Millis until) const
+const StepAdvice::Verdict* StepAdvice::find(const Incarnation& incarnation) const
 {
     const auto found = this->verdicts.find(incarnation);
-    if (found == this->verdicts.end() || !found->second.allowed || found->second.until < until)
-        return nullptr;
-    return &found->second.ticket;
+    return found == this->verdicts.end() ? nullptr : &found->second;
+}
+
+void StepAdvice::dropTicket(const Incarnation& incarnation)
+{
+    const auto found = this->verdicts.find(incarnation);
+    if (found == this->verdicts.end())
+        return;
+    found->second.ticket.clear();
+    found->second.receivedAt = found->second.until = 0;
+}
+
+bool StepAdvice::allows(const Incarnation& incarnation, Millis until) const
+{
+    const Verdict* verdict = this->find(incarnation);
+    return verdict && verdict->allowed && (!this->isFailing || verdict->until >= until);
+}
+
+bool StepAdvice::denies(const Incarnation& incarnation) const
+{
+    const Verdict* verdict = this->find(incarnation);
+    return verdict && !verdict->allowed;
+}
+
+bool StepAdvice::hasTicket(const Incarnation& incarnation, Millis now, Millis delay) const
+{
+    const Verdict* verdict = this->find(incarnation);
+    return verdict && verdict->allowed && (verdict->receivedAt == now || verdict->until >= now + delay);
+}
+
+const std::string* StepAdvice::ticketOf(const Incarnation& incarnation) const
+{
+    const Verdict* verdict = this->find(incarnation);
+    return verdict && !verdict->ticket.empty() ? &verdict->ticket : nullptr;
 }
 
 StepAdvice::Counts StepAdvice::count(Millis until) const
@@ -22,8 +53,8 @@
 
 bool StepAdvice::needsRequest(const Incarnation& incarnation, Millis until) const
 {
-    const auto found = this->verdicts.find(incarnation);
-    return found == this->verdicts.end() || (found->second.allowed && found->second.until < until);
+    const Verdict* verdict = this->find(incarnation);
+    return !verdict || (verdict->allowed && this->isFailing && verdict->until < until);
 }
 
 } // namespace rattan::tasks
--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -4,13 +4,17 @@
 // run a step.
 //
 //     StepAdvice advice;
-//     advice.allow(incarnation, "ticket", now + 5000);
+//     advice.allow(incarnation, "ticket", now, now + 5000);
 //     advice.deny(other);
-//     if (const std::string* ticket = advice.ticketFor(incarnation, now)) ... // sent with the start
+//     if (advice.allows(incarnation)) ... // place the run there
+//     if (advice.hasTicket(incarnation, now, 50)) ... // send the start with *advice.ticketOf(incarnation)
 //
-// A verdict on a worker's incarnation never changes. The ticket that proves it expires, and
-// a new one is requested when it is needed. Verdicts are not recorded; a planner that takes
-// over requests them again.
+// A verdict on a worker's incarnation never changes, and decides where the step is placed. The
+// ticket that proves it expires, at times before a start can be recorded. Only the start needs
+// it, so a new one is requested when a start is ready to be sent. Verdicts are not recorded; a
+// planner that takes over requests them again.
+//
+// All times are in milliseconds. Not thread-safe.
 
 #include "tasks/progress.h"
 
@@ -41,14 +45,25 @@
 
 class StepAdvice {
 public:
-    void allow(const Incarnation& incarnation, std::string ticket, Millis until) { this->verdicts[incarnation] = { true, std::move(ticket), until }; }
-    void deny(const Incarnation& incarnation) { this->verdicts[incarnation] = { false, {}, 0 }; }
+    // The ticket was received at `now` and is valid until then.
+    void allow(const Incarnation& incarnation, std::string ticket, Millis now, Millis until) { this->verdicts[incarnation] = { true, std::move(ticket), now, until }; }
+    void deny(const Incarnation& incarnation) { this->verdicts[incarnation] = {}; }
+
+    // Drops the ticket after a worker rejected it. The verdict holds.
+    void dropTicket(const Incarnation&);
+
+    // Whether the worker may run the step. If requests fail at present, it takes a ticket that is valid
+    // until then: without that, a run would hold its resources until a request succeeds.
+    bool allows(const Incarnation&, Millis until) const;
 
-    // Removes the verdict, so that it is requested again after a worker rejected the ticket.
-    void forget(const Incarnation& incarnation) { this->verdicts.erase(incarnation); }
+    bool denies(const Incarnation&) const;
 
-    // Returns null unless the worker may run the step and the ticket is valid until then.
-    const std::string* ticketFor(const Incarnation& incarnation, Millis until) const;
+    // Whether a start that is sent now and arrives within `delay` has a valid ticket. One that has just
+    // been received is used in any case, since no later one would be better.
+    bool hasTicket(const Incarnation&, Millis now, Millis delay) const;
+
+    // The newest ticket, valid or not; null if there is none.
+    const std::string* ticketOf(const Incarnation&) const;
 
     // The number of allowed workers, and of those whose ticket is valid until then. For the log.
     struct Counts {
@@ -57,10 +72,12 @@
     };
     Counts count(Millis until) const;
 
-    // True if there is no verdict, or if the worker is allowed and its ticket expires before then.
+    // Whether placement depends on an answer for this worker: there is no verdict, or requests have failed
+    // since and the ticket expires before then.
     bool needsRequest(const Incarnation& incarnation, Millis until) const;
 
     std::vector<Incarnation> requestedWorkers; // The workers in the request that is in progress.
+    bool isFailing { false }; // The last request failed.
     Millis notBefore { 0 }; // The earliest time of the next request.
     std::int64_t requests { 0 }; // Sent so far.
     Millis answeredAt { 0 }; // When a request was last answered, or 0.
@@ -70,9 +87,12 @@
     struct Verdict {
         bool allowed { false };
         std::string ticket;
+        Millis receivedAt { 0 };
         Millis until { 0 };
     };
 
+    const Verdict* find(const Incarnation&) const;
+
     std::map<Incarnation, Verdict> verdicts;
 };
 
--- a/src/tasks/idle_jobs.h
+++ b/src/tasks/idle_jobs.h
@@ -16,6 +16,7 @@
 enum class IdleCause {
     NotPlaced, // All its ready tasks wait to be placed.
     NotRecorded, // The record of a run is not durable yet, so its start was not sent.
+    TicketPending, // A start waits for a ticket of the advice service.
     StartPending, // A start was sent and may still be answered.
     StartUnanswered, // A start had no answer and may still be carried out.
     TakeoverUnsettled, // An earlier planner may have sent a start, and its worker has not answered this planner.
@@ -24,7 +25,7 @@
     WorkerSilent, // The run may be alive on a worker that does not answer.
 };
 
-inline constexpr std::array<std::string_view, 8> idleCauseNames { "not_placed", "not_recorded", "start_pending", "start_unanswered", "takeover_unsettled", "stop_unanswered", "end_unread", "worker_silent" };
+inline constexpr std::array<std::string_view, 9> idleCauseNames { "not_placed", "not_recorded", "ticket_pending", "start_pending", "start_unanswered", "takeover_unsettled", "stop_unanswered", "end_unread", "worker_silent" };
 
 inline constexpr std::string_view nameOf(IdleCause cause) { return idleCauseNames.at(static_cast<std::size_t>(cause)); }
 
--- a/src/tasks/planner_limits.h
+++ b/src/tasks/planner_limits.h
@@ -152,9 +152,12 @@
 // The delay after a failed advice request: the service was unreachable or overloaded.
 inline constexpr Millis adviceRetryDelay = 400;
 
-// A ticket must remain valid at least this long, until the start that is decided now has been
-// recorded and has arrived.
-inline constexpr Millis minTicketValidity = 1000;
+// The number of workers in a request for tickets of runs that are placed: the maximum that the service
+// takes, since all of them are needed.
+inline constexpr std::size_t maxWorkersPerTicketRequest = 100;
+
+// A ticket that expires within this time is renewed first: a start takes about that long to arrive.
+inline constexpr Millis startDeliveryTime = 200;
 
 // The number of events of one kind between two calls of takeOrders(). More are dropped because
 // they would delay decisions.
--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -147,7 +147,7 @@
 };
 
 enum class RunPhase {
-    Recording, // Its record isn't durable yet, and no start was sent.
+    Recording, // No start was sent: its record isn't durable yet, or it waits for a ticket.
     Starting, // A start was sent, or may have been sent by an earlier planner.
     Running, // The worker listed it or confirmed its start.
     EndUnread, // It isn't running and can't start any more, but its end may be one that its worker hasn't listed yet.
@@ -180,6 +180,7 @@
     bool stopInFlight { false };
     Millis nextStopAt { 0 }; // The earliest time at which another stop is sent.
     Millis stopBackoff { 0 }; // The delay after a stop without an answer.
+    bool awaitsTicket { false }; // Its start is sent when the advice service has answered.
     int startsSent { 0 };
     bool hasUnansweredStart { false }; // A start had no answer and may still be carried out.
     Millis startRuledOutAt { 0 }; // When the answer to a stop or a start showed that the worker won't start it later.
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -318,10 +318,26 @@
     std::vector<detail::AdviceCandidate> adviceCandidates(const StepAdvice&, const Snapshot&, const PlacementRequest&, Millis now) const;
     bool claimAdviceTurn(StepAdvice&);
     bool resolveAdvice(const Unit&, const Snapshot&, PlacementRequest&, Millis now);
-    const std::string* ticketFor(const UnitKey&, const Incarnation&, Millis now) const;
+    void requestAdvice(const Unit&, const std::vector<std::string>& named);
     std::string adviceText(const Unit&, Millis now) const;
     void forgetAdvice(const std::string& job);
 
+    // Starts that are recorded and wait for a ticket of the advice service.
+    struct WaitingStart {
+        Worker* worker { nullptr };
+        RunRef run;
+        bool hasTicket { false };
+    };
+    bool hasPolicy(const Unit&) const;
+    const std::string* ticketOf(const Unit&, const Worker&) const;
+    bool hasTicket(const Unit&, const Worker&, Millis now) const;
+    bool canTakeWaitingStart(const Unit&, const Worker&) const;
+    std::vector<WaitingStart> waitingStartsOf(const UnitKey&, Millis now);
+    void sendTicketedStarts(const UnitKey&, Millis now);
+    void updateWaitingStarts(Millis now);
+    void nameWaitingWorkers(const UnitKey&, std::set<std::string>& named, Millis now);
+    void withdrawWaitingStarts(const StepKey&, Millis now);
+
     // Records, orders and events.
     void markDirty(const std::string& job) { this->dirtyJobs.insert(job); }
     void requestImmediateRecord() { this->recordDueAt = 0; } // Another component waits for the record.
@@ -421,6 +437,7 @@
     std::map<Incarnation, std::int64_t> endsInBatch;
     std::vector<StartOrder> startOrders;
     std::map<StepKey, StepAdvice> adviceByStep; // For steps whose queue has a policy.
+    std::set<UnitKey> unitsAwaitingTickets; // Units with starts that wait for a ticket.
     std::vector<AdviceOrder> adviceOrders;
     int pendingAdviceRequests { 0 };
     std::int64_t advicePass { 1 }; // The current pass over all steps; each step sends at most one advice request per pass.
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -2,12 +2,18 @@
 // each start on them carries a ticket. The service handles one request at a time, and its time
 // grows with each worker in the request. So requests name a few dozen workers, first those that
 // could run the step immediately, and end once the step is placed.
+//
+// A run is placed and recorded by the verdict alone. Its start is sent when the record is durable
+// and the ticket is valid; if that has expired, the run waits for a new one, and its start is the
+// first thing that happens to it. So a ticket need only last for the transmission of a start,
+// however long records and answers take.
 
 #include "tasks/planner_limits.h"
 #include "tasks/task_planner.h"
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 
 namespace rattan::tasks {
 
@@ -19,23 +25,26 @@
 
 } // namespace
 
-const std::string* TaskPlanner::ticketFor(const UnitKey& unit, const Incarnation& incarnation, Millis now) const
+bool TaskPlanner::hasPolicy(const Unit& unit) const { return this->options.hasAdviceService && unit.terms->advice.ticketValidity > 0; }
+
+// The newest ticket for the worker, valid or not, or null.
+const std::string* TaskPlanner::ticketOf(const Unit& unit, const Worker& worker) const
 {
-    const auto found = this->adviceByStep.find(stepOf(unit));
-    return found == this->adviceByStep.end() ? nullptr : found->second.ticketFor(incarnation, now);
+    const auto found = this->adviceByStep.find(stepOf(unit.key));
+    return found == this->adviceByStep.end() ? nullptr : found->second.ticketOf(worker.description.incarnation);
 }
 
 std::set<std::string> TaskPlanner::allowedWorkers(const StepAdvice& stepAdvice, const Snapshot& snapshot, Millis now) const
 {
     std::set<std::string> allowed;
     for (const SnapshotWorker& worker : snapshot.workers) {
-        if (stepAdvice.ticketFor(this->workers.at(worker.id).description.incarnation, now + minTicketValidity))
+        if (stepAdvice.allows(this->workers.at(worker.id).description.incarnation, now + startDeliveryTime))
             allowed.insert(worker.id);
     }
     return allowed;
 }
 
-// Workers that could run a member and for which no valid verdict is known.
+// Workers that could run a member and for which an answer is needed first.
 std::vector<AdviceCandidate> TaskPlanner::adviceCandidates(const StepAdvice& stepAdvice, const Snapshot& snapshot, const PlacementRequest& request, Millis now) const
 {
     std::vector<AdviceCandidate> candidates;
@@ -43,17 +52,16 @@
     anywhere.allowedWorkers = nullptr;
     for (const SnapshotWorker& worker : snapshot.workers) {
         const Incarnation& incarnation = this->workers.at(worker.id).description.incarnation;
-        if (!snapshot.isEligible(worker, anywhere) || !request.perMember.fitsIn(worker.capacity) || !stepAdvice.needsRequest(incarnation, now + minTicketValidity))
+        if (!snapshot.isEligible(worker, anywhere) || !request.perMember.fitsIn(worker.capacity) || !stepAdvice.needsRequest(incarnation, now + startDeliveryTime))
             continue;
         candidates.push_back({ &worker, worker.rack == request.rack, request.perMember.fitsIn(worker.free) && request.perMember.fitsIn(worker.freeAfterStops) });
     }
     return candidates;
 }
 
-// Whether the step may send a request now; if so, counts it as sent in this pass. Tickets expire,
-// so a step whose workers are busy requests advice repeatedly, and a few such steps would use all
-// requests and starve the steps after them. Therefore each step sends at most one request per
-// pass over all steps. Rounds of urgent units are exempt.
+// Whether the step may send a request now; if so, counts it as sent in this pass. A few steps that
+// may run on few workers would use all requests and starve the steps after them. Therefore each
+// step sends at most one request per pass over all steps. Rounds of urgent units are exempt.
 bool TaskPlanner::claimAdviceTurn(StepAdvice& stepAdvice)
 {
     const bool isFullRound = this->round.kind == RoundKind::Full;
@@ -89,18 +97,131 @@
         return stepAdvice.requestedWorkers.empty();
     std::stable_sort(candidates.begin(), candidates.end(), [](const AdviceCandidate& a, const AdviceCandidate& b) { return std::pair(a.nearData, a.fitsNow) > std::pair(b.nearData, b.fitsNow); });
     if (stepAdvice.requestedWorkers.empty() && now >= stepAdvice.notBefore && this->claimAdviceTurn(stepAdvice)) {
-        AdviceOrder order { .step = stepOf(unit.key), .terms = unit.terms->advice, .workers = {} };
-        for (std::size_t i = 0; i < std::min(candidates.size(), maxWorkersPerAdviceRequest); ++i) {
-            order.workers.push_back(candidates[i].worker->id);
-            stepAdvice.requestedWorkers.push_back(this->workers.at(candidates[i].worker->id).description.incarnation);
-        }
-        ++this->pendingAdviceRequests;
-        ++stepAdvice.requests;
-        this->adviceOrders.push_back(std::move(order));
+        std::vector<std::string> named;
+        for (std::size_t i = 0; i < std::min(candidates.size(), maxWorkersPerAdviceRequest); ++i)
+            named.push_back(candidates[i].worker->id);
+        this->requestAdvice(unit, named);
     }
     return false;
 }
 
+void TaskPlanner::requestAdvice(const Unit& unit, const std::vector<std::string>& named)
+{
+    StepAdvice& stepAdvice = this->adviceByStep[stepOf(unit.key)];
+    for (const std::string& id : named)
+        stepAdvice.requestedWorkers.push_back(this->workers.at(id).description.incarnation);
+    ++this->pendingAdviceRequests;
+    ++stepAdvice.requests;
+    this->adviceOrders.push_back({ .step = stepOf(unit.key), .terms = unit.terms->advice, .workers = named });
+}
+
+bool TaskPlanner::hasTicket(const Unit& unit, const Worker& worker, Millis now) const
+{
+    if (!this->hasPolicy(unit))
+        return true;
+    const auto found = this->adviceByStep.find(stepOf(unit.key));
+    return found != this->adviceByStep.end() && found->second.hasTicket(worker.description.incarnation, now, startDeliveryTime);
+}
+
+// Whether a start that has waited for its ticket may still be sent to the worker.
+bool TaskPlanner::canTakeWaitingStart(const Unit& unit, const Worker& worker) const
+{
+    const auto found = this->adviceByStep.find(stepOf(unit.key));
+    if (this->hasPolicy(unit) && found != this->adviceByStep.end() && found->second.denies(worker.description.incarnation))
+        return false;
+    const bool takesWork = worker.listed && !worker.description.leaving && !worker.silent && worker.description.service == unit.terms->service;
+    return takesWork && isWithinCapacity(worker) && !this->isEvacuated(worker) && this->mayGrantLease(worker);
+}
+
+// The runs of the unit whose starts wait for tickets; none if the unit is being stopped.
+std::vector<TaskPlanner::WaitingStart> TaskPlanner::waitingStartsOf(const UnitKey& key, Millis now)
+{
+    std::vector<WaitingStart> waiting;
+    const Unit* unit = this->find(key);
+    if (!unit || unit->state != UnitState::Running || unit->stopping)
+        return waiting;
+    for (std::size_t member = 0; member < unit->workers.size(); ++member) {
+        Worker* worker = this->find(unit->workers[member]);
+        const RunRef run { unit->task(static_cast<std::int64_t>(member)), unit->run };
+        const auto found = worker ? worker->placedRuns.find(run) : std::map<RunRef, PlacedRun>::iterator();
+        if (worker && found != worker->placedRuns.end() && found->second.awaitsTicket)
+            waiting.push_back({ worker, run, this->hasTicket(*unit, *worker, now) });
+    }
+    return waiting;
+}
+
+// Sends the unit's starts that have their tickets. The members of a gang wait for each other on their
+// workers, so their starts are sent together, unless no single answer can have the tickets of all.
+void TaskPlanner::sendTicketedStarts(const UnitKey& key, Millis now)
+{
+    const std::vector<WaitingStart> waiting = this->waitingStartsOf(key, now);
+    if (waiting.empty()) {
+        this->unitsAwaitingTickets.erase(key);
+        return;
+    }
+    const Unit& unit = this->units.at(key);
+    const auto withdrawn = std::find_if(waiting.begin(), waiting.end(), [&](const WaitingStart& start) { return !this->canTakeWaitingStart(unit, *start.worker); });
+    if (withdrawn != waiting.end())
+        return this->withdrawStart(*withdrawn->worker, withdrawn->run, now); // Stops the whole unit.
+    const bool lacksTickets = std::any_of(waiting.begin(), waiting.end(), [](const WaitingStart& start) { return !start.hasTicket; });
+    if (lacksTickets && waiting.size() <= maxWorkersPerTicketRequest)
+        return;
+    for (const WaitingStart& start : waiting) {
+        if (!start.hasTicket)
+            continue;
+        PlacedRun& placedRun = start.worker->placedRuns.at(start.run);
+        placedRun.awaitsTicket = false;
+        placedRun.phase = RunPhase::Starting;
+        this->sendStart(*start.worker, placedRun, unit, now);
+    }
+    if (!lacksTickets)
+        this->unitsAwaitingTickets.erase(key);
+}
+
+// Sends the starts that have their tickets, and requests tickets for the others. They come before
+// requests for steps that are not placed, since their runs hold resources.
+void TaskPlanner::updateWaitingStarts(Millis now)
+{
+    for (const UnitKey& key : std::vector<UnitKey>(this->unitsAwaitingTickets.begin(), this->unitsAwaitingTickets.end()))
+        this->sendTicketedStarts(key, now);
+    auto next = this->unitsAwaitingTickets.begin();
+    while (next != this->unitsAwaitingTickets.end() && this->pendingAdviceRequests < maxPendingAdviceRequests) {
+        const StepKey step = stepOf(*next);
+        const Unit& unit = this->units.at(*next);
+        std::set<std::string> named;
+        for (; next != this->unitsAwaitingTickets.end() && stepOf(*next) == step; ++next)
+            this->nameWaitingWorkers(*next, named, now);
+        const StepAdvice& stepAdvice = this->adviceByStep[step];
+        if (stepAdvice.requestedWorkers.empty() && now >= stepAdvice.notBefore && !named.empty())
+            this->requestAdvice(unit, { named.begin(), named.end() });
+    }
+}
+
+// Adds the workers for which the unit needs tickets, as far as one request can name them. A gang needs
+// tickets that are valid at one time, so it requests those of all members if one request can name them.
+void TaskPlanner::nameWaitingWorkers(const UnitKey& key, std::set<std::string>& named, Millis now)
+{
+    const std::vector<WaitingStart> waiting = this->waitingStartsOf(key, now);
+    const bool needsAll = waiting.size() <= maxWorkersPerTicketRequest;
+    for (const WaitingStart& start : waiting) {
+        if ((needsAll || !start.hasTicket) && named.size() < maxWorkersPerTicketRequest)
+            named.insert(start.worker->description.incarnation.id);
+    }
+}
+
+// Withdraws the step's starts that wait for tickets: no ticket can be expected soon, and other jobs can
+// use their resources.
+void TaskPlanner::withdrawWaitingStarts(const StepKey& step, Millis now)
+{
+    for (const UnitKey& key : std::vector<UnitKey>(this->unitsAwaitingTickets.begin(), this->unitsAwaitingTickets.end())) {
+        if (stepOf(key) != step)
+            continue;
+        for (const WaitingStart& start : this->waitingStartsOf(key, now))
+            this->withdrawStart(*start.worker, start.run, now);
+        this->unitsAwaitingTickets.erase(key);
+    }
+}
+
 void TaskPlanner::adviceAnswered(const StepKey& step, const std::vector<AllowedWorker>& allowed, Millis now)
 {
     --this->pendingAdviceRequests;
@@ -111,14 +232,19 @@
         return; // The job is final.
     StepAdvice& stepAdvice = found->second;
     stepAdvice.answeredAt = now;
+    stepAdvice.isFailing = false;
     for (const Incarnation& incarnation : stepAdvice.requestedWorkers) {
         const auto row = std::find_if(allowed.begin(), allowed.end(), [&](const AllowedWorker& worker) { return worker.id == incarnation.id; });
         if (row == allowed.end())
             stepAdvice.deny(incarnation);
         else
-            stepAdvice.allow(incarnation, row->ticket, now + job->second.terms->advice.ticketValidity);
+            stepAdvice.allow(incarnation, row->ticket, now, now + job->second.terms->advice.ticketValidity);
     }
     stepAdvice.requestedWorkers.clear();
+    for (const UnitKey& key : std::vector<UnitKey>(this->unitsAwaitingTickets.begin(), this->unitsAwaitingTickets.end())) {
+        if (stepOf(key) == step)
+            this->sendTicketedStarts(key, now);
+    }
 }
 
 void TaskPlanner::adviceFailed(const StepKey& step, Millis now)
@@ -129,6 +255,8 @@
         return;
     found->second.requestedWorkers.clear();
     found->second.notBefore = now + adviceRetryDelay;
+    found->second.isFailing = true;
+    this->withdrawWaitingStarts(step, now);
 }
 
 // What is known of the workers that may run the unit's step, for the log; empty if its queue has no policy.
@@ -138,7 +266,7 @@
     if (found == this->adviceByStep.end())
         return "";
     const StepAdvice& stepAdvice = found->second;
-    const StepAdvice::Counts counts = stepAdvice.count(now + minTicketValidity);
+    const StepAdvice::Counts counts = stepAdvice.count(now + startDeliveryTime);
     const std::string answered = stepAdvice.answeredAt > 0 ? fmt::format("the last answer {} ms ago", now - stepAdvice.answeredAt) : "no answer";
     return fmt::format(", advice: {} workers allowed, {} with a usable ticket, tickets valid for {} ms, {} requests, {}", counts.allowed, counts.ticketed, unit.terms->advice.ticketValidity, stepAdvice.requests, answered);
 }
--- a/src/tasks/task_planner_idle.cc
+++ b/src/tasks/task_planner_idle.cc
@@ -18,7 +18,7 @@
     IdleCause causeOf(const WorkerState& worker, const PlacedRun& placedRun)
     {
         if (placedRun.phase == RunPhase::Recording)
-            return IdleCause::NotRecorded;
+            return placedRun.awaitsTicket ? IdleCause::TicketPending : IdleCause::NotRecorded;
         if (placedRun.phase == RunPhase::EndUnread)
             return IdleCause::EndUnread;
         if (placedRun.stopRequested)
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -199,10 +199,16 @@
             this->removeMember(worker->second, run, std::nullopt, "", now);
             continue;
         }
+        if (this->hasPolicy(*unit)) {
+            placedRun->second.awaitsTicket = true;
+            this->unitsAwaitingTickets.insert(unit->key);
+            continue;
+        }
         placedRun->second.phase = RunPhase::Starting;
         this->sendStart(worker->second, placedRun->second, *unit, now);
     }
     this->startsInBatch.clear();
+    this->updateWaitingStarts(now);
 }
 
 void TaskPlanner::sendStart(Worker& worker, PlacedRun& placedRun, const Unit& unit, Millis now)
@@ -210,7 +216,7 @@
     ++placedRun.startsSent;
     worker.lastStartAt = now;
     this->grantLease(worker, now);
-    const std::string* ticket = this->ticketFor(unit.key, worker.description.incarnation, now);
+    const std::string* ticket = this->ticketOf(unit, worker);
     this->startOrders.push_back({ worker.description.incarnation, worker.description.address, worker.description.domain, placedRun.run, this->jobs.at(placedRun.run.task.job).text, unit.checkpoint, ticket ? *ticket : "", now });
 }
 
--- a/src/tasks/task_planner_rounds.cc
+++ b/src/tasks/task_planner_rounds.cc
@@ -41,6 +41,7 @@
             this->addNeededUnits(active, now);
         this->beginDueOccurrences(active, now, wall);
     }
+    this->updateWaitingStarts(now);
     const RoundKind kind = this->pacer.next(now, !this->urgentWaitingUnits.empty());
     this->round = { .kind = kind };
     if (kind == RoundKind::None)
@@ -56,7 +57,7 @@
 
 Millis TaskPlanner::nextWake(Millis now, Millis wall) const
 {
-    if (this->hasDuePolls())
+    if (this->hasDuePolls() || !this->adviceOrders.empty())
         return now;
     Millis next = this->pacer.nextWake(now, !this->urgentWaitingUnits.empty());
     if (!this->isBatchPending)
@@ -432,7 +433,7 @@
             request.isolatedWorkers = isolation.empty() ? nullptr : &isolation;
         }
         std::set<std::string> allowed;
-        const bool hasPolicy = this->options.hasAdviceService && unit.terms->advice.ticketValidity > 0;
+        const bool hasPolicy = this->hasPolicy(unit);
         if (hasPolicy) {
             allowed = this->allowedWorkers(this->adviceByStep[{ unit.key.job, unit.key.occurrence, unit.key.step }], snapshot->second, now);
             request.allowedWorkers = &allowed;
--- a/src/tasks/task_planner_violations.cc
+++ b/src/tasks/task_planner_violations.cc
@@ -20,7 +20,7 @@
 
 void TaskPlanner::checkWorkers(std::vector<std::string>& problems) const
 {
-    // A run in the phase Recording that is in no batch would never be started.
+    // A run in the phase Recording that is in no batch and waits for no ticket would never be started.
     const auto isRecorded = [this](const std::string& worker, const RunRef& run) {
         const std::pair<std::string, RunRef> start { worker, run };
         const auto holds = [&start](const auto& starts) { return std::find(starts.begin(), starts.end(), start) != starts.end(); };
@@ -36,8 +36,10 @@
                 problems.push_back("a run that is not the current run of a running unit: " + run.task.job);
             if (!placedRun.orphaned && ++live[run.task] > 1)
                 problems.push_back("a task with two current runs: " + run.task.job);
-            if (placedRun.phase == RunPhase::Recording && !isRecorded(id, run))
+            if (placedRun.phase == RunPhase::Recording && !placedRun.awaitsTicket && !isRecorded(id, run))
                 problems.push_back("a run that waits for a record but is in no batch: " + run.task.job);
+            if (placedRun.awaitsTicket && !placedRun.stopRequested && !this->unitsAwaitingTickets.contains(placedRun.unit))
+                problems.push_back("a run that waits for a ticket that isn't requested: " + run.task.job);
         }
         if (!(used == worker.used))
             problems.push_back("the used resources of " + id + " differ from the sum of its runs");
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -427,7 +427,7 @@
         break;
     case StartAnswer::InvalidTicket:
         if (const auto known = this->adviceByStep.find({ run.task.job, run.task.occurrence, run.task.step }); known != this->adviceByStep.end())
-            known->second.forget(incarnation);
+            known->second.dropTicket(incarnation);
         break;
     case StartAnswer::Unavailable:
         worker->health.runFailed(now);
--- a/src/tasks/testing/virtual_site.cc
+++ b/src/tasks/testing/virtual_site.cc
@@ -95,6 +95,13 @@
         this->planner->applyCatalog(this->planningCatalog);
 }
 
+void VirtualSite::dropPolicy(const std::string& queue)
+{
+    for (auto& [id, job] : this->jobs)
+        job.terms.advice = job.terms.queue == queue ? AdviceTerms {} : job.terms.advice;
+    this->sendQueue(queue, "s");
+}
+
 void VirtualSite::run(Millis until)
 {
     while (this->now < until) {
@@ -174,23 +181,41 @@
 
 void VirtualSite::answerAdvice(const AdviceOrder& order)
 {
+    constexpr Millis timeout = 700; // In addition to the time of the request.
+    ++this->adviceRequests;
     this->workersInAdviceRequests += static_cast<std::int64_t>(order.workers.size());
     const Millis duration = order.terms.perRequest + order.terms.perWorker * static_cast<Millis>(order.workers.size());
-    const bool isLost = this->randomShare() < this->options.lostAdvice;
-    this->schedule(this->now + duration, [this, order, isLost, generation = this->plannerGeneration] {
-        if (generation != this->plannerGeneration || !this->planner)
-            return;
-        if (isLost)
-            return this->planner->adviceFailed(order.step, this->now);
-        std::vector<AllowedWorker> allowed;
-        for (const std::string& worker : order.workers) {
-            if ((worker.back() - '0') % 2 == 0)
-                allowed.push_back({ worker, this->ticketOf(order.step, worker) });
-        }
-        this->planner->adviceAnswered(order.step, allowed, this->now);
+    if (this->isAdviceAway || this->randomShare() < this->options.lostAdvice) {
+        this->deliver(this->now + duration + timeout, this->plannerGeneration, [this, order] { this->planner->adviceFailed(order.step, this->now); });
+        return;
+    }
+    this->adviceBusyUntil = std::max(this->adviceBusyUntil, this->now) + duration;
+    this->schedule(this->adviceBusyUntil, [this, order, generation = this->plannerGeneration] {
+        this->deliver(this->now + this->adviceDelay, generation, [this, order, allowed = this->issueTickets(order)] { this->planner->adviceAnswered(order.step, allowed, this->now); });
     });
 }
 
+std::vector<AllowedWorker> VirtualSite::issueTickets(const AdviceOrder& order)
+{
+    std::vector<AllowedWorker> allowed;
+    for (const std::string& worker : order.workers) {
+        if ((worker.back() - '0') % 2 != 0)
+            continue;
+        const std::string ticket = fmt::format("ticket {}", this->tickets.size());
+        this->tickets[ticket] = { order.step, { worker, this->workers.at(worker).born }, this->now + order.terms.ticketValidity };
+        allowed.push_back({ worker, ticket });
+    }
+    return allowed;
+}
+
+bool VirtualSite::isTicketValid(const StartOrder& order) const
+{
+    const auto found = this->tickets.find(order.ticket);
+    const TaskRef& task = order.run.task;
+    const bool fits = found != this->tickets.end() && found->second.step == StepKey { task.job, task.occurrence, task.step };
+    return fits && found->second.worker == Incarnation { order.worker.id, this->workers.at(order.worker.id).born } && this->now < found->second.until;
+}
+
 void VirtualSite::advance()
 {
     while (!this->events.empty() && this->events.begin()->first <= this->now) {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -118,6 +118,9 @@
     // terms of each job.
     void sendQueue(const std::string& queue, const std::string& service, std::optional<std::int64_t> priority = std::nullopt);
 
+    // Publishes a configuration in which the queue needs no advice.
+    void dropPolicy(const std::string& queue);
+
     // While set, planners get none of the configurations that are published.
     void hideConfigurations(bool hides) { this->hidesConfigurations = hides; }
 
@@ -143,6 +146,12 @@
     // executed this much later, by the worker that has the address at that time.
     void repeatNextStart(Millis delay) { this->nextStartRepeatDelay = delay; }
 
+    // Answers of the advice service arrive this much later than they are given.
+    void delayAdvice(Millis delay) { this->adviceDelay = delay; }
+
+    // The advice service answers no request that it receives meanwhile.
+    void setAdviceAway(bool isAway) { this->isAdviceAway = isAway; }
+
     // The next `count` starts are not sent; the planner receives the answer NotSent for them.
     void suppressNextStarts(int count) { this->suppressedStarts = count; }
 
@@ -247,7 +256,9 @@
     std::size_t unacknowledgedEnds() const;
 
     std::map<std::string, double> workFactors; // By workspace, the ratio of the work to the declared time; 1 if not listed.
-    std::int64_t startsWithoutTicket { 0 }; // Starts that lacked a required ticket.
+    std::int64_t startsWithoutTicket { 0 }; // Starts that lacked a required ticket, or whose ticket had expired.
+    std::int64_t startsWhileLeaving { 0 }; // On workers that had announced it.
+    std::int64_t adviceRequests { 0 };
     std::int64_t workersInAdviceRequests { 0 }; // Workers listed in all advice requests.
 
     std::mt19937_64 random;
@@ -370,9 +381,16 @@
     void holdPoll(const HeldPoll& held);
 
     // Answers for the policy of every queue that has one: workers with an even number may run its
-    // steps.
+    // steps. The service handles one request at a time.
     void answerAdvice(const AdviceOrder& order);
-    std::string ticketOf(const StepKey& step, const std::string& worker) const;
+    std::vector<AllowedWorker> issueTickets(const AdviceOrder& order);
+    bool isTicketValid(const StartOrder& order) const;
+
+    struct Ticket {
+        StepKey step;
+        Incarnation worker;
+        Millis until { 0 };
+    };
 
     std::optional<WorkerReport> executePoll(const PollOrder& order, std::int64_t term, Millis until);
 
@@ -398,6 +416,10 @@
     Millis nextStartDelay { 0 };
     Millis nextStartRepeatDelay { 0 };
     Millis recordDelay { 0 };
+    Millis adviceDelay { 0 };
+    bool isAdviceAway { false };
+    Millis adviceBusyUntil { 0 };
+    std::map<std::string, Ticket> tickets; // By their text.
     Millis plannerInterval { 0 };
     Millis nextPlannerTurn { 0 };
     Millis roundDuration { 0 };
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -188,11 +188,6 @@
     return result;
 }
 
-std::string VirtualSite::ticketOf(const StepKey& step, const std::string& worker) const
-{
-    return fmt::format("{}.{}.{} on {} born {}", step.job, step.occurrence, step.step, worker, this->workers.at(worker).born);
-}
-
 StartAnswer VirtualSite::executeStart(const StartOrder& order, std::int64_t term, Millis until)
 {
     this->traceRun(order.run, order.worker.id, "start received");
@@ -208,7 +203,7 @@
     if (worker.highestRefusedRuns[order.run.task] >= order.run.run)
         return StartAnswer::Superseded;
     const TaskRef& task = order.run.task;
-    if (this->jobs.at(task.job).terms.advice.ticketValidity > 0 && order.ticket != this->ticketOf({ task.job, task.occurrence, task.step }, order.worker.id)) {
+    if (this->jobs.at(task.job).terms.advice.ticketValidity > 0 && !this->isTicketValid(order)) {
         ++this->startsWithoutTicket;
         return StartAnswer::InvalidTicket;
     }
@@ -261,6 +256,7 @@
 {
     const TaskRef& task = order.run.task;
     ++this->startCounts[task.job];
+    this->startsWhileLeaving += worker.leaving ? 1 : 0;
     const Job& job = this->jobs.at(task.job);
     const Step& step = this->stepOf(task);
     this->checkCapacity(order, worker);
