Request a valid ticket before a start is repeated

A job whose start was not answered began late, or a gang was stopped whole.

Cause: a start is repeated after its timeout. By then a short ticket has expired, and the repeat is rejected for it. The rejection doesn't settle the first attempt, which may still be carried out, so the run used up its attempts, was stopped, and its task began anew once the stop was settled.

Change: a repeat waits for a valid ticket like a first start. If the advice service gives none, the run is stopped as before.

--- a/src/tasks/planner_state.h
+++ b/src/tasks/planner_state.h
@@ -194,6 +194,9 @@
         this->stopRequested = true;
     }
 
+    // True if its start waits for a ticket and is still wanted.
+    bool isWaitingStart() const { return this->awaitsTicket && !this->stopRequested && (this->phase == RunPhase::Recording || this->phase == RunPhase::Starting); }
+
     // True if it has run for long enough that its start won't crash its worker.
     bool hasSurvivedStart() const { return this->phase == RunPhase::Running && this->lastListedAt - this->confirmedAt >= startSurvivalTime; }
 };
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -325,14 +325,16 @@
     // Starts that are recorded and wait for a ticket of the advice service.
     struct WaitingStart {
         Worker* worker { nullptr };
-        RunRef run;
+        PlacedRun* placedRun { nullptr };
         bool hasTicket { false };
     };
     bool hasPolicy(const Unit&) const;
     const std::string* ticketOf(const Unit&, const Worker&) const;
     bool hasTicket(const Unit&, const Worker&, Millis now) const;
-    bool canTakeWaitingStart(const Unit&, const Worker&) const;
+    bool canTakeWaitingStart(const Unit&, const WaitingStart&) const;
     std::vector<WaitingStart> waitingStartsOf(const UnitKey&, Millis now);
+    std::vector<std::pair<Worker*, RunRef>> waitingRunsOf(const UnitKey&, Millis now);
+    void awaitTicket(PlacedRun&);
     void sendTicketedStarts(const UnitKey&, Millis now);
     void updateWaitingStarts(Millis now);
     void nameWaitingWorkers(const UnitKey&, std::set<std::string>& named, Millis now);
@@ -350,6 +352,7 @@
     static void setDurable(Worker&, std::int64_t number, Millis now);
     static bool isWithinCapacity(const Worker&);
     void sendStart(Worker&, PlacedRun&, const Unit&, Millis now);
+    void sendStartAgain(Worker&, PlacedRun&, const Unit&, Millis now);
     static bool isEndExpected(const Worker&);
     bool isLeaseHalfOver(const Worker&, Millis now) const;
     bool isEndOverdue(const Worker&, const PlacedRun&, Millis now) const;
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -123,13 +123,15 @@
     return found != this->adviceByStep.end() && found->second.hasTicket(worker.description.incarnation, now, startDeliveryTime);
 }
 
-// Whether a start that has waited for its ticket may still be sent to the worker.
-bool TaskPlanner::canTakeWaitingStart(const Unit& unit, const Worker& worker) const
+// Whether a start that has waited for its ticket may still be sent. One that is repeated may be sent to a
+// worker that did not answer the first attempt.
+bool TaskPlanner::canTakeWaitingStart(const Unit& unit, const WaitingStart& start) const
 {
+    const Worker& worker = *start.worker;
     const auto found = this->adviceByStep.find(stepOf(unit.key));
     if (this->hasPolicy(unit) && found != this->adviceByStep.end() && found->second.denies(worker.description.incarnation))
         return false;
-    const bool takesWork = worker.listed && !worker.description.leaving && !worker.silent && worker.description.service == unit.terms->service;
+    const bool takesWork = worker.listed && !worker.description.leaving && (!worker.silent || start.placedRun->phase == RunPhase::Starting) && worker.description.service == unit.terms->service;
     return takesWork && isWithinCapacity(worker) && !this->isEvacuated(worker) && this->mayGrantLease(worker);
 }
 
@@ -144,12 +146,20 @@
         Worker* worker = this->find(unit->workers[member]);
         const RunRef run { unit->task(static_cast<std::int64_t>(member)), unit->run };
         const auto found = worker ? worker->placedRuns.find(run) : std::map<RunRef, PlacedRun>::iterator();
-        if (worker && found != worker->placedRuns.end() && found->second.awaitsTicket)
-            waiting.push_back({ worker, run, this->hasTicket(*unit, *worker, now) });
+        if (worker && found != worker->placedRuns.end() && found->second.isWaitingStart())
+            waiting.push_back({ worker, &found->second, this->hasTicket(*unit, *worker, now) });
     }
     return waiting;
 }
 
+// The start is sent as soon as it has a ticket, possibly at once.
+void TaskPlanner::awaitTicket(PlacedRun& placedRun)
+{
+    placedRun.awaitsTicket = true;
+    this->unitsAwaitingTickets.insert(placedRun.unit);
+    this->pacer.markChanged();
+}
+
 // Sends the unit's starts that have their tickets. The members of a gang wait for each other on their
 // workers, so their starts are sent together, unless no single answer can have the tickets of all.
 void TaskPlanner::sendTicketedStarts(const UnitKey& key, Millis now)
@@ -160,19 +170,18 @@
         return;
     }
     const Unit& unit = this->units.at(key);
-    const auto withdrawn = std::find_if(waiting.begin(), waiting.end(), [&](const WaitingStart& start) { return !this->canTakeWaitingStart(unit, *start.worker); });
+    const auto withdrawn = std::find_if(waiting.begin(), waiting.end(), [&](const WaitingStart& start) { return !this->canTakeWaitingStart(unit, start); });
     if (withdrawn != waiting.end())
-        return this->withdrawStart(*withdrawn->worker, withdrawn->run, now); // Stops the whole unit.
+        return this->withdrawStart(*withdrawn->worker, withdrawn->placedRun->run, now); // Stops the whole unit.
     const bool lacksTickets = std::any_of(waiting.begin(), waiting.end(), [](const WaitingStart& start) { return !start.hasTicket; });
     if (lacksTickets && waiting.size() <= maxWorkersPerTicketRequest)
         return;
     for (const WaitingStart& start : waiting) {
         if (!start.hasTicket)
             continue;
-        PlacedRun& placedRun = start.worker->placedRuns.at(start.run);
-        placedRun.awaitsTicket = false;
-        placedRun.phase = RunPhase::Starting;
-        this->sendStart(*start.worker, placedRun, unit, now);
+        start.placedRun->awaitsTicket = false;
+        start.placedRun->phase = RunPhase::Starting;
+        this->sendStart(*start.worker, *start.placedRun, unit, now);
     }
     if (!lacksTickets)
         this->unitsAwaitingTickets.erase(key);
@@ -209,6 +218,15 @@
     }
 }
 
+// As waitingStartsOf(), to be used while runs are removed.
+std::vector<std::pair<TaskPlanner::Worker*, RunRef>> TaskPlanner::waitingRunsOf(const UnitKey& key, Millis now)
+{
+    std::vector<std::pair<Worker*, RunRef>> runs;
+    for (const WaitingStart& start : this->waitingStartsOf(key, now))
+        runs.emplace_back(start.worker, start.placedRun->run);
+    return runs;
+}
+
 // Withdraws the step's starts that wait for tickets: no ticket can be expected soon, and other jobs can
 // use their resources.
 void TaskPlanner::withdrawWaitingStarts(const StepKey& step, Millis now)
@@ -216,8 +234,8 @@
     for (const UnitKey& key : std::vector<UnitKey>(this->unitsAwaitingTickets.begin(), this->unitsAwaitingTickets.end())) {
         if (stepOf(key) != step)
             continue;
-        for (const WaitingStart& start : this->waitingStartsOf(key, now))
-            this->withdrawStart(*start.worker, start.run, now);
+        for (const auto& [worker, run] : this->waitingRunsOf(key, now))
+            this->withdrawStart(*worker, run, now);
         this->unitsAwaitingTickets.erase(key);
     }
 }
--- a/src/tasks/task_planner_orders.cc
+++ b/src/tasks/task_planner_orders.cc
@@ -200,8 +200,7 @@
             continue;
         }
         if (this->hasPolicy(*unit)) {
-            placedRun->second.awaitsTicket = true;
-            this->unitsAwaitingTickets.insert(unit->key);
+            this->awaitTicket(placedRun->second);
             continue;
         }
         placedRun->second.phase = RunPhase::Starting;
@@ -220,6 +219,15 @@
     this->startOrders.push_back({ worker.description.incarnation, worker.description.address, worker.description.domain, placedRun.run, this->jobs.at(placedRun.run.task.job).text, unit.checkpoint, ticket ? *ticket : "", now });
 }
 
+// The ticket of the first attempt may have expired since.
+void TaskPlanner::sendStartAgain(Worker& worker, PlacedRun& placedRun, const Unit& unit, Millis now)
+{
+    if (this->hasTicket(unit, worker, now))
+        this->sendStart(worker, placedRun, unit, now);
+    else
+        this->awaitTicket(placedRun);
+}
+
 // Whether a stop was answered before the run was confirmed as started, and no poll has shown the
 // result yet. The next poll settles such a run. Another stop would only postpone that, since its
 // answer would require a still later poll.
--- a/src/tasks/task_planner_violations.cc
+++ b/src/tasks/task_planner_violations.cc
@@ -38,7 +38,7 @@
                 problems.push_back("a task with two current runs: " + run.task.job);
             if (placedRun.phase == RunPhase::Recording && !placedRun.awaitsTicket && !isRecorded(id, run))
                 problems.push_back("a run that waits for a record but is in no batch: " + run.task.job);
-            if (placedRun.awaitsTicket && !placedRun.stopRequested && !this->unitsAwaitingTickets.contains(placedRun.unit))
+            if (placedRun.isWaitingStart() && !this->unitsAwaitingTickets.contains(placedRun.unit))
                 problems.push_back("a run that waits for a ticket that isn't requested: " + run.task.job);
         }
         if (!(used == worker.used))
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -405,7 +405,7 @@
         worker->nextPollAt = now;
         rememberLostStart(*worker, placedRun, now);
         if (canSendAgain)
-            return this->sendStart(*worker, placedRun, *unit, now);
+            return this->sendStartAgain(*worker, placedRun, *unit, now);
         placedRun.requestStop(now);
         if (unit)
             this->stopUnit(*unit, now);
@@ -423,7 +423,7 @@
         worker->nextPollAt = now;
         // A single task starts sooner on another worker, but a gang would have to stop all members.
         if (canSendAgain && unit->members() > 1)
-            return this->sendStart(*worker, placedRun, *unit, now);
+            return this->sendStartAgain(*worker, placedRun, *unit, now);
         break;
     case StartAnswer::InvalidTicket:
         if (const auto known = this->adviceByStep.find({ run.task.job, run.task.occurrence, run.task.step }); known != this->adviceByStep.end())
--- a/src/tasks/testing/task_planner_advice_test.cc
+++ b/src/tasks/testing/task_planner_advice_test.cc
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(tasksThatAwaitTicketsLeaveDrainingWorkers);
     CPPUNIT_TEST(tasksThatAwaitTicketsSurviveTakeovers);
     CPPUNIT_TEST(queuesMayLoseTheirPolicyWhileTasksAwaitTickets);
+    CPPUNIT_TEST(repeatedStartsCarryValidTickets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -195,6 +196,22 @@
         assertNoViolations(site);
     }
 
+    // Guards against a start that is repeated after its ticket has expired: the rejection doesn't settle the
+    // first attempt, so the run is stopped and its task begins late.
+    void repeatedStartsCarryValidTickets()
+    {
+        VirtualSite site({ .seed = 89, .workers = 8, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.failNextCalls({ .kind = CallKind::Start, .fate = CallFate::Lost, .count = 1 });
+        site.submit(createGang("g", 3, { 50, 5, 200 }));
+        CPPUNIT_ASSERT(timeUntilRuns(site, "g", 3) <= maxIdleTime);
+        CPPUNIT_ASSERT(site.runUntilFinished(20000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.startsWithoutTicket);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 3 }, site.runsOf("g"));
+        assertNoViolations(site);
+    }
+
 private:
     static void assertNoViolations(const VirtualSite& site)
     {
--- a/src/tasks/testing/virtual_site.h
+++ b/src/tasks/testing/virtual_site.h
@@ -152,6 +152,9 @@
     // The advice service answers no request that it receives meanwhile.
     void setAdviceAway(bool isAway) { this->isAdviceAway = isAway; }
 
+    // Workers reject the tickets of the next `count` starts, as if these had expired.
+    void rejectNextTickets(int count) { this->rejectedTickets = count; }
+
     // The next `count` starts are not sent; the planner receives the answer NotSent for them.
     void suppressNextStarts(int count) { this->suppressedStarts = count; }
 
@@ -419,6 +422,7 @@
     Millis adviceDelay { 0 };
     bool isAdviceAway { false };
     Millis adviceBusyUntil { 0 };
+    int rejectedTickets { 0 };
     std::map<std::string, Ticket> tickets; // By their text.
     Millis plannerInterval { 0 };
     Millis nextPlannerTurn { 0 };
--- a/src/tasks/testing/virtual_site_workers.cc
+++ b/src/tasks/testing/virtual_site_workers.cc
@@ -203,7 +203,8 @@
     if (worker.highestRefusedRuns[order.run.task] >= order.run.run)
         return StartAnswer::Superseded;
     const TaskRef& task = order.run.task;
-    if (this->jobs.at(task.job).terms.advice.ticketValidity > 0 && !this->isTicketValid(order)) {
+    if (this->jobs.at(task.job).terms.advice.ticketValidity > 0 && (this->rejectedTickets > 0 || !this->isTicketValid(order))) {
+        this->rejectedTickets = std::max(this->rejectedTickets - 1, 0);
         ++this->startsWithoutTicket;
         return StartAnswer::InvalidTicket;
     }
