Keep a run whose ticket was rejected, and space the attempts

A gang begins anew, and its members' work is lost, because one of them had a ticket that expired on the way. If no ticket lasts for the way, starts and requests follow each other as fast as the service answers.

Cause: a start that is rejected for its ticket took its run off the worker, which stops all members of its gang, and the next run began 100 ms later with a new record and the same chance. Nothing counted the rejections.

Change: the run keeps its place and gets another ticket, up to the attempts that a start has anyway. Rejections in a row are counted for each step and worker; from the second on the worker is not used for 100 ms, doubling up to 1.6 s, while others are. A start that is accepted ends the count.

--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -46,15 +46,22 @@
 class StepAdvice {
 public:
     // The ticket was received at `now` and is valid until then.
-    void allow(const Incarnation& incarnation, std::string ticket, Millis now, Millis until) { this->verdicts[incarnation] = { true, std::move(ticket), now, until }; }
+    void allow(const Incarnation&, std::string ticket, Millis now, Millis until);
     void deny(const Incarnation& incarnation) { this->verdicts[incarnation] = {}; }
 
-    // Drops the ticket after a worker rejected it. The verdict holds.
-    void dropTicket(const Incarnation&);
+    // Drops the ticket, which the worker rejected. The verdict holds, but the worker is not used for a
+    // while, from the second rejection in a row on: its tickets may expire on the way.
+    void rejectTicket(const Incarnation&, Millis now);
 
-    // Whether the worker may run the step. If requests fail at present, it takes a ticket that is valid
-    // until then: without that, a run would hold its resources until a request succeeds.
-    bool allows(const Incarnation&, Millis until) const;
+    // The worker accepted a start of the step.
+    void acceptTicket(const Incarnation&);
+
+    // Whether the step can be placed on the worker now. If requests fail at present, it takes a ticket that
+    // is valid for `delay`: without that, a run would hold its resources until a request succeeds.
+    bool allows(const Incarnation&, Millis now, Millis delay) const;
+
+    // The earliest time of the next request for a ticket for this worker.
+    Millis nextTicketAt(const Incarnation&) const;
 
     bool denies(const Incarnation&) const;
 
@@ -89,6 +96,9 @@
         std::string ticket;
         Millis receivedAt { 0 };
         Millis until { 0 };
+        int rejections { 0 }; // In a row; those of one ticket count once.
+        Millis rejectedAt { 0 };
+        Millis retryAt { 0 };
     };
 
     const Verdict* find(const Incarnation&) const;
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -329,6 +329,7 @@
         bool hasTicket { false };
     };
     bool hasPolicy(const Unit&) const;
+    StepAdvice* findAdvice(const TaskRef&);
     const std::string* ticketOf(const Unit&, const Worker&) const;
     bool hasTicket(const Unit&, const Worker&, Millis now) const;
     bool canTakeWaitingStart(const Unit&, const WaitingStart&) const;
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -27,6 +27,12 @@
 
 bool TaskPlanner::hasPolicy(const Unit& unit) const { return this->options.hasAdviceService && unit.terms->advice.ticketValidity > 0; }
 
+StepAdvice* TaskPlanner::findAdvice(const TaskRef& task)
+{
+    const auto found = this->adviceByStep.find({ task.job, task.occurrence, task.step });
+    return found == this->adviceByStep.end() ? nullptr : &found->second;
+}
+
 // The newest ticket for the worker, valid or not, or null.
 const std::string* TaskPlanner::ticketOf(const Unit& unit, const Worker& worker) const
 {
@@ -38,7 +44,7 @@
 {
     std::set<std::string> allowed;
     for (const SnapshotWorker& worker : snapshot.workers) {
-        if (stepAdvice.allows(this->workers.at(worker.id).description.incarnation, now + startDeliveryTime))
+        if (stepAdvice.allows(this->workers.at(worker.id).description.incarnation, now, startDeliveryTime))
             allowed.insert(worker.id);
     }
     return allowed;
@@ -200,8 +206,7 @@
         std::set<std::string> named;
         for (; next != this->unitsAwaitingTickets.end() && stepOf(*next) == step; ++next)
             this->nameWaitingWorkers(*next, named, now);
-        const StepAdvice& stepAdvice = this->adviceByStep[step];
-        if (stepAdvice.requestedWorkers.empty() && now >= stepAdvice.notBefore && !named.empty())
+        if (this->adviceByStep[step].requestedWorkers.empty() && !named.empty())
             this->requestAdvice(unit, { named.begin(), named.end() });
     }
 }
@@ -211,9 +216,13 @@
 void TaskPlanner::nameWaitingWorkers(const UnitKey& key, std::set<std::string>& named, Millis now)
 {
     const std::vector<WaitingStart> waiting = this->waitingStartsOf(key, now);
+    const StepAdvice& stepAdvice = this->adviceByStep[stepOf(key)];
     const bool needsAll = waiting.size() <= maxWorkersPerTicketRequest;
+    const auto isDue = [&](const WaitingStart& start) { return now >= stepAdvice.nextTicketAt(start.worker->description.incarnation); };
+    if (needsAll && !std::all_of(waiting.begin(), waiting.end(), isDue))
+        return;
     for (const WaitingStart& start : waiting) {
-        if ((needsAll || !start.hasTicket) && named.size() < maxWorkersPerTicketRequest)
+        if ((needsAll || !start.hasTicket) && isDue(start) && named.size() < maxWorkersPerTicketRequest)
             named.insert(start.worker->description.incarnation.id);
     }
 }
--- a/src/tasks/task_planner_workers.cc
+++ b/src/tasks/task_planner_workers.cc
@@ -383,6 +383,12 @@
     PlacedRun& placedRun = worker->placedRuns.at(run);
     Unit* unit = placedRun.orphaned ? nullptr : this->find(placedRun.unit);
     this->pacer.markChanged();
+    if (StepAdvice* stepAdvice = this->findAdvice(run.task)) {
+        if (answer == StartAnswer::InvalidTicket)
+            stepAdvice->rejectTicket(incarnation, now);
+        else if (answer == StartAnswer::Started)
+            stepAdvice->acceptTicket(incarnation);
+    }
     // The answer to a repeated start does not exclude that an earlier attempt is executed late.
     if (placedRun.hasUnansweredStart && !settlesEarlierAttempts(answer))
         answer = StartAnswer::NoAnswer;
@@ -426,8 +432,11 @@
             return this->sendStartAgain(*worker, placedRun, *unit, now);
         break;
     case StartAnswer::InvalidTicket:
-        if (const auto known = this->adviceByStep.find({ run.task.job, run.task.occurrence, run.task.step }); known != this->adviceByStep.end())
-            known->second.dropTicket(incarnation);
+        // The worker has done nothing. Another ticket keeps the other members of a gang at work.
+        if (canSendAgain) {
+            placedRun.phase = RunPhase::Recording;
+            return this->awaitTicket(placedRun);
+        }
         break;
     case StartAnswer::Unavailable:
         worker->health.runFailed(now);
--- a/src/tasks/testing/task_planner_advice_test.cc
+++ b/src/tasks/testing/task_planner_advice_test.cc
@@ -52,6 +52,8 @@
     CPPUNIT_TEST(tasksThatAwaitTicketsSurviveTakeovers);
     CPPUNIT_TEST(queuesMayLoseTheirPolicyWhileTasksAwaitTickets);
     CPPUNIT_TEST(repeatedStartsCarryValidTickets);
+    CPPUNIT_TEST(gangsSurviveRejectedTickets);
+    CPPUNIT_TEST(rejectedTicketsAreRetriedAtIncreasingIntervals);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -212,6 +214,39 @@
         assertNoViolations(site);
     }
 
+    // Guards against a gang that is stopped whole because the ticket of one member expired on the way.
+    void gangsSurviveRejectedTickets()
+    {
+        VirtualSite site({ .seed = 90, .workers = 16, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.rejectNextTickets(2);
+        site.submit(createGang("g", 6, { 50, 5, 900 }));
+        CPPUNIT_ASSERT(timeUntilRuns(site, "g", 6) <= maxIdleTime);
+        CPPUNIT_ASSERT(site.runUntilFinished(20000));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 2 }, site.startsWithoutTicket);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 6 }, site.runsOf("g"));
+        assertNoViolations(site);
+    }
+
+    // Guards against starts that are rejected again and again in a tight loop if no ticket lasts for the
+    // way to the worker. Once tickets last, the jobs begin.
+    void rejectedTicketsAreRetriedAtIncreasingIntervals()
+    {
+        VirtualSite site({ .seed = 91, .workers = 4, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.rejectNextTickets(1'000'000);
+        site.submit(createJob("j", { .count = 2, .perTask = oneAccelerator, .estimate = 1000 }, { 20, 5, 100 }));
+        site.run(22000);
+        constexpr std::int64_t maxRejections = 100;
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{} starts, {} requests", site.startsWithoutTicket, site.adviceRequests), site.startsWithoutTicket > 0 && site.startsWithoutTicket <= maxRejections && site.adviceRequests <= maxRejections);
+        site.rejectNextTickets(0);
+        CPPUNIT_ASSERT(timeUntilRuns(site, "j", 2) <= maxIdleTime);
+        CPPUNIT_ASSERT(site.runUntilFinished(40000));
+        assertNoViolations(site);
+    }
+
 private:
     static void assertNoViolations(const VirtualSite& site)
     {
