Count the validity of a ticket from its issue, not from the handling of the answer

Starts are rejected for tickets that had expired on their way.

Cause: the validity was counted from the time when the planner handled the answer. A slow link or a busy or suspended planner makes that later than the issue by any time.

Change: it is counted from the request, plus the time that the service takes for it, and never from later than the answer. If the request waited behind others, that is too early; then a new ticket is requested, and one that has just arrived is used at once in any case, so no start waits for ever.

--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -87,6 +87,7 @@
     bool isFailing { false }; // The last request failed.
     Millis notBefore { 0 }; // The earliest time of the next request.
     std::int64_t requests { 0 }; // Sent so far.
+    Millis requestedAt { 0 }; // When the last one was sent.
     Millis answeredAt { 0 }; // When a request was last answered, or 0.
     std::int64_t lastPass { 0 }; // The last pass over all steps in which a full round sent a request for this step.
 
--- a/src/tasks/task_planner.h
+++ b/src/tasks/task_planner.h
@@ -318,7 +318,7 @@
     std::vector<detail::AdviceCandidate> adviceCandidates(const StepAdvice&, const Snapshot&, const PlacementRequest&, Millis now) const;
     bool claimAdviceTurn(StepAdvice&);
     bool resolveAdvice(const Unit&, const Snapshot&, PlacementRequest&, Millis now);
-    void requestAdvice(const Unit&, const std::vector<std::string>& named);
+    void requestAdvice(const Unit&, const std::vector<std::string>& named, Millis now);
     std::string adviceText(const Unit&, Millis now) const;
     void forgetAdvice(const std::string& job);
 
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -106,18 +106,19 @@
         std::vector<std::string> named;
         for (std::size_t i = 0; i < std::min(candidates.size(), maxWorkersPerAdviceRequest); ++i)
             named.push_back(candidates[i].worker->id);
-        this->requestAdvice(unit, named);
+        this->requestAdvice(unit, named, now);
     }
     return false;
 }
 
-void TaskPlanner::requestAdvice(const Unit& unit, const std::vector<std::string>& named)
+void TaskPlanner::requestAdvice(const Unit& unit, const std::vector<std::string>& named, Millis now)
 {
     StepAdvice& stepAdvice = this->adviceByStep[stepOf(unit.key)];
     for (const std::string& id : named)
         stepAdvice.requestedWorkers.push_back(this->workers.at(id).description.incarnation);
     ++this->pendingAdviceRequests;
     ++stepAdvice.requests;
+    stepAdvice.requestedAt = now;
     this->adviceOrders.push_back({ .step = stepOf(unit.key), .terms = unit.terms->advice, .workers = named });
 }
 
@@ -207,7 +208,7 @@
         for (; next != this->unitsAwaitingTickets.end() && stepOf(*next) == step; ++next)
             this->nameWaitingWorkers(*next, named, now);
         if (this->adviceByStep[step].requestedWorkers.empty() && !named.empty())
-            this->requestAdvice(unit, { named.begin(), named.end() });
+            this->requestAdvice(unit, { named.begin(), named.end() }, now);
     }
 }
 
@@ -260,12 +261,16 @@
     StepAdvice& stepAdvice = found->second;
     stepAdvice.answeredAt = now;
     stepAdvice.isFailing = false;
+    // The answer may have been on its way for long, or may have waited for this planner's turn.
+    const AdviceTerms& terms = job->second.terms->advice;
+    const Millis duration = terms.perRequest + terms.perWorker * static_cast<Millis>(stepAdvice.requestedWorkers.size());
+    const Millis issuedAt = std::min(now, stepAdvice.requestedAt + duration);
     for (const Incarnation& incarnation : stepAdvice.requestedWorkers) {
         const auto row = std::find_if(allowed.begin(), allowed.end(), [&](const AllowedWorker& worker) { return worker.id == incarnation.id; });
         if (row == allowed.end())
             stepAdvice.deny(incarnation);
         else
-            stepAdvice.allow(incarnation, row->ticket, now, now + job->second.terms->advice.ticketValidity);
+            stepAdvice.allow(incarnation, row->ticket, now, issuedAt + terms.ticketValidity);
     }
     stepAdvice.requestedWorkers.clear();
     for (const UnitKey& key : std::vector<UnitKey>(this->unitsAwaitingTickets.begin(), this->unitsAwaitingTickets.end())) {
--- a/src/tasks/testing/task_planner_advice_test.cc
+++ b/src/tasks/testing/task_planner_advice_test.cc
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(repeatedStartsCarryValidTickets);
     CPPUNIT_TEST(gangsSurviveRejectedTickets);
     CPPUNIT_TEST(rejectedTicketsAreRetriedAtIncreasingIntervals);
+    CPPUNIT_TEST(lateAnswersHaveOldTickets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -247,6 +248,22 @@
         assertNoViolations(site);
     }
 
+    // Guards against tickets that count as valid although they expired on their way: those of a late answer
+    // are used at once or not at all.
+    void lateAnswersHaveOldTickets()
+    {
+        VirtualSite site({ .seed = 92, .workers = 8, .failures = 0 });
+        site.newPlanner();
+        site.run(2000);
+        site.delayAdvice(500);
+        site.delayRecords(400);
+        site.submit(createJob("j", { .count = 4, .perTask = oneAccelerator, .estimate = 1000 }, { 50, 5, 800 }));
+        CPPUNIT_ASSERT(timeUntilRuns(site, "j", 4) <= maxIdleTime);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, site.startsWithoutTicket);
+        CPPUNIT_ASSERT(site.runUntilFinished(20000));
+        assertNoViolations(site);
+    }
+
 private:
     static void assertNoViolations(const VirtualSite& site)
     {
