--- a/src/tasks/testing/task_planner_random_test.cc
+++ b/src/tasks/testing/task_planner_random_test.cc
@@ -45,6 +45,11 @@
 constexpr std::uint64_t routeSeedCount = 10;
 constexpr int workersOfSecondService = 6;
 
+// Simulations with seeds from here on include queues with extreme settings, and an advice service that
+// is slow or away.
+constexpr std::uint64_t firstQueueSettingsSeed = 6'000'000;
+constexpr std::uint64_t queueSettingsSeedCount = 12;
+
 // The first and the last seed; RATTAN_SEEDS=FIRST-LAST selects others.
 std::pair<std::uint64_t, std::uint64_t> seedRange()
 {
@@ -59,12 +64,13 @@
 class Simulation {
 public:
     explicit Simulation(std::uint64_t seed)
-        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1, .maxRecordBytes = seed >= firstSplitSeed && seed < firstPartialListSeed ? smallRecordBytes : usualRecordBytes, .maxEndsPerReport = seed >= firstPartialListSeed && seed < firstRouteSeed ? fewEnds : usualEnds, .workersOfSecondService = seed >= firstRouteSeed ? workersOfSecondService : 0 })
+        : site({ .seed = seed, .lostOrders = 0.02, .lostAnswers = 0.02, .lateOrders = 0.02, .failures = 0.03, .lostAdvice = 0.1, .maxRecordBytes = seed >= firstSplitSeed && seed < firstPartialListSeed ? smallRecordBytes : usualRecordBytes, .maxEndsPerReport = seed >= firstPartialListSeed && seed < firstRouteSeed ? fewEnds : usualEnds, .workersOfSecondService = seed >= firstRouteSeed && seed < firstQueueSettingsSeed ? workersOfSecondService : 0 })
         , random(seed * 7919)
         , hasPolicies(seed >= firstPolicySeed && seed < firstCrashSeed)
         , hasCrashes(seed >= firstCrashSeed && seed < firstSplitSeed)
         , hasSplitRecords(seed >= firstSplitSeed && seed < firstPartialListSeed)
-        , hasRoutes(seed >= firstRouteSeed)
+        , hasRoutes(seed >= firstRouteSeed && seed < firstQueueSettingsSeed)
+        , hasQueueSettings(seed >= firstQueueSettingsSeed)
     {
     }
 
@@ -100,6 +106,8 @@
         newJob.terms = { .queue = fmt::format("q{}", priority), .service = "s", .priority = priority, .maxAttempts = 4, .stretch = 3, .latencyTarget = 1000 };
         if (this->hasPolicies && this->randomBelow(3) == 0)
             newJob.terms.advice = { 20, 3, 2000 + this->randomBelow(8000) };
+        if (this->hasQueueSettings)
+            this->drawQueueSettings(newJob.terms);
         const std::int64_t steps = 1 + this->randomBelow(2);
         for (std::int64_t i = 0; i < steps; ++i) {
             Step step;
@@ -109,7 +117,7 @@
             step.gang = this->randomBelow(2) == 0;
             step.sameRack = this->randomBelow(3) == 0;
             step.savesProgress = this->randomBelow(3) == 0;
-            if (this->randomBelow(8) == 0)
+            if (this->randomBelow(this->hasQueueSettings ? 2 : 8) == 0)
                 step.maxPerWorker = 1;
             if (this->hasSplitRecords && this->randomBelow(3) == 0) {
                 step.count = 20 + this->randomBelow(60);
@@ -128,8 +136,31 @@
             this->site.cancel(newJob.id);
     }
 
+    // Advice that takes much longer than its tickets last, or no time, and a single attempt.
+    void drawQueueSettings(QueueTerms& terms)
+    {
+        constexpr std::array<Millis, 4> perRequest { 0, 5, 50, 300 };
+        constexpr std::array<Millis, 3> perWorker { 0, 1, 10 };
+        constexpr std::array<Millis, 6> validity { 30, 60, 150, 400, 900, 3000 }; // A start arrives within 20 ms.
+        const auto draw = [this](const auto& values) { return values.at(static_cast<std::size_t>(this->randomBelow(static_cast<Millis>(values.size())))); };
+        terms.maxAttempts = 1 + this->randomBelow(4);
+        if (this->randomBelow(3) > 0)
+            terms.advice = { draw(perRequest), draw(perWorker), draw(validity) };
+    }
+
+    void injectAdviceFault()
+    {
+        constexpr Millis maxDelay = 600;
+        this->site.setAdviceAway(this->randomBelow(4) == 0);
+        this->site.delayAdvice(this->randomBelow(3) == 0 ? this->randomBelow(maxDelay) : 0);
+        this->site.delayRecords(this->randomBelow(3) == 0 ? this->randomBelow(maxDelay) : 0);
+        this->site.rejectNextTickets(this->randomBelow(4) == 0 ? 3 : 0);
+    }
+
     void injectFault()
     {
+        if (this->hasQueueSettings)
+            this->injectAdviceFault();
         if (this->hasRoutes && this->randomBelow(4) == 0) {
             const std::array<std::string, 3> services { "s", "t", "" };
             this->site.sendQueue(fmt::format("q{}", this->randomBelow(3)), services.at(static_cast<std::size_t>(this->randomBelow(3))), this->randomBelow(3));
@@ -171,6 +202,10 @@
 
     void endFaults()
     {
+        this->site.setAdviceAway(false);
+        this->site.delayAdvice(0);
+        this->site.delayRecords(0);
+        this->site.rejectNextTickets(0);
         for (int i = 0; i < 12; ++i) {
             this->site.setPartitioned(fmt::format("w{:02}", i), false);
             this->site.setStalled(fmt::format("w{:02}", i), false);
@@ -187,6 +222,7 @@
     bool hasCrashes;
     bool hasSplitRecords;
     bool hasRoutes;
+    bool hasQueueSettings;
 };
 
 // Runs one simulation. Returns an empty text if all invariants held; otherwise the first violation,
@@ -214,6 +250,7 @@
     CPPUNIT_TEST(invariantsHoldWithSplitRecords);
     CPPUNIT_TEST(invariantsHoldWithPartialLists);
     CPPUNIT_TEST(invariantsHoldWithChangedRoutes);
+    CPPUNIT_TEST(invariantsHoldWithExtremeQueueSettings);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -258,6 +295,14 @@
         }
     }
 
+    void invariantsHoldWithExtremeQueueSettings()
+    {
+        for (std::uint64_t seed = firstQueueSettingsSeed; seed < firstQueueSettingsSeed + queueSettingsSeedCount; ++seed) {
+            const std::string problem = simulate(seed, "");
+            CPPUNIT_ASSERT_MESSAGE(problem, problem.empty());
+        }
+    }
+
     void invariantsHoldWithPolicies()
     {
         for (std::uint64_t seed = firstPolicySeed; seed < firstPolicySeed + policySeedCount; ++seed) {
