--- a/src/tasks/advice.h
+++ b/src/tasks/advice.h
@@ -6,8 +6,8 @@
 //     StepAdvice advice;
 //     advice.allow(incarnation, "ticket", now, now + 5000);
 //     advice.deny(other);
-//     if (advice.allows(incarnation)) ... // place the run there
-//     if (advice.hasTicket(incarnation, now, 50)) ... // send the start with *advice.ticketOf(incarnation)
+//     if (advice.allows(incarnation, now, 200)) ... // place the run there
+//     if (advice.hasTicket(incarnation, now, 200)) ... // send the start with *advice.ticketOf(incarnation)
 //
 // A verdict on a worker's incarnation never changes, and decides where the step is placed. The
 // ticket that proves it expires, at times before a start can be recorded. Only the start needs
@@ -49,8 +49,8 @@
     void allow(const Incarnation&, std::string ticket, Millis now, Millis until);
     void deny(const Incarnation& incarnation) { this->verdicts[incarnation] = {}; }
 
-    // Drops the ticket, which the worker rejected. The verdict holds, but the worker is not used for a
-    // while, from the second rejection in a row on: its tickets may expire on the way.
+    // Drops the ticket, which the worker rejected. The verdict holds. From the second rejection in a row
+    // on, the worker is not used for a while: the tickets probably expire on the way to it.
     void rejectTicket(const Incarnation&, Millis now);
 
     // The worker accepted a start of the step.
--- a/src/tasks/task_planner_advice.cc
+++ b/src/tasks/task_planner_advice.cc
@@ -4,8 +4,8 @@
 // could run the step immediately, and end once the step is placed.
 //
 // A run is placed and recorded by the verdict alone. Its start is sent when the record is durable
-// and the ticket is valid; if that has expired, the run waits for a new one, and its start is the
-// first thing that happens to it. So a ticket need only last for the transmission of a start,
+// and the ticket is valid. If the ticket has expired, a new one is requested, and the start is sent
+// as soon as the answer arrives. So a ticket need only last for the transmission of a start,
 // however long records and answers take.
 
 #include "tasks/planner_limits.h"
@@ -25,6 +25,7 @@
 
 } // namespace
 
+// Whether the starts of the unit need tickets.
 bool TaskPlanner::hasPolicy(const Unit& unit) const { return this->options.hasAdviceService && unit.terms->advice.ticketValidity > 0; }
 
 StepAdvice* TaskPlanner::findAdvice(const TaskRef& task)
@@ -122,6 +123,7 @@
     this->adviceOrders.push_back({ .step = stepOf(unit.key), .terms = unit.terms->advice, .workers = named });
 }
 
+// Whether a start that is sent now needs no other ticket.
 bool TaskPlanner::hasTicket(const Unit& unit, const Worker& worker, Millis now) const
 {
     if (!this->hasPolicy(unit))
@@ -261,7 +263,8 @@
     StepAdvice& stepAdvice = found->second;
     stepAdvice.answeredAt = now;
     stepAdvice.isFailing = false;
-    // The answer may have been on its way for long, or may have waited for this planner's turn.
+    // The earliest time of the issue: the answer may have been on its way for long, or may have waited for
+    // this planner's turn.
     const AdviceTerms& terms = job->second.terms->advice;
     const Millis duration = terms.perRequest + terms.perWorker * static_cast<Millis>(stepAdvice.requestedWorkers.size());
     const Millis issuedAt = std::min(now, stepAdvice.requestedAt + duration);
